--- /dev/null
+++ b/internal/core/pick/pick.go
@@ -0,0 +1,134 @@
+// Package pick chooses the backend server of the own region that a request is
+// sent to, by its expected time to the first byte. The expectation rests on
+// the prompts that wait to be read at each server, on the prefixes that its
+// cache should hold, and on what the other hosts of the region report of
+// their own requests.
+//
+// A Table is safe for concurrent use. It reads no clock: the time is an
+// argument, and all times of one table come from one clock.
+package pick
+
+import (
+	"time"
+)
+
+// Model of a server, used until its responses have been measured.
+const (
+	// readRate is how fast a prompt is read, in tokens per second.
+	readRate = 54_600.0
+	// batchDelay is what each request in the batch adds to a first byte.
+	batchDelay = 500 * time.Microsecond
+	// rankDelay keeps the hosts of a region from placing a new prefix on
+	// several servers at once: it is added per rank of a rendezvous hash.
+	rankDelay = 25 * time.Millisecond
+	// missWeight counts the time to read a prefix again more than once, since
+	// it also delays the other requests of the server.
+	missWeight = 1.5
+	// memoryShare of a server's memory may be taken by running requests
+	// before another server is preferred.
+	memoryShare = 0.8
+	// cacheShare of a server's memory is expected to hold prefixes.
+	cacheShare = 0.8
+	// placedFor is how long a prefix is expected to stay unused in a cache.
+	placedFor = 60 * time.Second
+)
+
+// PrefixTokens is the shortest shared prefix that is worth routing by:
+// shorter ones are read in less time than a detour takes.
+const PrefixTokens = 1000
+
+// Rules for servers that fail.
+const (
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// failuresDown in a row set a server aside; a failed connect does so at
+	// once.
+	failuresDown = 3
+	// fullDelay is added to servers that refused a request within fullFor.
+	fullDelay = 400 * time.Millisecond
+	fullFor   = 300 * time.Millisecond
+	// errorDelay is added in proportion to a server's rate of errors.
+	errorDelay  = 1500 * time.Millisecond
+	errorWeight = 0.1
+	// slowWeight is that of the newest measurement of a server's speed, and
+	// slowHalf the time after which half of a deviation is forgotten.
+	slowWeight = 0.15
+	slowHalf   = 4 * time.Second
+	maxSlow    = 10.0
+	// floorTime is the shortest expected time that measurements are compared
+	// with.
+	floorTime = 80 * time.Millisecond
+	// probationBeats is the number of heartbeats of a server that failed
+	// after which its entry is believed again.
+	probationBeats = 2
+	// probationRate bounds the requests per second of one host to a server
+	// of unknown state.
+	probationRate = 2.0
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	// Prefix identifies the first shared part of the prompt, 0 if there is
+	// none; Shared is its length in tokens.
+	Prefix uint64
+	Shared int
+	// Prompt and Output are all tokens to read and at most to write.
+	Prompt, Output int
+	// Exclude lists servers that failed this request.
+	Exclude []string
+}
+
+// Choice is a chosen server. It is passed to Done once.
+type Choice struct {
+	ID string
+	// Expected is the expected time to the first byte.
+	Expected time.Duration
+
+	server *server
+	at     time.Time
+	unread int
+	memory int
+	begun  bool
+}
+
+// Outcome is what became of a request.
+type Outcome int
+
+// Outcomes. NotRun stands for a refusal of the server, NoConnect for a
+// connection that could not be opened, Broken for one that ended too soon,
+// Aborted for a caller that left.
+const (
+	Served Outcome = iota
+	Failed
+	NotRun
+	Gone
+	NoConnect
+	Broken
+	Aborted
+)
+
+// Load is what the requests of one host or more take of a server.
+type Load struct {
+	// Running is the number of requests, Unread the tokens of their prompts
+	// before the first byte, Memory all their tokens.
+	Running, Unread, Memory int
+}
+
+func (l *Load) add(o Load) {
+	l.Running += o.Running
+	l.Unread += o.Unread
+	l.Memory += o.Memory
+}
+
+// Placement is a prefix that was sent to a server.
+type Placement struct {
+	Server string
+	Prefix uint64
+	Tokens int
+}
+
+// placed is a Placement with its time, kept for reports to peers.
+type placed struct {
+	Placement
+	at time.Time
+}
--- /dev/null
+++ b/internal/core/pick/server.go
@@ -0,0 +1,168 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+// server is what a host believes of one backend server.
+type server struct {
+	spec.Server
+	own   Load
+	peers map[string]Load
+	cache cache
+	// warmAt is when the server stops being cold.
+	warmAt time.Time
+	// allow counts requests that may be sent while the server is cold.
+	allow   float64
+	allowAt time.Time
+
+	failures  int
+	downUntil time.Time
+	probing   bool
+	// beats counts heartbeats since the last failure, while probation is set.
+	probation bool
+	beats     int
+	fullUntil time.Time
+	errors    float64
+	slow      float64
+	slowAt    time.Time
+	evacuated bool
+}
+
+func newServer(s spec.Server) *server {
+	return &server{Server: s, peers: make(map[string]Load), slow: 1, cache: newCache()}
+}
+
+// update takes a newer entry of the same server.
+func (s *server) update(e spec.Server, now time.Time) {
+	if e.Born != s.Born || e.Addr != s.Addr {
+		s.cache = newCache()
+		s.clear()
+	}
+	if e.Seq != s.Seq && s.probation {
+		s.beats++
+		if s.beats >= probationBeats {
+			s.probation = false
+		}
+	}
+	s.Server = e
+	s.warmAt = now.Add(e.Warm)
+}
+
+// clear forgets failures.
+func (s *server) clear() {
+	s.failures = 0
+	s.downUntil = time.Time{}
+	s.probing = false
+	s.errors = 0
+	s.slow = 1
+}
+
+// total returns the load of all hosts.
+func (s *server) total() Load {
+	l := s.own
+	for _, p := range s.peers {
+		l.add(p)
+	}
+	return l
+}
+
+// slowness returns how many times longer than expected the server takes.
+func (s *server) slowness(now time.Time) float64 {
+	if s.slow == 1 {
+		return 1
+	}
+	d := now.Sub(s.slowAt)
+	return 1 + (s.slow-1)*math.Pow(0.5, float64(d)/float64(slowHalf))
+}
+
+// measure compares the time to a first byte with its expectation.
+func (s *server) measure(took, expected time.Duration, now time.Time) {
+	ratio := float64(max(took, floorTime)) / float64(max(expected, floorTime))
+	ratio = min(max(ratio, 0.5), maxSlow)
+	s.slow = min(max(s.slowness(now)*(1-slowWeight)+ratio*slowWeight, 1), maxSlow)
+	s.slowAt = now
+}
+
+// limited reports whether the server must get few requests for now.
+func (s *server) limited(now time.Time) bool { return s.probation || now.Before(s.warmAt) }
+
+// refill lets the allowance of a limited server grow by rate per second.
+func (s *server) refill(rate float64, now time.Time) {
+	if !s.allowAt.IsZero() {
+		s.allow += now.Sub(s.allowAt).Seconds() * rate
+	}
+	s.allow = min(s.allow, 1)
+	s.allowAt = now
+}
+
+// usable reports whether a request may be sent to the server.
+func (s *server) usable(req *Request, warm float64, now time.Time) bool {
+	if s.Leaving || s.evacuated || slices.Contains(req.Exclude, s.ID) {
+		return false
+	}
+	if s.failures >= failuresDown && (now.Before(s.downUntil) || s.probing) {
+		return false
+	}
+	if !s.limited(now) {
+		return true
+	}
+	rate := warm
+	if rate <= 0 {
+		if !s.probation {
+			return true
+		}
+		rate = probationRate
+	}
+	s.refill(rate, now)
+	return s.allow >= 1
+}
+
+// fail counts a failure; weight failuresDown sets the server aside at once.
+func (s *server) fail(weight int, now time.Time) {
+	s.failures += weight
+	if s.failures < failuresDown {
+		return
+	}
+	n := min(s.failures/failuresDown-1, 8)
+	s.downUntil = now.Add(min(firstBackoff<<n, maxBackoff))
+	s.probing = false
+	s.probation = true
+	s.beats = 0
+}
+
+// cost returns the expected time to the first byte and the part of the prompt
+// that is to be read; rank is that of the server for the prefix.
+func (s *server) cost(req *Request, svc *spec.Service, rank int, now time.Time) (time.Duration, int) {
+	l := s.total()
+	slow := s.slowness(now)
+	hit := 0
+	if req.Prefix != 0 && s.cache.holds(req.Prefix, now) {
+		hit = req.Shared
+	}
+	unread := max(req.Prompt-hit, 0)
+	ahead := float64(l.Unread) + float64(req.Prompt-req.Shared) + missWeight*float64(unread-(req.Prompt-req.Shared))
+	d := time.Duration(ahead / readRate * float64(time.Second) * slow)
+	d += time.Duration(float64(l.Running) * float64(batchDelay) * slow)
+	d += time.Duration(s.errors * float64(errorDelay))
+	if req.Prefix != 0 && hit == 0 {
+		d += time.Duration(rank) * rankDelay
+	}
+	if now.Before(s.fullUntil) {
+		d += fullDelay
+	}
+	if slots := max(s.Slots, svc.Slots); slots > 0 && l.Running >= slots {
+		d += fullDelay + time.Duration(l.Running-slots)*batchDelay*20
+	}
+	if svc.Cache > 0 {
+		over := float64(l.Memory+req.Prompt+req.Output) - memoryShare*float64(svc.Cache)
+		if over > 0 {
+			d += time.Duration(2 * over / readRate * float64(time.Second))
+		}
+	}
+	return d, unread
+}
--- /dev/null
+++ b/internal/core/pick/table.go
@@ -0,0 +1,285 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+// placedReport is how long a placement is repeated in reports, so that one
+// lost report does no harm.
+const placedReport = time.Second
+
+// Table holds the servers of one service in the own region.
+type Table struct {
+	mu      sync.Mutex
+	svc     spec.Service
+	hosts   int
+	servers map[string]*server
+	order   []string // sorted, for equal decisions in equal states
+	placed  []placed
+	rng     *rand.Rand
+}
+
+// NewTable returns an empty table; rng breaks ties.
+func NewTable(svc spec.Service, rng *rand.Rand) *Table {
+	return &Table{svc: svc, hosts: 1, servers: make(map[string]*server), rng: rng}
+}
+
+// Update replaces the servers and takes the number of hosts in the region that
+// may send to them.
+func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, hosts int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.svc = svc
+	t.hosts = max(hosts, 1)
+	seen := make(map[string]bool, len(list))
+	t.order = t.order[:0]
+	for _, e := range list {
+		seen[e.ID] = true
+		t.order = append(t.order, e.ID)
+		s := t.servers[e.ID]
+		if s == nil {
+			s = newServer(e)
+			t.servers[e.ID] = s
+		}
+		s.update(e, now)
+		s.evacuated = slices.Contains(evacuated, e.Site)
+	}
+	for id := range t.servers {
+		if !seen[id] {
+			delete(t.servers, id)
+		}
+	}
+	slices.Sort(t.order)
+}
+
+// Server returns the entry of a server.
+func (t *Table) Server(id string) (spec.Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[id]
+	if !ok {
+		return spec.Server{}, false
+	}
+	return s.Server, true
+}
+
+// Pick chooses a server and counts the request as sent to it. It returns
+// false when no server may get the request now.
+func (t *Table) Pick(req *Request, now time.Time) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, d, unread := t.best(req, now)
+	if best == nil {
+		return Choice{}, false
+	}
+	t.send(best, req, unread, now)
+	return Choice{ID: best.ID, Expected: d, server: best, at: now, unread: unread, memory: req.Prompt + req.Output}, true
+}
+
+// Expect returns the expected time to the first byte of a request, or false
+// when no server may get it now.
+func (t *Table) Expect(req *Request, now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, d, _ := t.best(req, now)
+	return d, best != nil
+}
+
+func (t *Table) best(req *Request, now time.Time) (*server, time.Duration, int) {
+	warm := t.svc.WarmRate / float64(t.hosts)
+	ranks := t.ranks(req.Prefix)
+	var best *server
+	var least time.Duration
+	var unread int
+	ties := 1
+	for i, id := range t.order {
+		s := t.servers[id]
+		if !s.usable(req, warm, now) {
+			continue
+		}
+		d, n := s.cost(req, &t.svc, ranks[i], now)
+		if best != nil && d == least {
+			ties++
+			if t.rng.IntN(ties) > 0 {
+				continue
+			}
+		} else if best != nil && d > least {
+			continue
+		} else {
+			ties = 1
+		}
+		best = s
+		least = d
+		unread = n
+	}
+	return best, least, unread
+}
+
+// ranks returns the rendezvous rank of each server of order for a prefix.
+func (t *Table) ranks(prefix uint64) []int {
+	ranks := make([]int, len(t.order))
+	if prefix == 0 {
+		return ranks
+	}
+	weights := make([]uint64, len(t.order))
+	for i, id := range t.order {
+		weights[i] = weight(prefix, id)
+	}
+	for i := range weights {
+		for j := range weights {
+			if weights[j] > weights[i] {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
+// weight is the rendezvous weight of a server for a prefix.
+func weight(prefix uint64, id string) uint64 {
+	h := xxhash.Sum64String(id) ^ prefix
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func (t *Table) send(s *server, req *Request, unread int, now time.Time) {
+	s.own.add(Load{Running: 1, Unread: unread, Memory: req.Prompt + req.Output})
+	if s.limited(now) {
+		s.allow--
+	}
+	if s.failures >= failuresDown {
+		s.probing = true
+	}
+	if req.Prefix == 0 {
+		return
+	}
+	p := Placement{Server: s.ID, Prefix: req.Prefix, Tokens: req.Shared}
+	s.cache.put(p.Prefix, p.Tokens, t.cacheLimit(), now)
+	t.placed = append(t.placed, placed{p, now})
+}
+
+func (t *Table) cacheLimit() int { return int(cacheShare * float64(t.svc.Cache)) }
+
+// Begun records the first byte of a response.
+func (t *Table) Begun(c *Choice, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.begun {
+		return
+	}
+	c.begun = true
+	s := c.server
+	s.own.Unread -= c.unread
+	s.measure(now.Sub(c.at), c.Expected, now)
+}
+
+// Done records the end of a request.
+func (t *Table) Done(c *Choice, o Outcome, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := c.server
+	l := Load{Running: -1, Memory: -c.memory}
+	if !c.begun {
+		l.Unread = -c.unread
+	}
+	s.own.add(l)
+	s.probing = false
+	switch o {
+	case Served:
+		s.failures = 0
+		s.errors *= 1 - errorWeight
+	case Failed:
+		s.failures = 0
+		s.errors = s.errors*(1-errorWeight) + errorWeight
+	case NotRun:
+		s.fullUntil = now.Add(fullFor)
+	case Gone, NoConnect:
+		s.fail(failuresDown, now)
+	case Broken:
+		s.errors = s.errors*(1-errorWeight) + errorWeight
+		s.fail(1, now)
+	case Aborted:
+	}
+}
+
+// Peer replaces what another host of the region reports of its requests, and
+// takes over its placements.
+func (t *Table) Peer(host string, loads map[string]Load, placements []Placement, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.servers {
+		l, ok := loads[id]
+		if !ok {
+			delete(s.peers, host)
+			continue
+		}
+		s.peers[host] = l
+	}
+	for _, p := range placements {
+		if s := t.servers[p.Server]; s != nil {
+			s.cache.put(p.Prefix, p.Tokens, t.cacheLimit(), now)
+		}
+	}
+}
+
+// Report returns the load of the own requests by server and the placements of
+// the last second.
+func (t *Table) Report(now time.Time) (map[string]Load, []Placement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make(map[string]Load)
+	for id, s := range t.servers {
+		if s.own != (Load{}) {
+			loads[id] = s.own
+		}
+	}
+	t.placed = slices.DeleteFunc(t.placed, func(p placed) bool { return now.Sub(p.at) > placedReport })
+	list := make([]Placement, 0, len(t.placed))
+	for _, p := range t.placed {
+		list = append(list, p.Placement)
+	}
+	return loads, list
+}
+
+// Summary is the state of a service in a region.
+type Summary struct {
+	// Servers is the number of usable servers, Wait the mean time that a
+	// prompt waits to be read.
+	Servers int
+	Wait    time.Duration
+	// Busy is the mean part of the batch in use.
+	Busy float64
+}
+
+// Summary returns the state of the service.
+func (t *Table) Summary(now time.Time) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum Summary
+	var unread, running, slots float64
+	for _, s := range t.servers {
+		if s.Leaving || s.evacuated || s.failures >= failuresDown || s.limited(now) {
+			continue
+		}
+		sum.Servers++
+		l := s.total()
+		unread += float64(l.Unread) * s.slowness(now)
+		running += float64(l.Running)
+		slots += float64(max(s.Slots, t.svc.Slots, 1))
+	}
+	if sum.Servers > 0 {
+		sum.Wait = time.Duration(unread / float64(sum.Servers) / readRate * float64(time.Second))
+		sum.Busy = running / slots
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/edge/boot/boot.go
@@ -0,0 +1,94 @@
+// Package boot reads the settings of a gateway host whose platform keeps the
+// configuration.
+package boot
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings of one host. The file is YAML; unknown fields are errors.
+type Settings struct {
+	Host   string `yaml:"host"`
+	Site   string `yaml:"site"`
+	Region string `yaml:"region"`
+	// Sites maps each data centre to its region.
+	Sites map[string]string `yaml:"sites"`
+	// Front takes callers, Ready answers health checks, Lookup tells callers
+	// which hosts to use, Metrics (optional) serves metrics.
+	Front   netip.AddrPort `yaml:"front"`
+	Ready   netip.AddrPort `yaml:"ready"`
+	Lookup  netip.AddrPort `yaml:"lookup"`
+	Metrics netip.AddrPort `yaml:"metrics"`
+	// Peer is the address for other hosts, TCP and UDP.
+	Peer netip.AddrPort `yaml:"peer"`
+	// Seeds are hosts to ask when the store does not answer; only their IP
+	// addresses are used.
+	Seeds []netip.AddrPort `yaml:"seeds"`
+	Store netip.AddrPort   `yaml:"store"`
+	// First is set when the whole system starts for the first time.
+	First bool `yaml:"first"`
+	// Revoke is the time after which a withdrawn key must not work, Grace the
+	// time from the signal to the end of the process.
+	Revoke time.Duration `yaml:"revoke"`
+	Grace  time.Duration `yaml:"grace"`
+	// Retries is how many retries of a service all hosts together may save
+	// up.
+	Retries int64 `yaml:"retries"`
+	// Memory is the most that the process may use, in MB.
+	Memory int64 `yaml:"memory"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings. The error names the field.
+func Parse(b []byte) (Settings, error) {
+	var s Settings
+	d := yaml.NewDecoder(bytes.NewReader(b))
+	d.KnownFields(true)
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("decode: %w", err)
+	}
+	return s, s.check()
+}
+
+// check returns the errors of all fields.
+func (s *Settings) check() error {
+	var errs []error
+	for name, v := range map[string]string{"host": s.Host, "site": s.Site, "region": s.Region} {
+		if v == "" {
+			errs = append(errs, fmt.Errorf("field %s is missing", name))
+		}
+	}
+	for name, a := range map[string]netip.AddrPort{"front": s.Front, "ready": s.Ready, "lookup": s.Lookup, "peer": s.Peer, "store": s.Store} {
+		if !a.IsValid() {
+			errs = append(errs, fmt.Errorf("field %s is missing", name))
+		}
+	}
+	if s.Sites[s.Site] != s.Region {
+		errs = append(errs, fmt.Errorf("field sites: data centre %q is not in region %q", s.Site, s.Region))
+	}
+	for name, d := range map[string]time.Duration{"revoke": s.Revoke, "grace": s.Grace} {
+		if d <= 0 {
+			errs = append(errs, fmt.Errorf("field %s: %v is not positive", name, d))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/edge/entry/entry.go
@@ -0,0 +1,247 @@
+// Package entry assembles a gateway host from its parts and listens on its
+// addresses.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/boot"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/gossip"
+	"github.com/yuccalb/yuccalb/internal/edge/logs"
+	"github.com/yuccalb/yuccalb/internal/edge/relay"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/internal/edge/stats"
+	"github.com/yuccalb/yuccalb/internal/edge/track"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// lookupTTL is how long callers may keep the answer of a lookup.
+	lookupTTL = time.Second
+	// linger is how long a leaving host takes new connections, until callers
+	// have learned of other hosts.
+	linger = 1500 * time.Millisecond
+	// exitMargin is kept free at the end of the grace time.
+	exitMargin = 400 * time.Millisecond
+	// headerWait and idleWait bound reading a header and idle connections.
+	headerWait = 5 * time.Second
+	idleWait   = 60 * time.Second
+	// maxHeader bounds a header in bytes.
+	maxHeader = 64 << 10
+	// sweepEvery is the interval between sweeps of idle connections.
+	sweepEvery = time.Second
+	// memoryShare of the memory limit is the target of the garbage collector.
+	memoryShare = 0.7
+	storeDial   = time.Second
+)
+
+// Entry is a running gateway host.
+type Entry struct {
+	settings boot.Settings
+	log      *logs.Logger
+	tracker  *track.Tracker
+	exchange *gossip.Exchange
+	fleet    *fleet.Fleet
+	relay    *relay.Relay
+
+	front, peer *http.Server
+	aux         []*http.Server
+	stop        chan struct{}
+	done        sync.WaitGroup
+}
+
+// Start runs a host with the given settings. It returns once all addresses
+// are bound; the configuration may not be known yet.
+func Start(settings boot.Settings, log *logs.Logger) (*Entry, error) {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryShare))
+	}
+	e := &Entry{settings: settings, log: log, stop: make(chan struct{})}
+	self := spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer}
+	exchange, err := gossip.Listen(settings.Peer, log.Logger)
+	if err != nil {
+		return nil, err
+	}
+	e.exchange = exchange
+	e.fleet = fleet.New(fleet.Options{
+		Self: self, Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds,
+		First: settings.First, Revoke: settings.Revoke, Retries: settings.Retries, Log: log.Logger,
+	})
+	metrics := stats.New()
+	e.relay = relay.New(relay.Options{Fleet: e.fleet, Log: log, Stats: metrics})
+	transport := &http.Transport{DialContext: send.NewDialer(storeDial).DialContext, MaxIdleConnsPerHost: 4}
+	e.tracker = track.Start(track.Options{
+		Store: platform.NewStore(settings.Store, transport), Self: self, Log: log.Logger,
+		Changed: e.fleet.Changed, Count: metrics.Store,
+	})
+	e.fleet.Start(e.tracker, exchange)
+	e.gauges(metrics)
+	if err := e.listen(metrics); err != nil {
+		return nil, errors.Join(err, e.Close(context.Background()))
+	}
+	e.done.Go(e.sweep)
+	log.Info("started", zap.Stringer("front", settings.Front), zap.String("site", settings.Site), zap.String("region", settings.Region), zap.Bool("first", settings.First), zap.Stringer("store", settings.Store))
+	return e, nil
+}
+
+// gauges registers the metrics that are read from the parts.
+func (e *Entry) gauges(m *stats.Metrics) {
+	m.Gauge("yuccalb_config_version", "Operator's version of the configuration in force.", func() float64 {
+		if s := e.fleet.View().Snapshot; s != nil {
+			return float64(s.Version)
+		}
+		return 0
+	})
+	m.Gauge("yuccalb_key_age_seconds", "Time since the keys were last known to be current.", func() float64 {
+		age, _ := e.fleet.KeyAge()
+		return age.Seconds()
+	})
+	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
+		n := 0
+		for _, p := range e.exchange.Peers() {
+			if time.Since(p.Heard) < gossip.Lost {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	m.Gauge("yuccalb_inflight_requests", "Requests being served.", func() float64 { return float64(e.relay.Running()) })
+	m.Counter("yuccalb_connections_opened_total", "Connections opened to backend servers.", func() float64 { return float64(e.relay.Opened()) })
+	m.Counter("yuccalb_log_lines_dropped_total", "Log lines dropped because the buffer was full.", func() float64 { return float64(e.log.Dropped()) })
+	m.Counter("yuccalb_log_lines_sampled_total", "Log lines about requests left out by sampling.", func() float64 { return float64(e.log.Sampled()) })
+}
+
+func (e *Entry) listen(m *stats.Metrics) error {
+	e.front = e.server(e.relay)
+	e.peer = e.server(http.HandlerFunc(e.relay.ServePeer))
+	ready := e.server(http.HandlerFunc(e.serveReady))
+	lookup := e.server(http.HandlerFunc(e.serveLookup))
+	e.aux = []*http.Server{ready, lookup}
+	addrs := map[*http.Server]netip.AddrPort{
+		e.front: e.settings.Front, e.peer: e.settings.Peer, ready: e.settings.Ready, lookup: e.settings.Lookup,
+	}
+	if e.settings.Metrics.IsValid() {
+		srv := e.server(m.Handler())
+		e.aux = append(e.aux, srv)
+		addrs[srv] = e.settings.Metrics
+	}
+	for srv, addr := range addrs {
+		cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+		l, err := cfg.Listen(context.Background(), "tcp4", addr.String())
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		e.done.Go(func() {
+			if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				e.log.Error("listener failed", zap.Stringer("addr", addr), zap.Error(err))
+			}
+		})
+	}
+	return nil
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests),
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.fleet.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveLookup tells a caller which hosts to use.
+func (e *Entry) serveLookup(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.LookupPath {
+		http.NotFound(w, r)
+		return
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	hosts := e.fleet.Lead(r.URL.Query().Get("region"), rng)
+	if len(hosts) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := platform.EncodeLookup(hosts, lookupTTL)
+	if err != nil {
+		e.log.Error("lookup not encoded", zap.Error(err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(body); err != nil {
+		e.log.Debug("lookup not taken", zap.Error(err))
+	}
+}
+
+// sweep closes idle connections at intervals.
+func (e *Entry) sweep() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.stop:
+			return
+		case now := <-t.C:
+			e.relay.Sweep(now)
+		}
+	}
+}
+
+// Reload takes over settings that may change while the host runs.
+func (e *Entry) Reload(s boot.Settings) {
+	e.fleet.SetSeeds(s.Seeds)
+	e.log.Info("settings reloaded", zap.Int("seeds", len(s.Seeds)))
+}
+
+// Close stops the host gracefully: other hosts and callers are told, requests
+// in progress are completed, and Close waits for them until the grace time or
+// ctx ends.
+func (e *Entry) Close(ctx context.Context) error {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, max(e.settings.Grace-exitMargin, 0))
+	defer cancel()
+	var err error
+	if e.front != nil {
+		e.fleet.Leave()
+		e.relay.Leave()
+		e.pause(ctx)
+		err = errors.Join(e.front.Shutdown(ctx), e.peer.Shutdown(ctx))
+		e.log.Info("requests ended", zap.Int64("running", e.relay.Running()), zap.Duration("took", time.Since(began)))
+		for _, srv := range append(e.aux, e.front, e.peer) {
+			err = errors.Join(err, srv.Close())
+		}
+	}
+	close(e.stop)
+	e.tracker.Close()
+	err = errors.Join(err, e.exchange.Close(), e.relay.Close())
+	e.done.Wait()
+	if err != nil {
+		return fmt.Errorf("close host: %w", err)
+	}
+	return nil
+}
+
+// pause waits until callers have learned that the host leaves.
+func (e *Entry) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(linger):
+	}
+}
--- /dev/null
+++ b/internal/edge/fleet/fleet.go
@@ -0,0 +1,335 @@
+// Package fleet joins what the store, the other hosts and the own requests say
+// into one picture: the servers of each service, the regions, and the hosts
+// that callers may use.
+package fleet
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/core/share"
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/core/steer"
+	"github.com/yuccalb/yuccalb/internal/edge/gossip"
+	"github.com/yuccalb/yuccalb/internal/edge/track"
+)
+
+// proofMargin is kept below the time within which withdrawn keys must stop
+// working, for the time between the check and the dispatch.
+const proofMargin = 400 * time.Millisecond
+
+// Options sets up a Fleet.
+type Options struct {
+	Self   spec.Host
+	Region string
+	// Sites maps each data centre to its region.
+	Sites map[string]string
+	Seeds []netip.AddrPort
+	// First is set when the whole system starts with this host.
+	First bool
+	// Revoke is the time within which withdrawn keys must stop working.
+	Revoke time.Duration
+	// Retries bounds the retries that all hosts together may save up.
+	Retries int64
+	Log     *zap.Logger
+}
+
+// Fleet is the picture that one host has. It is safe for concurrent use.
+type Fleet struct {
+	opts    Options
+	boot    int64
+	tracker *track.Tracker
+	gossip  *gossip.Exchange
+	book    *share.Book
+	leaving atomic.Bool
+	ready   atomic.Bool
+
+	tables atomic.Pointer[map[string]*Service]
+	seeds  atomic.Pointer[[]netip.AddrPort]
+	mu     sync.Mutex // guards changes of tables
+}
+
+// Service is a service in the own region.
+type Service struct {
+	Table *pick.Table
+	// Budget bounds the retries to the service.
+	Budget *retry.Budget
+}
+
+// New returns a fleet; Start begins to exchange.
+func New(opts Options) *Fleet {
+	f := &Fleet{opts: opts, boot: time.Now().UnixNano(), book: share.NewBook(opts.First)}
+	f.tables.Store(&map[string]*Service{})
+	f.SetSeeds(opts.Seeds)
+	return f
+}
+
+// SetSeeds replaces the hosts to ask when the store does not answer.
+func (f *Fleet) SetSeeds(seeds []netip.AddrPort) { f.seeds.Store(&seeds) }
+
+// Start joins the fleet to its sources.
+func (f *Fleet) Start(t *track.Tracker, e *gossip.Exchange) {
+	f.tracker = t
+	f.gossip = e
+	e.Start(f)
+}
+
+// View returns what is known of the store.
+func (f *Fleet) View() *track.View { return f.tracker.View() }
+
+// Book returns the accounts of organisations.
+func (f *Fleet) Book() *share.Book { return f.book }
+
+// Service returns the state of a service, nil if it isn't known.
+func (f *Fleet) Service(name string) *Service { return (*f.tables.Load())[name] }
+
+// Region returns the region of a data centre.
+func (f *Fleet) Region(site string) string { return f.opts.Sites[site] }
+
+// Home returns the own region.
+func (f *Fleet) Home() string { return f.opts.Region }
+
+// Leave marks the host as leaving and tells the others at once.
+func (f *Fleet) Leave() {
+	f.leaving.Store(true)
+	f.gossip.Flush()
+}
+
+// Leaving reports whether the host stops soon.
+func (f *Fleet) Leaving() bool { return f.leaving.Load() }
+
+// KeyAge returns the time since the keys were last known to be current, and
+// whether they may still be used.
+func (f *Fleet) KeyAge() (time.Duration, bool) {
+	age, known := f.tracker.ProofAge()
+	return age, known && age < f.opts.Revoke-proofMargin
+}
+
+// Ready reports whether the host can serve callers, and logs changes.
+func (f *Fleet) Ready() bool {
+	v := f.View()
+	age, fresh := f.KeyAge()
+	ready := !f.Leaving() && v.Snapshot != nil && v.Listed && fresh
+	if f.ready.Swap(ready) != ready {
+		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Int64("config", v.Rev), zap.Duration("proof_age", age), zap.Bool("listed", v.Listed))
+	}
+	return ready
+}
+
+// Changed takes over a new view of the store.
+func (f *Fleet) Changed(v *track.View) {
+	if v.Snapshot == nil || !v.Listed {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	old := *f.tables.Load()
+	tables := make(map[string]*Service, len(v.Snapshot.Services))
+	hosts := f.nearHosts(v)
+	for _, svc := range v.Snapshot.Services {
+		s := old[svc.Name]
+		if s == nil {
+			s = f.newService(svc, len(v.Hosts))
+		}
+		var list []spec.Server
+		for _, e := range v.Servers {
+			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
+				list = append(list, e)
+			}
+		}
+		s.Table.Update(svc, list, v.Evacuated, hosts, v.At)
+		tables[svc.Name] = s
+	}
+	f.tables.Store(&tables)
+	f.book.Keep(f.known(v, now))
+}
+
+func (f *Fleet) newService(svc spec.Service, hosts int) *Service {
+	seed := uint64(time.Now().UnixNano())
+	return &Service{
+		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
+		Budget: &retry.Budget{Limit: max(f.opts.Retries/int64(max(hosts, 1)), 1)},
+	}
+}
+
+// nearHosts counts the hosts of the own region.
+func (f *Fleet) nearHosts(v *track.View) int {
+	names := map[string]bool{f.opts.Self.Name: true}
+	for _, h := range v.Hosts {
+		if f.Region(h.Site) == f.opts.Region {
+			names[h.Name] = true
+		}
+	}
+	for _, p := range f.gossip.Peers() {
+		if f.Region(p.State.Host.Site) == f.opts.Region && time.Since(p.Heard) < gossip.Lost {
+			names[p.State.Host.Name] = true
+		}
+	}
+	return len(names)
+}
+
+// known returns the names of other hosts that are registered or heard of.
+func (f *Fleet) known(v *track.View, now time.Time) []string {
+	var names []string
+	for _, h := range v.Hosts {
+		names = append(names, h.Name)
+	}
+	for _, p := range f.gossip.Peers() {
+		if now.Sub(p.Heard) < gossip.Lost {
+			names = append(names, p.State.Host.Name)
+		}
+	}
+	return names
+}
+
+// State implements gossip.Source.
+func (f *Fleet) State(near bool) gossip.State {
+	v := f.View()
+	now := time.Now()
+	age, _ := f.tracker.ProofAge()
+	s := gossip.State{
+		Host: f.opts.Self, Boot: f.boot, Leaving: f.Leaving(), Ready: f.Ready(),
+		Config: v.Rev, Proof: age, Spent: f.book.Spent(),
+		Services: make(map[string]pick.Summary),
+	}
+	if near {
+		s.Loads = make(map[string]map[string]pick.Load)
+		s.Placed = make(map[string][]pick.Placement)
+	}
+	for name, svc := range *f.tables.Load() {
+		s.Services[name] = svc.Table.Summary(now)
+		if !near {
+			continue
+		}
+		loads, placed := svc.Table.Report(now)
+		if len(loads) > 0 {
+			s.Loads[name] = loads
+		}
+		if len(placed) > 0 {
+			s.Placed[name] = placed
+		}
+	}
+	return s
+}
+
+// Targets implements gossip.Source.
+func (f *Fleet) Targets() []gossip.Target {
+	targets := make(map[netip.AddrPort]gossip.Target)
+	add := func(addr netip.AddrPort, near bool) {
+		if addr != f.opts.Self.Peer {
+			targets[addr] = gossip.Target{Addr: addr, Near: near}
+		}
+	}
+	for _, s := range *f.seeds.Load() {
+		add(netip.AddrPortFrom(s.Addr(), f.opts.Self.Peer.Port()), false)
+	}
+	for _, h := range f.View().Hosts {
+		add(h.Peer, f.Region(h.Site) == f.opts.Region)
+	}
+	for _, p := range f.gossip.Peers() {
+		add(p.Addr(), f.Region(p.State.Host.Site) == f.opts.Region)
+	}
+	list := make([]gossip.Target, 0, len(targets))
+	for _, t := range targets {
+		list = append(list, t)
+	}
+	return list
+}
+
+// Heard implements gossip.Source.
+func (f *Fleet) Heard(p gossip.Peer) {
+	f.tracker.Heard(p.State.Config, p.Proof)
+	f.book.Hear(p.State.Host.Name, p.State.Boot, p.State.Spent, p.Heard)
+	if f.Region(p.State.Host.Site) != f.opts.Region {
+		return
+	}
+	for name, svc := range *f.tables.Load() {
+		svc.Table.Peer(p.State.Host.Name, p.State.Loads[name], p.State.Placed[name], p.Heard)
+	}
+}
+
+// Place is another region that can serve a request.
+type Place struct {
+	Region string
+	Hosts  []netip.AddrPort
+	pick.Summary
+}
+
+// Places returns the other regions with usable servers of a service and hosts
+// that can be reached.
+func (f *Fleet) Places(service string) []Place {
+	var places []Place
+	for _, p := range f.gossip.Peers() {
+		region := f.Region(p.State.Host.Site)
+		sum := p.State.Services[service]
+		if region == f.opts.Region || p.State.Leaving || sum.Servers == 0 || time.Since(p.Heard) > gossip.Lost {
+			continue
+		}
+		i := slices.IndexFunc(places, func(x Place) bool { return x.Region == region })
+		if i < 0 {
+			places = append(places, Place{Region: region, Summary: sum})
+			i = len(places) - 1
+		}
+		places[i].Hosts = append(places[i].Hosts, p.Addr())
+	}
+	slices.SortFunc(places, func(a, b Place) int {
+		if a.Region < b.Region {
+			return -1
+		}
+		return 1
+	})
+	return places
+}
+
+// busyDelay turns a region's use of its batches into an expected wait.
+const busyDelay = 150 * time.Millisecond
+
+// load returns the wait of the service that has most of it.
+func load(services map[string]pick.Summary) time.Duration {
+	var d time.Duration
+	for _, s := range services {
+		d = max(d, s.Wait+time.Duration(s.Busy*float64(busyDelay)))
+	}
+	return d
+}
+
+// Lead returns the addresses of hosts for a caller of a region.
+func (f *Fleet) Lead(region string, rng *rand.Rand) []netip.AddrPort {
+	v := f.View()
+	regions := make(map[string]*steer.Region)
+	add := func(name string, addr netip.AddrPort, wait time.Duration) {
+		r := regions[name]
+		if r == nil {
+			r = &steer.Region{Name: name, Load: wait, Open: v.Snapshot != nil && v.Snapshot.Welcomes(name)}
+			regions[name] = r
+		}
+		r.Hosts = append(r.Hosts, addr)
+	}
+	if f.Ready() {
+		add(f.opts.Region, f.opts.Self.Front, load(f.State(false).Services))
+	}
+	for _, p := range f.gossip.Peers() {
+		if p.State.Ready && !p.State.Leaving && time.Since(p.Heard) < gossip.Lost {
+			add(f.Region(p.State.Host.Site), p.State.Host.Front, load(p.State.Services))
+		}
+	}
+	list := make([]steer.Region, 0, len(regions))
+	for _, r := range regions {
+		list = append(list, *r)
+	}
+	hosts := steer.Hosts(region, list, rng)
+	if len(hosts) == 0 && !f.Leaving() {
+		// Callers get a truthful refusal rather than no address at all.
+		hosts = []netip.AddrPort{f.opts.Self.Front}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/edge/gossip/gossip.go
@@ -0,0 +1,212 @@
+package gossip
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/edge/clock"
+)
+
+const (
+	// interval is the time between frames to hosts of the same region, and
+	// farEvery the number of intervals between frames to other regions.
+	interval = 200 * time.Millisecond
+	farEvery = 2
+	// Lost is the age of the last frame after which a host counts as lost.
+	Lost = 1500 * time.Millisecond
+	// forget is the age after which a peer is dropped.
+	forget = 20 * time.Second
+	// maxFrame bounds a datagram in bytes.
+	maxFrame = 60 << 10
+)
+
+// Target is a host to send frames to.
+type Target struct {
+	Addr netip.AddrPort
+	// Near is set for hosts of the own region.
+	Near bool
+}
+
+// Source is what an Exchange reports of its host.
+type Source interface {
+	// State returns the state to send, with or without the parts for hosts
+	// of the own region.
+	State(near bool) State
+	// Targets returns the hosts to send to.
+	Targets() []Target
+	// Heard is called with each state that arrives.
+	Heard(p Peer)
+}
+
+// Exchange sends the state of its host at intervals and keeps that of others.
+// It is safe for concurrent use.
+type Exchange struct {
+	conn *net.UDPConn
+	src  Source
+	log  *zap.Logger
+
+	mu    sync.Mutex
+	peers map[string]Peer
+	echo  map[netip.AddrPort]echo
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// echo is the last frame of a peer by address.
+type echo struct {
+	sent, arrived time.Duration
+}
+
+// Listen opens the socket of an exchange.
+func Listen(addr netip.AddrPort, log *zap.Logger) (*Exchange, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("listen for other hosts: %w", err)
+	}
+	return &Exchange{
+		conn: conn, log: log, peers: make(map[string]Peer),
+		echo: make(map[netip.AddrPort]echo), stop: make(chan struct{}),
+	}, nil
+}
+
+// Start begins to send the state of src.
+func (e *Exchange) Start(src Source) {
+	e.src = src
+	e.done.Go(e.receive)
+	e.done.Go(e.send)
+}
+
+// Close stops the exchange and waits for its goroutines.
+func (e *Exchange) Close() error {
+	close(e.stop)
+	err := e.conn.Close()
+	e.done.Wait()
+	if err != nil {
+		return fmt.Errorf("close exchange: %w", err)
+	}
+	return nil
+}
+
+// Peers returns what was heard of other hosts, lost ones included.
+func (e *Exchange) Peers() []Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]Peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		list = append(list, p)
+	}
+	return list
+}
+
+func (e *Exchange) send() {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		e.round(n%farEvery == 0)
+		select {
+		case <-e.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Flush sends the state to all targets at once.
+func (e *Exchange) Flush() { e.round(true) }
+
+func (e *Exchange) round(far bool) {
+	var near, wide json.RawMessage
+	for _, t := range e.src.Targets() {
+		body := &wide
+		if t.Near {
+			body = &near
+		} else if !far {
+			continue
+		}
+		if *body == nil {
+			b, err := json.Marshal(e.src.State(t.Near))
+			if err != nil {
+				e.log.Error("state of this host can't be encoded", zap.Error(err))
+				return
+			}
+			*body = b
+		}
+		e.sendTo(t.Addr, *body)
+	}
+}
+
+func (e *Exchange) sendTo(addr netip.AddrPort, body json.RawMessage) {
+	now := clock.Now()
+	f := frame{Sent: now, State: body}
+	e.mu.Lock()
+	if last, ok := e.echo[addr]; ok {
+		f.Echo = last.sent
+		f.Held = now - last.arrived
+	}
+	e.mu.Unlock()
+	b, err := json.Marshal(f)
+	if err != nil {
+		e.log.Error("frame can't be encoded", zap.Error(err))
+		return
+	}
+	if _, err := e.conn.WriteToUDPAddrPort(b, addr); err != nil && !errors.Is(err, net.ErrClosed) {
+		e.log.Debug("frame not sent", zap.Stringer("peer", addr), zap.Error(err))
+	}
+}
+
+func (e *Exchange) receive() {
+	buf := make([]byte, maxFrame)
+	for {
+		n, from, err := e.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.log.Debug("frame not received", zap.Error(err))
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if err := e.take(buf[:n], from); err != nil {
+			e.log.Warn("frame not understood", zap.Stringer("peer", from), zap.Error(err))
+		}
+	}
+}
+
+func (e *Exchange) take(b []byte, from netip.AddrPort) error {
+	arrived := clock.Now()
+	var f frame
+	if err := json.Unmarshal(b, &f); err != nil {
+		return fmt.Errorf("decode frame: %w", err)
+	}
+	p := Peer{Heard: time.Now()}
+	if err := json.Unmarshal(f.State, &p.State); err != nil {
+		return fmt.Errorf("decode state: %w", err)
+	}
+	if f.Echo > 0 && p.State.Config > 0 {
+		p.Proof = f.Echo + f.Held - p.State.Proof
+	}
+	e.mu.Lock()
+	old, ok := e.echo[from]
+	if ok && f.Sent < old.sent && e.peers[p.State.Host.Name].State.Boot == p.State.Boot {
+		e.mu.Unlock()
+		return nil // overtaken by a newer frame
+	}
+	e.echo[from] = echo{sent: f.Sent, arrived: arrived}
+	e.peers[p.State.Host.Name] = p
+	for name, other := range e.peers {
+		if p.Heard.Sub(other.Heard) > forget {
+			delete(e.peers, name)
+		}
+	}
+	e.mu.Unlock()
+	e.src.Heard(p)
+	return nil
+}
--- /dev/null
+++ b/internal/edge/relay/attempt.go
@@ -0,0 +1,325 @@
+package relay
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// maxTries bounds the attempts of one request, those that were not sent
+	// included.
+	maxTries = 4
+	// hopDelay is what another region adds to the time to a first byte.
+	hopDelay = 120 * time.Millisecond
+	// byteDelay is added per byte of a body for another region: such links
+	// are narrow and traffic on them is dear.
+	byteDelay = 5 * time.Microsecond
+	// coldRead is the part of a prompt that a server of another region is
+	// expected to read again.
+	coldRead = 0.5
+	// readRate is how fast a prompt is read, in tokens per second.
+	readRate = 54_600.0
+	// batchWait is the wait at a region whose batches are full.
+	batchWait = 150 * time.Millisecond
+)
+
+// result is what became of one attempt.
+type result int
+
+const (
+	resultDone   result = iota // the caller has its answer, or has left
+	resultNotRun               // the request did not run
+	resultFailed               // it may have run, and nothing was passed on
+	resultCut                  // part of the response was passed on
+	resultError                // a server's own error, held back for a retry
+)
+
+// serve makes attempts until the caller has its answer.
+func (q *request) serve() {
+	svc := q.s.fleet.Service(q.service)
+	if svc != nil {
+		svc.Budget.Request()
+	}
+	for try := 1; ; try++ {
+		if cancelled(q.r.Context()) {
+			q.left499()
+			return
+		}
+		res, ref := q.attempt()
+		if res == resultDone {
+			return
+		}
+		if ref == nil && q.mayRetry(res, try) && q.pay(svc) {
+			q.s.log.Requests.Info("request retried", zap.String("id", q.id), zap.Int("try", try), zap.String("reason", q.reason), zap.String("server", q.server))
+			continue
+		}
+		q.giveUp(res, ref)
+		return
+	}
+}
+
+// pay takes a retry from the budget of the service. An attempt that was never
+// sent costs nothing.
+func (q *request) pay(svc *fleet.Service) bool {
+	if q.paid || svc == nil || q.sends == 0 {
+		q.paid = false
+		return true
+	}
+	return svc.Budget.Take()
+}
+
+// left499 records a caller that left before its answer.
+func (q *request) left499() {
+	q.reason = reasonLeft
+	q.finish("left", 499)
+}
+
+// mayRetry reports whether the rules of the route allow another attempt.
+func (q *request) mayRetry(res result, try int) bool {
+	if try >= maxTries || q.left() <= 0 || cancelled(q.r.Context()) {
+		return false
+	}
+	switch res {
+	case resultNotRun:
+		return !q.forwarded || q.ran == 0
+	case resultFailed, resultError:
+		return q.route.Idempotent && q.ran < q.route.Attempts
+	case resultCut:
+		return q.route.Resumable && q.ran < q.route.Attempts
+	}
+	return false
+}
+
+// giveUp answers a request that gets no further attempt.
+func (q *request) giveUp(res result, ref *refusal) {
+	if q.began {
+		q.finish("cut", 0)
+		// The connection is closed without the end of the response, so that
+		// the caller does not take it for complete.
+		panic(http.ErrAbortHandler)
+	}
+	if cancelled(q.r.Context()) {
+		q.left499()
+		return
+	}
+	if q.ran > 0 {
+		status := http.StatusBadGateway
+		if q.left() <= 0 {
+			status = http.StatusGatewayTimeout
+			q.reason = reasonTimeout
+		}
+		q.refuse(&refusal{status, q.reason, 0})
+		return
+	}
+	if ref == nil {
+		reason := q.reason
+		if res == resultNotRun && reason == "" {
+			reason = reasonNotRun
+		}
+		ref = &refusal{http.StatusServiceUnavailable, reason, retryBusy}
+	}
+	q.refuse(ref)
+}
+
+// attempt sends the request once. A refusal is returned when there is nowhere
+// to send it.
+func (q *request) attempt() (result, *refusal) {
+	now := time.Now()
+	left := q.until.Sub(now)
+	if left <= 0 {
+		return resultNotRun, &refusal{http.StatusServiceUnavailable, reasonTimeout, retryBusy}
+	}
+	choice, local, ref := q.choose(now, left)
+	if ref != nil {
+		return resultNotRun, ref
+	}
+	if local {
+		return q.sendLocal(choice), nil
+	}
+	return q.sendPeer(), nil
+}
+
+// choose picks a server of the own region or another region.
+func (q *request) choose(now time.Time, left time.Duration) (pick.Choice, bool, *refusal) {
+	svc := q.s.fleet.Service(q.service)
+	var d time.Duration
+	usable := false
+	if svc != nil && q.allows(q.s.fleet.Home()) {
+		d, usable = svc.Table.Expect(&q.pick, now)
+	}
+	if !q.forwarded {
+		if p, far, ok := q.other(d, usable); ok {
+			if far > left {
+				return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, retryBusy}
+			}
+			q.place = p
+			q.expected = far
+			return pick.Choice{}, false, nil
+		}
+	}
+	if !usable {
+		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
+	}
+	if d > left {
+		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, retryBusy}
+	}
+	c, ok := svc.Table.Pick(&q.pick, now)
+	if !ok {
+		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
+	}
+	q.expected = c.Expected
+	return c, true, nil
+}
+
+// other returns a host of another region if that is expected to answer sooner
+// than the own one, or if the own one can't serve the request.
+func (q *request) other(own time.Duration, usable bool) (place, time.Duration, bool) {
+	var best place
+	var least time.Duration
+	for _, p := range q.s.fleet.Places(q.service) {
+		if !q.allows(p.Region) {
+			continue
+		}
+		hosts := slices.DeleteFunc(p.Hosts, func(a netip.AddrPort) bool { return contains(q.tried, a) })
+		if len(hosts) == 0 {
+			continue
+		}
+		read := float64(q.pick.Prompt-q.pick.Shared) + coldRead*float64(q.pick.Shared)
+		d := p.Wait + time.Duration(p.Busy*float64(batchWait)) + hopDelay + time.Duration(len(q.body))*byteDelay + time.Duration(read/readRate*float64(time.Second))
+		if best.addr.IsValid() && d >= least {
+			continue
+		}
+		best = place{region: p.Region, addr: hosts[rand.IntN(len(hosts))]}
+		least = d
+	}
+	if !best.addr.IsValid() || usable && own <= least {
+		return place{}, 0, false
+	}
+	return best, least, true
+}
+
+// sendLocal sends the request to a server of the own region.
+func (q *request) sendLocal(c pick.Choice) result {
+	svc := q.s.fleet.Service(q.service)
+	e, ok := svc.Table.Server(c.ID)
+	q.server = c.ID
+	q.place = place{addr: e.Addr}
+	if !ok {
+		svc.Table.Done(&c, pick.Aborted, time.Now())
+		return resultNotRun
+	}
+	begun := func() { svc.Table.Begun(&c, time.Now()) }
+	res, outcome := q.exchange(q.s.servers, q.build(q.forServer(c.ID), q.place), begun)
+	svc.Table.Done(&c, outcome, time.Now())
+	// A server's own error does not exclude it: it may be the only one.
+	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
+		q.pick.Exclude = append(q.pick.Exclude, c.ID)
+	}
+	q.s.stats.Attempt(q.service, "local", outcomeName(outcome))
+	return res
+}
+
+// sendPeer sends the request to a host of another region.
+func (q *request) sendPeer() result {
+	q.tried = append(q.tried, q.place.addr)
+	q.server = q.place.addr.String()
+	res, outcome := q.exchange(q.s.peers, q.build(q.forPeer(), q.place), func() {})
+	q.s.stats.Attempt(q.service, q.place.region, outcomeName(outcome))
+	return res
+}
+
+// outcomeName returns the label of an outcome.
+func outcomeName(o pick.Outcome) string {
+	switch o {
+	case pick.Served:
+		return "served"
+	case pick.Failed:
+		return "error"
+	case pick.NotRun:
+		return "not run"
+	case pick.Gone:
+		return "gone"
+	case pick.NoConnect:
+		return "no connection"
+	case pick.Broken:
+		return "broken"
+	default:
+		return "aborted"
+	}
+}
+
+// exchange sends one request and passes its response on.
+func (q *request) exchange(c *send.Client, req *send.Request, begun func()) (result, pick.Outcome) {
+	resp, err := c.Do(q.r.Context(), req)
+	if err != nil {
+		return q.failed(err, c, req)
+	}
+	defer func() { _ = resp.Close() }() // it reports no errors
+	if o, notRun := notRun(resp); notRun {
+		q.sends++
+		q.reason = reasonNotRun
+		drain(resp)
+		return resultNotRun, o
+	}
+	q.sends++
+	q.ran++
+	if resp.Header.Get(headerOutcome) == outcomeUnknown {
+		q.reason = reasonUnanswered
+		return resultFailed, pick.Broken
+	}
+	return q.deliver(resp, begun)
+}
+
+// notRun reports whether a response says that the request did not run.
+func notRun(resp *send.Response) (pick.Outcome, bool) {
+	switch {
+	case resp.Header.Get(headerOutcome) == outcomeNotRun:
+		return pick.NotRun, true
+	case resp.Status == http.StatusMisdirectedRequest:
+		return pick.Gone, true
+	case resp.Header.Get(platform.HeaderNotRun) != "":
+		return pick.NotRun, true
+	}
+	return 0, false
+}
+
+// failed sorts a call without a response.
+func (q *request) failed(err error, c *send.Client, req *send.Request) (result, pick.Outcome) {
+	var e *send.Error
+	if !errors.As(err, &e) {
+		e = &send.Error{Stage: send.StageWait, Err: err}
+	}
+	if e.Stage == send.StageConnect {
+		if cancelled(q.r.Context()) {
+			return resultNotRun, pick.Aborted
+		}
+		q.reason = reasonNoServer
+		q.s.log.Requests.Warn("connect failed", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		return resultNotRun, pick.NoConnect
+	}
+	q.sends++
+	q.ran++
+	if cancelled(q.r.Context()) {
+		return resultFailed, pick.Aborted
+	}
+	q.reason = reasonBroken
+	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Error(err))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.reason = reasonUnanswered
+	}
+	// Other idle connections to the same address may have gone the same way.
+	c.Drop(req.Addr)
+	return resultFailed, pick.Broken
+}
--- /dev/null
+++ b/internal/edge/relay/request.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// Headers between hosts. They carry what the first host has decided.
+const (
+	headerRoute    = "Yuccalb-Route"   // flags of the route, see encodeRoute
+	headerService  = "Yuccalb-Service" // the service that the route leads to
+	headerOrg      = "Yuccalb-Org"     // the organisation, if any
+	headerUntil    = "Yuccalb-Millis"  // what is left until the timeout
+	headerUrgency  = "Yuccalb-Urgency" // the priority
+	headerOutcome  = "Yuccalb-Outcome" // on responses that no server gave
+	outcomeNotRun  = "not-run"         // the request has not run
+	outcomeUnknown = "unknown"         // it may have run
+)
+
+// request is one request on its way through the gateway.
+type request struct {
+	s *Relay
+	w http.ResponseWriter
+	r *http.Request
+
+	id      string
+	arrived time.Time
+	// until is when the caller, or the route, gives up.
+	until   time.Time
+	route   *spec.Route
+	org     *spec.Org
+	service string
+	rev     int64
+	keyAge  time.Duration
+	body    []byte
+	pick    pick.Request
+	tokens  bool
+	// forwarded is set when another host sent the request.
+	forwarded bool
+	urgency   int
+	orgName   string
+
+	paid     bool // the budget has paid for the next retry
+	sends    int  // requests that reached a server or may have
+	ran      int  // those of them that may have run
+	tried    []netip.AddrPort
+	reason   string
+	began    bool      // the response's header was written
+	first    time.Time // of the response's first byte
+	lastID   string    // of the last event passed on
+	expected time.Duration
+	place    place
+	server   string
+}
+
+func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{s: s, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
+}
+
+// path returns the undecoded path.
+func (q *request) path() (string, bool) {
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	return path, strings.HasPrefix(path, "/")
+}
+
+// bound sets the end of the request from the caller's and the route's limits.
+func (q *request) bound() {
+	wait := defaultWait
+	if q.route.Timeout > 0 {
+		wait = q.route.Timeout
+	}
+	if ms, err := strconv.ParseFloat(q.r.Header.Get(platform.HeaderDeadline), 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	}
+	q.until = q.arrived.Add(wait)
+}
+
+// left returns the time until the end of the request.
+func (q *request) left() time.Duration { return time.Until(q.until) }
+
+// readBody reads the whole body, so that a slow caller takes no place at a
+// server and a refused request can be sent to another one.
+func (q *request) readBody(limits spec.Limits) *refusal {
+	if q.r.Body == nil || q.r.ContentLength == 0 {
+		return nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	if q.r.ContentLength > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, reasonBody, 0}
+	}
+	control := http.NewResponseController(q.w)
+	if err := control.SetReadDeadline(time.Now().Add(max(limits.HeaderTimeout, bodyWait))); err != nil {
+		q.s.log.Debug("no deadline for the body", zap.String("id", q.id), zap.Error(err))
+	}
+	body, err := q.readAll(limit)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{http.StatusRequestEntityTooLarge, reasonBody, 0}
+	case err != nil:
+		return &refusal{http.StatusRequestTimeout, reasonRead, 0}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		q.s.log.Debug("deadline of the body not lifted", zap.String("id", q.id), zap.Error(err))
+	}
+	q.body = body
+	return nil
+}
+
+func (q *request) readAll(limit int64) ([]byte, error) {
+	r := http.MaxBytesReader(q.w, q.r.Body, limit)
+	if n := q.r.ContentLength; n > 0 {
+		body := make([]byte, n)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, fmt.Errorf("read body: %w", err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(r)
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return body, nil
+}
+
+// parsePrompt reads what the caller states of its prompt. What it states
+// wrongly counts as not stated: it is a hint for routing, and the server
+// checks it.
+func (q *request) parsePrompt() {
+	in, out, ok := strings.Cut(q.r.Header.Get(platform.HeaderTokens), ",")
+	if ok {
+		prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
+		output, err2 := strconv.Atoi(strings.TrimSpace(out))
+		if err1 == nil && err2 == nil && prompt >= 0 && output >= 0 {
+			q.tokens = true
+			q.pick.Prompt = prompt
+			q.pick.Output = output
+		}
+	}
+	first, rest, shared := strings.Cut(q.r.Header.Get(platform.HeaderPrompt), ",")
+	if !shared || rest == "" {
+		return
+	}
+	id, size, ok := strings.Cut(first, ":")
+	n, err := strconv.Atoi(size)
+	if !ok || err != nil || n < pick.PrefixTokens {
+		return
+	}
+	q.pick.Prefix = xxhash.Sum64String(id) | 1 // 0 stands for no prefix
+	q.pick.Shared = min(n, q.pick.Prompt)
+}
+
+// hash spreads requests over the targets of a route; requests with the same
+// prefix go to the same one.
+func (q *request) hash() uint64 {
+	if q.pick.Prefix != 0 {
+		return q.pick.Prefix
+	}
+	return xxhash.Sum64String(q.id)
+}
+
+// cost is what the request takes of its organisation's limit.
+func (q *request) cost() float64 {
+	switch {
+	case !q.org.ByToken:
+		return 1
+	case q.tokens:
+		return float64(q.pick.Prompt + q.pick.Output)
+	default:
+		return q.org.Plain
+	}
+}
+
+// priority returns the rank of the request, 0 first.
+func (q *request) priority() int {
+	if q.forwarded {
+		return q.urgency
+	}
+	if q.org != nil && q.org.Ranked {
+		return q.org.Priority
+	}
+	return q.route.Priority
+}
+
+// organisation returns the name of the organisation, empty on open routes.
+func (q *request) organisation() string {
+	if q.org != nil {
+		return q.org.Name
+	}
+	return q.orgName
+}
+
+// refuse answers with a status of the gateway's own.
+func (q *request) refuse(ref *refusal) {
+	q.reason = ref.reason
+	h := q.w.Header()
+	if q.id != "" {
+		h.Set(platform.HeaderID, q.id)
+	}
+	if ref.retry > 0 {
+		// The spread keeps refused callers from returning together.
+		spread := 1 + rand.Float64()/2
+		h.Set("Retry-After", formatRetry(time.Duration(float64(ref.retry)*spread)))
+	}
+	if q.forwarded {
+		q.peerOutcome(ref.status)
+	}
+	h.Set("Content-Length", "0")
+	q.w.WriteHeader(ref.status)
+	q.finish("refused", ref.status)
+}
+
+// finish records the end of the request.
+func (q *request) finish(outcome string, status int) {
+	took := time.Since(q.arrived)
+	service := q.service
+	if service == "" {
+		service = "none"
+	}
+	q.s.stats.Request(service, outcome, q.reason, took)
+	fields := []zap.Field{
+		zap.String("id", q.id), zap.String("service", q.service), zap.Int("status", status),
+		zap.String("reason", q.reason), zap.Duration("took", took), zap.Int("sends", q.sends), zap.Int("ran", q.ran),
+		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
+		zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge), zap.Bool("forwarded", q.forwarded),
+		zap.Duration("left", q.left()), zap.Int("prompt", q.pick.Prompt),
+	}
+	if !q.first.IsZero() {
+		first := q.first.Sub(q.arrived)
+		q.s.stats.First(service, first)
+		fields = append(fields, zap.Duration("first", first))
+	}
+	if q.route != nil {
+		fields = append(fields, zap.String("route", q.route.Name))
+	}
+	q.s.log.Requests.Info("request "+outcome, fields...)
+}
--- /dev/null
+++ b/internal/edge/stats/stats.go
@@ -0,0 +1,91 @@
+// Package stats holds the metrics of a gateway host. Label values are bounded:
+// names of services, outcomes, reasons and calls, never of organisations,
+// requests or servers.
+package stats
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// seconds are the bounds of histograms of times.
+var seconds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.4, 2, 3, 5, 10}
+
+// Metrics is the set of a host's metrics. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	store    *prometheus.CounterVec
+}
+
+// New returns a set with a registry of its own.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_requests_total", Help: "Finished requests by service, outcome and reason.",
+		}, []string{"service", "outcome", "reason"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "yuccalb_first_byte_seconds", Help: "Time from arrival to the first byte of the response.", Buckets: seconds,
+		}, []string{"service"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "yuccalb_response_seconds", Help: "Time from arrival to the end of the response.", Buckets: seconds,
+		}, []string{"service"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_attempts_total", Help: "Requests sent, by service, place (local or the region) and outcome.",
+		}, []string{"service", "place", "outcome"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
+		}, []string{"call", "outcome"}),
+	}
+	m.registry.MustRegister(m.requests, m.first, m.whole, m.attempts, m.store,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Gauge registers a gauge whose value is read when metrics are collected.
+func (m *Metrics) Gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// Counter registers a counter whose value is read when metrics are collected.
+func (m *Metrics) Counter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
+// Request records a finished request and how long it took.
+func (m *Metrics) Request(service, outcome, reason string, took time.Duration) {
+	m.requests.WithLabelValues(service, outcome, reason).Inc()
+	m.whole.WithLabelValues(service).Observe(took.Seconds())
+}
+
+// First records the time to the first byte of a response.
+func (m *Metrics) First(service string, took time.Duration) {
+	m.first.WithLabelValues(service).Observe(took.Seconds())
+}
+
+// Attempt records a request that was sent to a server or another region.
+func (m *Metrics) Attempt(service, place, outcome string) {
+	m.attempts.WithLabelValues(service, place, outcome).Inc()
+}
+
+// Store records a call of the platform's store.
+func (m *Metrics) Store(call string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.store.WithLabelValues(call, outcome).Inc()
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
