Share the rate of cold servers between known hosts; hold back the header of a stream

Ruled out: stale entries of the server (its warm time was read correctly). Moving a prefix to another server costs more than reading it again where it lives.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -20,10 +20,10 @@
 	batchDelay = 500 * time.Microsecond
 	// rankDelay keeps the hosts of a region from placing a new prefix on
 	// several servers at once: it is added per rank of a rendezvous hash.
-	rankDelay = 25 * time.Millisecond
+	rankDelay = 100 * time.Millisecond
 	// missWeight counts the time to read a prefix again more than once, since
 	// it also delays the other requests of the server.
-	missWeight = 1.5
+	missWeight = 3.0
 	// memoryShare of a server's memory may be taken by running requests
 	// before another server is preferred.
 	memoryShare = 0.8
@@ -61,9 +61,6 @@
 	// probationBeats is the number of heartbeats of a server that failed
 	// after which its entry is believed again.
 	probationBeats = 2
-	// probationRate bounds the requests per second of one host to a server
-	// of unknown state.
-	probationRate = 2.0
 )
 
 // Request is what the choice depends on.
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -112,7 +112,7 @@
 		return true
 	}
 	rate := warm
-	if rate <= 0 {
+	if rate < 0 {
 		if !s.probation {
 			return true
 		}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -19,7 +19,7 @@
 type Table struct {
 	mu      sync.Mutex
 	svc     spec.Service
-	hosts   int
+	warm    Warming
 	servers map[string]*server
 	order   []string // sorted, for equal decisions in equal states
 	placed  []placed
@@ -28,16 +28,15 @@
 
 // NewTable returns an empty table; rng breaks ties.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{svc: svc, hosts: 1, servers: make(map[string]*server), rng: rng}
+	return &Table{svc: svc, servers: make(map[string]*server), rng: rng}
 }
 
-// Update replaces the servers and takes the number of hosts in the region that
-// may send to them.
-func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, hosts int, now time.Time) {
+// Update replaces the servers as they were listed at now.
+func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, warm Warming, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.svc = svc
-	t.hosts = max(hosts, 1)
+	t.warm = warm
 	seen := make(map[string]bool, len(list))
 	t.order = t.order[:0]
 	for _, e := range list {
@@ -93,7 +92,6 @@
 }
 
 func (t *Table) best(req *Request, now time.Time) (*server, time.Duration, int) {
-	warm := t.svc.WarmRate / float64(t.hosts)
 	ranks := t.ranks(req.Prefix)
 	var best *server
 	var least time.Duration
@@ -101,7 +99,7 @@
 	ties := 1
 	for i, id := range t.order {
 		s := t.servers[id]
-		if !s.usable(req, warm, now) {
+		if !s.usable(req, t.warm.rate(&t.svc, id), now) {
 			continue
 		}
 		d, n := s.cost(req, &t.svc, ranks[i], now)
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -26,6 +27,10 @@
 // working, for the time between the check and the dispatch.
 const proofMargin = 400 * time.Millisecond
 
+// settle is the time after the start in which all hosts of a region that was
+// restarted as a whole have registered and been listed.
+const settle = 2 * time.Second
+
 // Options sets up a Fleet.
 type Options struct {
 	Self   spec.Host
@@ -46,6 +51,7 @@
 type Fleet struct {
 	opts    Options
 	boot    int64
+	started time.Time
 	tracker *track.Tracker
 	gossip  *gossip.Exchange
 	book    *share.Book
@@ -66,7 +72,8 @@
 
 // New returns a fleet; Start begins to exchange.
 func New(opts Options) *Fleet {
-	f := &Fleet{opts: opts, boot: time.Now().UnixNano(), book: share.NewBook(opts.First)}
+	now := time.Now()
+	f := &Fleet{opts: opts, boot: now.UnixNano(), started: now, book: share.NewBook(opts.First)}
 	f.tables.Store(&map[string]*Service{})
 	f.SetSeeds(opts.Seeds)
 	return f
@@ -134,7 +141,7 @@
 	now := time.Now()
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
-	hosts := f.nearHosts(v)
+	warm := pick.Warming{Self: f.opts.Self.Name, Hosts: f.nearHosts(v), Settled: now.Sub(f.started) > settle}
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
@@ -146,7 +153,7 @@
 				list = append(list, e)
 			}
 		}
-		s.Table.Update(svc, list, v.Evacuated, hosts, v.At)
+		s.Table.Update(svc, list, v.Evacuated, warm, v.At)
 		tables[svc.Name] = s
 	}
 	f.tables.Store(&tables)
@@ -161,8 +168,8 @@
 	}
 }
 
-// nearHosts counts the hosts of the own region.
-func (f *Fleet) nearHosts(v *track.View) int {
+// nearHosts returns the names of the hosts of the own region.
+func (f *Fleet) nearHosts(v *track.View) []string {
 	names := map[string]bool{f.opts.Self.Name: true}
 	for _, h := range v.Hosts {
 		if f.Region(h.Site) == f.opts.Region {
@@ -174,7 +181,7 @@
 			names[p.State.Host.Name] = true
 		}
 	}
-	return len(names)
+	return slices.Sorted(maps.Keys(names))
 }
 
 // known returns the names of other hosts that are registered or heard of.
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -166,12 +166,6 @@
 // stream passes events on as they come. Only whole events are passed on, so
 // that another server can go on after the last one.
 func (q *request) stream(resp *send.Response, begun func()) (result, pick.Outcome) {
-	if !q.began {
-		q.copyHeader(resp)
-		if resp.Length >= 0 {
-			q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-		}
-	}
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
 	for {
@@ -186,14 +180,14 @@
 		}
 		if whole > 0 {
 			begun()
-			if werr := q.passEvents(resp.Status, buf[:whole], control); werr != nil {
+			if werr := q.passEvents(resp, buf[:whole], control); werr != nil {
 				return resultDone, pick.Aborted
 			}
 			buf = append(buf[:0], buf[whole:]...)
 		}
 		if errors.Is(err, io.EOF) {
 			begun()
-			q.endStream(resp.Status)
+			q.endStream(resp)
 			return resultDone, pick.Served
 		}
 		if err != nil {
@@ -210,29 +204,39 @@
 	return resultFailed
 }
 
-// endStream completes a stream.
-func (q *request) endStream(status int) {
-	if !q.began {
-		q.w.WriteHeader(status)
-		q.began = true
+// begin writes the header of a stream. It is written with the first event: a
+// refusal may follow until then, and must not bear the server's signature.
+func (q *request) begin(resp *send.Response) {
+	if q.began {
+		return
+	}
+	q.began = true
+	q.copyHeader(resp)
+	if resp.Length >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
-	q.finish("served", status)
+	q.w.WriteHeader(resp.Status)
+}
+
+// endStream completes a stream.
+func (q *request) endStream(resp *send.Response) {
+	q.begin(resp)
+	q.finish("served", resp.Status)
 }
 
 // passEvents writes whole events to the caller.
-func (q *request) passEvents(status int, b []byte, control *http.ResponseController) error {
+func (q *request) passEvents(resp *send.Response, b []byte, control *http.ResponseController) error {
 	if !q.began {
-		q.w.WriteHeader(status)
-		q.began = true
 		q.first = time.Now()
 	}
+	q.begin(resp)
 	_, err := q.w.Write(b)
 	if err == nil {
 		err = control.Flush()
 	}
 	if err != nil {
 		q.reason = reasonLeft
-		q.finish("left", status)
+		q.finish("left", resp.Status)
 		return err
 	}
 	if id := lastEventID(b); id != "" {
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -52,6 +52,9 @@
 	ID, IDHeader string
 	// Until is when the wait for the response ends.
 	Until time.Time
+	// Fresh asks for a connection of its own: a late response to an earlier
+	// attempt with the same ID could be taken for the response otherwise.
+	Fresh bool
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -122,7 +125,7 @@
 // Do sends a request and returns its response, whose Close must be called.
 // The error is an *Error. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
-	cn, err := c.get(ctx, req.Addr)
+	cn, err := c.get(ctx, req)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Addr: req.Addr, Err: err}
 	}
@@ -141,8 +144,9 @@
 }
 
 // get returns an idle connection that is still usable, or a new one.
-func (c *Client) get(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	for {
+func (c *Client) get(ctx context.Context, req *Request) (*conn, error) {
+	addr := req.Addr
+	for !req.Fresh {
 		cn, err := c.pop(addr)
 		if err != nil {
 			return nil, err
