Ignore echoed times of an earlier boot in the proof of the configuration

After two hosts had lost power their boot clock began anew, while others still echoed the last time they had sent before. The proof computed from such an echo lay in the future, counted as fresh, and spread to all hosts. Ruled out: a lost answer of the store (no host had asked for the value). Change: an echo names the process that it answers, and counts for that one only; a proof never lies behind the arrival of its frame.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -71,15 +71,15 @@
 	}
 	e := &Entry{settings: settings, log: log, stop: make(chan struct{})}
 	self := spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer}
-	exchange, err := gossip.Listen(settings.Peer, log.Logger)
-	if err != nil {
-		return nil, err
-	}
-	e.exchange = exchange
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds,
 		First: settings.First, Revoke: settings.Revoke, Retries: settings.Retries, Log: log.Logger,
 	})
+	exchange, err := gossip.Listen(settings.Peer, e.fleet.Boot(), log.Logger)
+	if err != nil {
+		return nil, err
+	}
+	e.exchange = exchange
 	metrics := stats.New()
 	e.relay = relay.New(relay.Options{Fleet: e.fleet, Log: log, Stats: metrics})
 	transport := &http.Transport{DialContext: send.NewDialer(storeDial).DialContext, MaxIdleConnsPerHost: 4}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -89,6 +89,9 @@
 	e.Start(f)
 }
 
+// Boot returns the start of the process in Unix nanoseconds.
+func (f *Fleet) Boot() int64 { return f.boot }
+
 // View returns what is known of the store.
 func (f *Fleet) View() *track.View { return f.tracker.View() }
 
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -49,6 +49,7 @@
 // It is safe for concurrent use.
 type Exchange struct {
 	conn *net.UDPConn
+	boot int64
 	src  Source
 	log  *zap.Logger
 
@@ -63,16 +64,18 @@
 // echo is the last frame of a peer by address.
 type echo struct {
 	sent, arrived time.Duration
+	boot          int64
 }
 
-// Listen opens the socket of an exchange.
-func Listen(addr netip.AddrPort, log *zap.Logger) (*Exchange, error) {
+// Listen opens the socket of an exchange for a process that started at boot,
+// in Unix nanoseconds.
+func Listen(addr netip.AddrPort, boot int64, log *zap.Logger) (*Exchange, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
 	return &Exchange{
-		conn: conn, log: log, peers: make(map[string]Peer),
+		conn: conn, boot: boot, log: log, peers: make(map[string]Peer),
 		echo: make(map[netip.AddrPort]echo), stop: make(chan struct{}),
 	}, nil
 }
@@ -150,6 +153,7 @@
 	if last, ok := e.echo[addr]; ok {
 		f.Echo = last.sent
 		f.Held = now - last.arrived
+		f.Boot = last.boot
 	}
 	e.mu.Unlock()
 	b, err := json.Marshal(f)
@@ -190,8 +194,8 @@
 	if err := json.Unmarshal(f.State, &p.State); err != nil {
 		return fmt.Errorf("decode state: %w", err)
 	}
-	if f.Echo > 0 && p.State.Config > 0 {
-		p.Proof = f.Echo + f.Held - p.State.Proof
+	if f.Echo > 0 && f.Boot == e.boot && p.State.Config > 0 && p.State.Proof >= 0 {
+		p.Proof = min(f.Echo+f.Held, arrived) - p.State.Proof
 	}
 	e.mu.Lock()
 	old, ok := e.echo[from]
@@ -199,7 +203,7 @@
 		e.mu.Unlock()
 		return nil // overtaken by a newer frame
 	}
-	e.echo[from] = echo{sent: f.Sent, arrived: arrived}
+	e.echo[from] = echo{sent: f.Sent, arrived: arrived, boot: p.State.Boot}
 	e.peers[p.State.Host.Name] = p
 	for name, other := range e.peers {
 		if p.Heard.Sub(other.Heard) > forget {
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -38,9 +38,11 @@
 	Sent time.Duration `json:"sent"`
 	// Echo is the newest Sent of the receiver and Held the time since it
 	// arrived: the frame was sent at Echo+Held on the receiver's clock, or
-	// later.
+	// later. Boot is the start of the receiver's process at that time: the
+	// clock starts anew when a host has been without power.
 	Echo  time.Duration   `json:"echo,omitempty"`
 	Held  time.Duration   `json:"held,omitempty"`
+	Boot  int64           `json:"boot,omitempty"`
 	State json.RawMessage `json:"state"`
 }
 
