Refuse a request whose first byte is expected after 1.5 goals of its route

Change: a request is refused at once, with the expected end of the queue as the time to return, if its first byte is expected later than 1.5 goals plus the time to read what only this request contains.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -18,6 +18,10 @@
 )
 
 const (
+	// patienceGoals is the expected time to a first byte, in goals of the
+	// route, beyond which a request is refused: a longer queue only makes all
+	// responses late.
+	patienceGoals = 1.5
 	// maxTries bounds the attempts of one request, those that were not sent
 	// included.
 	maxTries = 4
@@ -161,8 +165,8 @@
 	}
 	if !q.forwarded {
 		if p, far, ok := q.other(d, usable); ok {
-			if far > left {
-				return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, retryBusy}
+			if far > q.patience(left) {
+				return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, far - q.route.Goal/2}
 			}
 			q.place = p
 			q.expected = far
@@ -172,8 +176,8 @@
 	if !usable {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
-	if d > left {
-		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, retryBusy}
+	if d > q.patience(left) {
+		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, d - q.route.Goal/2}
 	}
 	c, ok := svc.Table.Pick(&q.pick, now)
 	if !ok {
@@ -183,6 +187,17 @@
 	return c, true, nil
 }
 
+// patience returns the longest expected time to the first byte at which the
+// request is still sent. The time to read the part of the prompt that no other
+// request shares comes on top: it is needed anywhere.
+func (q *request) patience(left time.Duration) time.Duration {
+	if q.route.Goal <= 0 {
+		return left
+	}
+	own := time.Duration(float64(q.pick.Prompt-q.pick.Shared) / readRate * float64(time.Second))
+	return min(left, time.Duration(patienceGoals*float64(q.route.Goal))+own)
+}
+
 // other returns a host of another region if that is expected to answer sooner
 // than the own one, or if the own one can't serve the request.
 func (q *request) other(own time.Duration, usable bool) (place, time.Duration, bool) {
