Tell other regions which prefixes a region holds

A region that lacked a prefix sent the request to another one blindly, which often read the prefix as well, or read it itself although another region held it. Change: one host of each region tells the others the prefixes that its servers should cache. A region that holds the prefix is preferred to reading it again; one that does not counts with the full cost.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -21,9 +21,6 @@
 	// rankDelay keeps the hosts of a region from placing a new prefix on
 	// several servers at once: it is added per rank of a rendezvous hash.
 	rankDelay = 100 * time.Millisecond
-	// missWeight counts the time to read a prefix again more than once, since
-	// it also delays the other requests of the server.
-	missWeight = 3.0
 	// memoryShare of a server's memory may be taken by running requests
 	// before another server is preferred.
 	memoryShare = 0.8
@@ -33,6 +30,10 @@
 	placedFor = 60 * time.Second
 )
 
+// MissWeight counts the time to read a prefix again more than once, since it
+// also delays the other requests of the server.
+const MissWeight = 3.0
+
 // PrefixTokens is the shortest shared prefix that is worth routing by:
 // shorter ones are read in less time than a detour takes.
 const PrefixTokens = 1000
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -145,7 +145,7 @@
 		hit = req.Shared
 	}
 	unread := max(req.Prompt-hit, 0)
-	ahead := float64(l.Unread) + float64(req.Prompt-req.Shared) + missWeight*float64(unread-(req.Prompt-req.Shared))
+	ahead := float64(l.Unread) + float64(req.Prompt-req.Shared) + MissWeight*float64(unread-(req.Prompt-req.Shared))
 	d := time.Duration(ahead / readRate * float64(time.Second) * slow)
 	d += time.Duration(float64(l.Running) * float64(batchDelay) * slow)
 	d += time.Duration(s.errors * float64(errorDelay))
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -262,6 +263,30 @@
 	return loads, list
 }
 
+// maxHeld bounds the prefixes that a region tells the others of.
+const maxHeld = 256
+
+// Held returns short forms of the prefixes that servers are expected to cache.
+func (t *Table) Held(now time.Time) []uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[uint32]bool)
+	for _, s := range t.servers {
+		if s.Leaving || s.evacuated {
+			continue
+		}
+		for p, e := range s.cache.entries {
+			if len(seen) < maxHeld && now.Sub(e.used) < placedFor {
+				seen[Short(p)] = true
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
+// Short returns the short form of a prefix in reports.
+func Short(prefix uint64) uint32 { return uint32(prefix >> 32) }
+
 // Summary is the state of a service in a region.
 type Summary struct {
 	// Servers is the number of usable servers, Wait the mean time that a
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -224,8 +224,12 @@
 		s.Loads = make(map[string]map[string]pick.Load)
 		s.Placed = make(map[string][]pick.Placement)
 	}
+	teller := !near && f.Rank() == 0
 	for name, svc := range *f.tables.Load() {
 		s.Services[name] = svc.Table.Summary(now)
+		if teller {
+			s.Held = addHeld(s.Held, name, svc.Table.Held(now))
+		}
 		if !near {
 			continue
 		}
@@ -240,6 +244,18 @@
 	return s
 }
 
+// addHeld adds the prefixes of a service, if there are any.
+func addHeld(held map[string][]uint32, service string, list []uint32) map[string][]uint32 {
+	if len(list) == 0 {
+		return held
+	}
+	if held == nil {
+		held = make(map[string][]uint32)
+	}
+	held[service] = list
+	return held
+}
+
 // age returns the time from t to now, or 0 if t is not known.
 func age(now, t time.Duration) time.Duration {
 	if t == 0 {
@@ -317,6 +333,12 @@
 	Region string
 	Hosts  []netip.AddrPort
 	pick.Summary
+	held []uint32
+}
+
+// Holds reports whether a server of the region is expected to cache a prefix.
+func (p *Place) Holds(prefix uint64) bool {
+	return slices.Contains(p.held, pick.Short(prefix))
 }
 
 // Places returns the other regions with usable servers of a service and hosts
@@ -335,6 +357,9 @@
 			i = len(places) - 1
 		}
 		places[i].Hosts = append(places[i].Hosts, p.Addr())
+		if held := p.State.Held[service]; held != nil {
+			places[i].held = held
+		}
 	}
 	slices.SortFunc(places, func(a, b Place) int {
 		if a.Region < b.Region {
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -35,6 +35,9 @@
 	// prefixes that it placed lately. Both go to hosts of its region only.
 	Loads  map[string]map[string]pick.Load `cbor:"11,keyasint,omitempty"`
 	Placed map[string][]pick.Placement     `cbor:"12,keyasint,omitempty"`
+	// Held are the prefixes that the region's servers cache, by service. One
+	// host of each region tells them.
+	Held map[string][]uint32 `cbor:"14,keyasint,omitempty"`
 	// Spent is what the host has admitted since its start by organisation.
 	Spent map[string]float64 `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -30,9 +30,6 @@
 	// byteDelay is added per byte of a body for another region: such links
 	// are narrow and traffic on them is dear.
 	byteDelay = 5 * time.Microsecond
-	// coldRead is the part of a prompt that a server of another region is
-	// expected to read again.
-	coldRead = 0.5
 	// readRate is how fast a prompt is read, in tokens per second.
 	readRate = 54_600.0
 	// batchWait is the wait at a region whose batches are full.
@@ -188,13 +185,17 @@
 }
 
 // patience returns the longest expected time to the first byte at which the
-// request is still sent. The time to read the part of the prompt that no other
-// request shares comes on top: it is needed anywhere.
+// request is still sent. The time to read its prompt comes on top: large
+// prompts would never be served otherwise.
 func (q *request) patience(left time.Duration) time.Duration {
 	if q.route.Goal <= 0 {
 		return left
 	}
-	own := time.Duration(float64(q.pick.Prompt-q.pick.Shared) / readRate * float64(time.Second))
+	read := float64(q.pick.Prompt - q.pick.Shared)
+	if q.pick.Prefix != 0 {
+		read += pick.MissWeight * float64(q.pick.Shared)
+	}
+	own := time.Duration(read / readRate * float64(time.Second))
 	return min(left, time.Duration(patienceGoals*float64(q.route.Goal))+own)
 }
 
@@ -211,7 +212,10 @@
 		if len(hosts) == 0 {
 			continue
 		}
-		read := float64(q.pick.Prompt-q.pick.Shared) + coldRead*float64(q.pick.Shared)
+		read := float64(q.pick.Prompt - q.pick.Shared)
+		if q.pick.Prefix != 0 && !p.Holds(q.pick.Prefix) {
+			read += pick.MissWeight * float64(q.pick.Shared)
+		}
 		d := p.Wait + time.Duration(p.Busy*float64(batchWait)) + hopDelay + time.Duration(len(q.body))*byteDelay + time.Duration(read/readRate*float64(time.Second))
 		if best.addr.IsValid() && d >= least {
 			continue
