--- /dev/null
+++ b/internal/core/pick/table_test.go
@@ -0,0 +1,342 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+var (
+	epoch  = time.Unix(1_700_000_000, 0)
+	engine = spec.Service{Name: "chat", Engine: true, Slots: 64, Cache: 348_000, WarmRate: 5.6}
+)
+
+func entryOf(i int) spec.Server {
+	return spec.Server{
+		ID: fmt.Sprintf("s%d", i), Service: "chat", Site: "a", Slots: 64, Born: 1, Seq: 1,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+	}
+}
+
+func entries(n int) []spec.Server {
+	list := make([]spec.Server, n)
+	for i := range list {
+		list[i] = entryOf(i)
+	}
+	return list
+}
+
+func settled(hosts ...string) Warming {
+	return Warming{Self: hosts[0], Hosts: hosts, Settled: true}
+}
+
+func newTable(n int) *Table {
+	t := NewTable(engine, rand.New(rand.NewPCG(1, 2)))
+	t.Update(engine, entries(n), nil, settled("h0"), epoch)
+	return t
+}
+
+func long(prefix uint64) *Request {
+	return &Request{Prefix: prefix, Shared: 13_300, Prompt: 17_000, Output: 120}
+}
+
+func mustPick(t *testing.T, tab *Table, req *Request, now time.Time) Choice {
+	t.Helper()
+	c, ok := tab.Pick(req, now)
+	if !ok {
+		t.Fatal("no server for the request")
+	}
+	return c
+}
+
+// TestPrefixStays guards against reading a shared prefix on several servers:
+// requests with the same prefix go to one server while it has room.
+func TestPrefixStays(t *testing.T) {
+	tab := newTable(5)
+	first := mustPick(t, tab, long(7), epoch)
+	tab.Begun(&first, epoch.Add(300*time.Millisecond))
+	tab.Done(&first, Served, epoch.Add(time.Second))
+	for i := range 10 {
+		at := epoch.Add(time.Duration(i+2) * time.Second)
+		c := mustPick(t, tab, long(7), at)
+		if c.ID != first.ID {
+			t.Fatalf("request %d went to %s, the prefix is at %s", i, c.ID, first.ID)
+		}
+		tab.Begun(&c, at.Add(80*time.Millisecond))
+		tab.Done(&c, Served, at.Add(time.Second))
+	}
+}
+
+// TestHostsAgree guards against hosts of a region that place the same new
+// prefix on different servers.
+func TestHostsAgree(t *testing.T) {
+	for prefix := uint64(1); prefix < 50; prefix++ {
+		a := mustPick(t, newTable(5), long(prefix), epoch)
+		b := mustPick(t, newTable(5), long(prefix), epoch)
+		if a.ID != b.ID {
+			t.Errorf("prefix %d: hosts chose %s and %s", prefix, a.ID, b.ID)
+		}
+	}
+}
+
+// TestBusyServerYields guards against a queue at the server that holds a
+// prefix while others idle.
+func TestBusyServerYields(t *testing.T) {
+	tab := newTable(3)
+	used := make(map[string]int)
+	for range 12 {
+		c := mustPick(t, tab, long(7), epoch)
+		used[c.ID]++
+	}
+	if len(used) < 2 {
+		t.Errorf("12 requests at once all went to one server: %v", used)
+	}
+}
+
+// TestLoadOfPeers guards against a choice that ignores what other hosts sent.
+func TestLoadOfPeers(t *testing.T) {
+	tab := newTable(2)
+	tab.Peer("h1", map[string]Load{"s0": {Running: 30, Unread: 60_000, Memory: 60_000}}, nil, epoch)
+	for range 5 {
+		if c := mustPick(t, tab, &Request{Prompt: 300, Output: 40}, epoch); c.ID != "s1" {
+			t.Fatalf("request went to %s, which a peer has loaded", c.ID)
+		}
+	}
+	tab.Peer("h1", nil, nil, epoch)
+	seen := make(map[string]bool)
+	for range 20 {
+		seen[mustPick(t, tab, &Request{Prompt: 300, Output: 40}, epoch).ID] = true
+	}
+	if !seen["s0"] {
+		t.Error("s0 gets nothing although the peer's load has gone")
+	}
+}
+
+// TestPlacementsOfPeers guards against a second copy of a prefix that another
+// host has placed already.
+func TestPlacementsOfPeers(t *testing.T) {
+	tab := newTable(5)
+	tab.Peer("h1", nil, []Placement{{Server: "s3", Prefix: 7, Tokens: 13_300}}, epoch)
+	if c := mustPick(t, tab, long(7), epoch); c.ID != "s3" {
+		t.Errorf("request went to %s, the prefix is at s3", c.ID)
+	}
+}
+
+// TestUnusableServers guards against requests to servers that must not get
+// them.
+func TestUnusableServers(t *testing.T) {
+	tests := []struct {
+		name string
+		edit func(*spec.Server)
+		gone []string
+	}{
+		{"leaving", func(s *spec.Server) { s.Leaving = true }, nil},
+		{"evacuated", func(s *spec.Server) { s.Site = "b" }, []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tab := newTable(2)
+			list := entries(2)
+			tt.edit(&list[0])
+			tab.Update(engine, list, tt.gone, settled("h0"), epoch)
+			for range 10 {
+				if c := mustPick(t, tab, &Request{Prompt: 10}, epoch); c.ID == "s0" {
+					t.Fatal("s0 got a request")
+				}
+			}
+			tab.Update(engine, list[:1], tt.gone, settled("h0"), epoch)
+			if c, ok := tab.Pick(&Request{Prompt: 10}, epoch); ok {
+				t.Errorf("got %s, want none", c.ID)
+			}
+		})
+	}
+	t.Run("excluded", func(t *testing.T) {
+		if c := mustPick(t, newTable(2), &Request{Prompt: 10, Exclude: []string{"s0"}}, epoch); c.ID == "s0" {
+			t.Error("s0 got a request that it had failed")
+		}
+	})
+}
+
+// TestFailedServerRests guards against sending on to a server that can't be
+// reached, and against never trying it again.
+func TestFailedServerRests(t *testing.T) {
+	tab := newTable(1)
+	c := mustPick(t, tab, &Request{Prompt: 10}, epoch)
+	tab.Done(&c, NoConnect, epoch)
+	if _, ok := tab.Pick(&Request{Prompt: 10}, epoch.Add(firstBackoff/2)); ok {
+		t.Error("a server that could not be reached got a request at once")
+	}
+	if !tab.Unsure() {
+		t.Error("the state of the failed server counts as known")
+	}
+	at := epoch.Add(2 * maxBackoff)
+	tab.Pick(&Request{Prompt: 10}, at) // starts the allowance
+	probe, ok := tab.Pick(&Request{Prompt: 10}, at.Add(time.Second))
+	if !ok {
+		t.Fatal("the server is never tried again")
+	}
+	if _, ok := tab.Pick(&Request{Prompt: 10}, at.Add(2*time.Second)); ok {
+		t.Error("a second request was sent before the first had succeeded")
+	}
+	tab.Done(&probe, Served, at.Add(2*time.Second))
+	if _, ok := tab.Pick(&Request{Prompt: 10}, at.Add(3*time.Second)); !ok {
+		t.Error("the server gets nothing although it serves again")
+	}
+}
+
+// TestOneErrorExcludesNoServer guards against setting a server aside for
+// errors of its own, which say that it works.
+func TestOneErrorExcludesNoServer(t *testing.T) {
+	tab := newTable(1)
+	for i := range 20 {
+		at := epoch.Add(time.Duration(i) * time.Second)
+		c := mustPick(t, tab, &Request{Prompt: 10}, at)
+		tab.Done(&c, Failed, at)
+	}
+}
+
+// TestServerWithErrorsIsAvoided guards against an even split between a server
+// that fails part of its requests and one that does not.
+func TestServerWithErrorsIsAvoided(t *testing.T) {
+	tab := newTable(2)
+	n := 0
+	for i := range 200 {
+		at := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		c := mustPick(t, tab, &Request{Prompt: 10}, at)
+		o := Served
+		if c.ID == "s0" {
+			n++
+			o = Failed
+		}
+		tab.Done(&c, o, at)
+	}
+	if n > 20 {
+		t.Errorf("the failing server got %d of 200 requests", n)
+	}
+}
+
+// TestColdServers guards against more requests to a cold server than all
+// hosts together may send, however many there are and whatever they know of
+// each other.
+func TestColdServers(t *testing.T) {
+	limit := int(engine.WarmRate*1.5 + 3)
+	for _, n := range []int{1, 2, 4, 7, 25, 60} {
+		for _, known := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d hosts, known %v", n, known), func(t *testing.T) {
+				var hosts []string
+				for i := range n {
+					hosts = append(hosts, fmt.Sprintf("h%d", i))
+				}
+				got := sendCold(hosts, known)
+				for second, k := range got {
+					if k > limit {
+						t.Errorf("second %d: %d requests, at most %d allowed", second, k, limit)
+					}
+				}
+				if known && got[2] == 0 {
+					t.Error("a cold server gets nothing at all")
+				}
+			})
+		}
+	}
+}
+
+// sendCold lets hosts send as much as they may for three seconds and returns
+// the requests of each second. Hosts that do not know each other yet list only
+// themselves, as right after a restart.
+func sendCold(hosts []string, known bool) [3]int {
+	var tabs []*Table
+	for _, h := range hosts {
+		tab := NewTable(engine, rand.New(rand.NewPCG(1, 2)))
+		warm := Warming{Self: h, Hosts: hosts, Settled: true}
+		if !known {
+			warm = Warming{Self: h, Hosts: []string{h}}
+		}
+		e := entryOf(0)
+		e.Warm = time.Minute
+		tab.Update(engine, []spec.Server{e}, nil, warm, epoch)
+		tabs = append(tabs, tab)
+	}
+	var got [3]int
+	for ms := 0; ms < 3000; ms += 10 {
+		if !known && ms >= 1500 {
+			break // hosts know each other by then
+		}
+		at := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for _, tab := range tabs {
+			if c, ok := tab.Pick(&Request{Prompt: 10}, at); ok {
+				got[ms/1000]++
+				tab.Begun(&c, at)
+				tab.Done(&c, Served, at)
+			}
+		}
+	}
+	return got
+}
+
+// TestRestartedServerForgets guards against sending a prefix to a server that
+// was started anew under its name and holds nothing.
+func TestRestartedServerForgets(t *testing.T) {
+	tab := newTable(2)
+	c := mustPick(t, tab, long(7), epoch)
+	tab.Done(&c, Served, epoch)
+	if len(tab.Held(epoch)) != 1 {
+		t.Fatal("the prefix is not held")
+	}
+	list := entries(2)
+	for i := range list {
+		list[i].Born = 2
+	}
+	tab.Update(engine, list, nil, settled("h0"), epoch)
+	if n := len(tab.Held(epoch)); n != 0 {
+		t.Errorf("%d prefixes are held after the restart", n)
+	}
+}
+
+// TestDoneOfRemovedServer guards against a load that never goes away, or goes
+// below zero, when a server is removed and returns while a request runs.
+func TestDoneOfRemovedServer(t *testing.T) {
+	tab := newTable(1)
+	c := mustPick(t, tab, long(7), epoch)
+	tab.Update(engine, nil, nil, settled("h0"), epoch)
+	tab.Update(engine, entries(1), nil, settled("h0"), epoch)
+	tab.Begun(&c, epoch)
+	tab.Done(&c, Served, epoch)
+	loads, _ := tab.Report(epoch)
+	if len(loads) != 0 {
+		t.Errorf("loads after the last request: %v", loads)
+	}
+}
+
+// TestBurstOfShortQuestions is the load of a region at its peak: 450 short
+// questions a second for 10 s at 5 servers of 64 places, each place taken for
+// 0.7 s. It guards against an uneven split.
+func TestBurstOfShortQuestions(t *testing.T) {
+	tab := newTable(5)
+	type running struct {
+		c   Choice
+		end time.Time
+	}
+	var open []running
+	got := make(map[string]int)
+	for i := range 4500 {
+		now := epoch.Add(time.Duration(i) * time.Second / 450)
+		for len(open) > 0 && !now.Before(open[0].end) {
+			tab.Done(&open[0].c, Served, open[0].end)
+			open = open[1:]
+		}
+		c := mustPick(t, tab, &Request{Prompt: 383, Output: 44}, now)
+		got[c.ID]++
+		tab.Begun(&c, now.Add(80*time.Millisecond))
+		open = append(open, running{c, now.Add(700 * time.Millisecond)})
+	}
+	for id, n := range got {
+		if n < 800 || n > 1000 {
+			t.Errorf("server %s got %d of 4500 requests, want about 900", id, n)
+		}
+	}
+}
--- a/internal/core/pick/warm.go
+++ b/internal/core/pick/warm.go
@@ -12,9 +12,6 @@
 	// warmers is the most hosts that send to one cold server: each may send
 	// one request at any time, whatever the rate.
 	warmers = 4
-	// settling is the number of hosts that a host assumes while it doesn't
-	// know all others yet.
-	settling = 8
 	// probationRate bounds the requests per second of one host to a server
 	// of unknown state.
 	probationRate = 2.0
@@ -26,7 +23,8 @@
 	// region.
 	Self  string
 	Hosts []string
-	// Settled is set once the host has had time to learn of the others.
+	// Settled is set once the host has had time to learn of the others; until
+	// then it sends nothing to cold servers.
 	Settled bool
 }
 
@@ -38,7 +36,7 @@
 	}
 	n := max(len(w.Hosts), 1)
 	if !w.Settled {
-		return svc.WarmRate / float64(max(n, settling))
+		return 0
 	}
 	if n <= warmers {
 		return svc.WarmRate / float64(n)
--- /dev/null
+++ b/internal/core/share/share_test.go
@@ -0,0 +1,186 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fleet is a number of hosts with one organisation. Reports between hosts of
+// different groups take place at intervals, those within a group more often.
+type fleet struct {
+	books []*Book
+	near  time.Duration
+	far   time.Duration
+	group func(i int) int
+	cut   func(i, j int, at time.Duration) bool
+}
+
+const org = "workshop"
+
+// run sends demand tokens a second in all, evenly over the hosts, in requests
+// of size tokens, and returns the tokens that were admitted per step.
+func (f *fleet) run(limit Limit, demand, size float64, d time.Duration) []float64 {
+	const step = 10 * time.Millisecond
+	admitted := make([]float64, d/step)
+	due := make([]float64, len(f.books))
+	for n := range admitted {
+		at := time.Duration(n) * step
+		now := epoch.Add(at)
+		for i, b := range f.books {
+			due[i] += demand / float64(len(f.books)) * step.Seconds()
+			for due[i] >= size {
+				due[i] -= size
+				if _, ok := b.Take(org, limit, size, now); ok {
+					admitted[n] += size
+				}
+			}
+		}
+		f.exchange(at)
+	}
+	return admitted
+}
+
+// exchange delivers the reports that are due at a time.
+func (f *fleet) exchange(at time.Duration) {
+	for i, from := range f.books {
+		for j, to := range f.books {
+			every := f.far
+			if f.group(i) == f.group(j) {
+				every = f.near
+			}
+			if i == j || at%every != 0 || f.cut != nil && f.cut(i, j, at) {
+				continue
+			}
+			to.Hear(fmt.Sprint("h", i), 1, from.Spent(), epoch.Add(at))
+		}
+	}
+}
+
+func newFleet(n, groups int, fresh bool) *fleet {
+	f := &fleet{near: 200 * time.Millisecond, far: 600 * time.Millisecond, group: func(i int) int { return i % groups }}
+	for range n {
+		f.books = append(f.books, NewBook(fresh))
+	}
+	return f
+}
+
+// worst returns the most that was admitted in any window of d.
+func worst(admitted []float64, d time.Duration) float64 {
+	n := int(d / (10 * time.Millisecond))
+	sum, most := 0.0, 0.0
+	for i, v := range admitted {
+		sum += v
+		if i >= n {
+			sum -= admitted[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestHotOrganisation is the load of an organisation that sends several times
+// its limit. It guards against more than a tenth and 190,000 tokens beyond the
+// limit in any 8 s, and against less than nine tenths of it.
+func TestHotOrganisation(t *testing.T) {
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	for _, n := range []int{1, 7, 8, 25} {
+		for _, times := range []float64{1.2, 2, 4} {
+			t.Run(fmt.Sprintf("%d hosts, %v times", n, times), func(t *testing.T) {
+				got := newFleet(n, min(n, 3), true).run(limit, times*limit.Rate, 2000, 20*time.Second)
+				most := worst(got, 8*time.Second)
+				if bound := (limit.Rate*8+limit.Burst)*1.1 + 190_000; most > bound {
+					t.Errorf("admitted %.0f in 8 s, at most %.0f allowed", most, bound)
+				}
+				sum := 0.0
+				for _, v := range got[1000:] {
+					sum += v
+				}
+				if sum < 0.9*limit.Rate*10 {
+					t.Errorf("admitted %.0f in 10 s, want nine tenths of %.0f", sum, limit.Rate*10)
+				}
+			})
+		}
+	}
+}
+
+// TestWithinLimit guards against rejections of an organisation that stays
+// within its limit.
+func TestWithinLimit(t *testing.T) {
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	got := newFleet(7, 3, true).run(limit, 0.8*limit.Rate, 2000, 10*time.Second)
+	sum := 0.0
+	for _, v := range got {
+		sum += v
+	}
+	if want := 0.8 * limit.Rate * 10; sum < 0.999*want {
+		t.Errorf("admitted %.0f of %.0f", sum, want)
+	}
+}
+
+// TestPartition guards against parts of a divided system that each admit the
+// whole limit.
+func TestPartition(t *testing.T) {
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	f := newFleet(7, 3, true)
+	f.cut = func(i, j int, at time.Duration) bool {
+		return f.group(i) != f.group(j) && at > 4*time.Second && at < 12*time.Second
+	}
+	got := f.run(limit, 3*limit.Rate, 2000, 20*time.Second)
+	if most, bound := worst(got, 8*time.Second), (limit.Rate*8+limit.Burst)*1.1+190_000; most > bound {
+		t.Errorf("admitted %.0f in 8 s, at most %.0f allowed", most, bound)
+	}
+}
+
+// TestRestart guards against a new burst after all hosts were restarted.
+func TestRestart(t *testing.T) {
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	before := newFleet(7, 3, true).run(limit, 3*limit.Rate, 2000, 8*time.Second)
+	after := newFleet(7, 3, false).run(limit, 3*limit.Rate, 2000, 8*time.Second)
+	both := append(before, after...)
+	if most, bound := worst(both, 8*time.Second), (limit.Rate*8+limit.Burst)*1.1+190_000; most > bound {
+		t.Errorf("admitted %.0f in 8 s, at most %.0f allowed", most, bound)
+	}
+}
+
+// TestRetryTime guards against telling a rejected caller a time at which it
+// would be rejected again.
+func TestRetryTime(t *testing.T) {
+	b := NewBook(true)
+	limit := Limit{Rate: 100, Burst: 100}
+	if _, ok := b.Take(org, limit, 100, epoch); !ok {
+		t.Fatal("the first burst was rejected")
+	}
+	wait, ok := b.Take(org, limit, 50, epoch)
+	if ok {
+		t.Fatal("admitted beyond the burst")
+	}
+	if _, ok := b.Take(org, limit, 50, epoch.Add(wait)); !ok {
+		t.Errorf("rejected again after the stated %v", wait)
+	}
+}
+
+// TestUnlimited guards against a limit where none is set.
+func TestUnlimited(t *testing.T) {
+	b := NewBook(false)
+	for range 100 {
+		if _, ok := b.Take(org, Limit{}, 1e9, epoch); !ok {
+			t.Fatal("rejected without a limit")
+		}
+	}
+}
+
+// TestRestartedPeer guards against counting a restarted host's total from its
+// former one, which would give back what it admits.
+func TestRestartedPeer(t *testing.T) {
+	b := NewBook(true)
+	limit := Limit{Rate: 100, Burst: 1000}
+	b.Take(org, limit, 1, epoch)
+	b.Hear("h1", 1, map[string]float64{org: 500}, epoch)
+	b.Hear("h1", 2, map[string]float64{org: 400}, epoch.Add(time.Second))
+	if _, ok := b.Take(org, limit, 900, epoch.Add(time.Second)); ok {
+		t.Error("the 400 tokens that the restarted host admitted are not counted")
+	}
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -31,7 +31,7 @@
 
 // settle is the time after the start in which all hosts of a region that was
 // restarted as a whole have registered and been listed.
-const settle = 2 * time.Second
+const settle = 1500 * time.Millisecond
 
 // Options sets up a Fleet.
 type Options struct {
