Explain a request from the logs of hosts

yuccalb explain ID FILE... prints the lines about a request in order of time and what each host believed then. Lines about requests name the inputs of the decision: version, age of keys and entries, load of the server. Served and other requests are sampled apart, and a summary tells what was left out.

--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -38,20 +38,21 @@
 
 // CLI is the command line.
 type CLI struct {
-	Check  CheckCmd  `cmd:"" help:"Check a configuration folder and, with --settings, a daemon's settings file. Uses no network."`
-	Apply  ApplyCmd  `cmd:"" help:"Put the configuration of a folder in force everywhere."`
-	Diff   DiffCmd   `cmd:"" help:"Show what apply would change."`
-	Status StatusCmd `cmd:"" help:"Show what one host knows: version, peers, data centres, backend servers."`
-	Hosts  HostsCmd  `cmd:"" help:"Show the hosts that callers are told to use."`
-	Key    KeyCmd    `cmd:"" help:"Create keys."`
-	Cert   CertCmd   `cmd:"" help:"Create the fleet's certificate authority and the certificates of its hosts."`
-	Drain  DrainCmd  `cmd:"" help:"Begin the planned stop of a host; it exits when its requests have ended."`
-	Order  OrderCmd  `cmd:"" help:"Order an engine to load a model, an adapter or a version, or to change its role."`
-	Send   SendCmd   `cmd:"" help:"Send one request as a caller and print the response as it arrives."`
-	Load   LoadCmd   `cmd:"" help:"Send chats at a given rate and report times and rejections."`
-	Replay ReplayCmd `cmd:"" help:"Replay a recorded trace on a model of one data centre (12 servers, 8 hosts) and print the figures of a routing policy."`
-	Demo   DemoCmd   `cmd:"" help:"Run two regions with three hosts and stand-ins in this process and send a chat, a look-up and a booking."`
-	Fake   FakeCmd   `cmd:"" help:"Run a stand-in for the platform, a model engine or a plain service."`
+	Check   CheckCmd   `cmd:"" help:"Check a configuration folder and, with --settings, a daemon's settings file. Uses no network."`
+	Apply   ApplyCmd   `cmd:"" help:"Put the configuration of a folder in force everywhere."`
+	Diff    DiffCmd    `cmd:"" help:"Show what apply would change."`
+	Status  StatusCmd  `cmd:"" help:"Show what one host knows: version, peers, data centres, backend servers."`
+	Hosts   HostsCmd   `cmd:"" help:"Show the hosts that callers are told to use."`
+	Key     KeyCmd     `cmd:"" help:"Create keys."`
+	Cert    CertCmd    `cmd:"" help:"Create the fleet's certificate authority and the certificates of its hosts."`
+	Drain   DrainCmd   `cmd:"" help:"Begin the planned stop of a host; it exits when its requests have ended."`
+	Order   OrderCmd   `cmd:"" help:"Order an engine to load a model, an adapter or a version, or to change its role."`
+	Send    SendCmd    `cmd:"" help:"Send one request as a caller and print the response as it arrives."`
+	Load    LoadCmd    `cmd:"" help:"Send chats at a given rate and report times and rejections."`
+	Replay  ReplayCmd  `cmd:"" help:"Replay a recorded trace on a model of one data centre (12 servers, 8 hosts) and print the figures of a routing policy."`
+	Explain ExplainCmd `cmd:"" help:"Tell the story of one request from the logs of hosts."`
+	Demo    DemoCmd    `cmd:"" help:"Run two regions with three hosts and stand-ins in this process and send a chat, a look-up and a booking."`
+	Fake    FakeCmd    `cmd:"" help:"Run a stand-in for the platform, a model engine or a plain service."`
 }
 
 // env is where commands print.
--- /dev/null
+++ b/internal/cli/cmds/explain.go
@@ -0,0 +1,48 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/yuccalb/yuccalb/internal/edge/story"
+)
+
+// ExplainCmd tells the story of one request from logs.
+type ExplainCmd struct {
+	ID    string   `arg:"" help:"Identifier of the request."`
+	Files []string `arg:"" help:"Logs of one or more hosts, JSON lines." type:"existingfile"`
+}
+
+// Run executes the command. It fails when no line has the identifier.
+func (c *ExplainCmd) Run(e *env) error {
+	var l story.Log
+	for _, name := range c.Files {
+		if err := readLog(e, &l, name); err != nil {
+			return exit(ExitInput, err)
+		}
+	}
+	n, err := l.Write(e.out, c.ID)
+	if err != nil {
+		return err
+	}
+	if n == 0 {
+		return fmt.Errorf("explain: no line has the identifier %s: it may have been sampled out, or the log of its host is missing", c.ID)
+	}
+	return nil
+}
+
+func readLog(e *env, l *story.Log, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	defer f.Close()
+	skipped, err := l.Read(f)
+	if err != nil {
+		return fmt.Errorf("explain: %s: %w", name, err)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(e.err, "explain: %s: %d lines are not log lines\n", name, skipped)
+	}
+	return nil
+}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -81,6 +81,10 @@
 	ID string
 	// Expected is the expected time to the first byte.
 	Expected time.Duration
+	// Load is that of the server, by all hosts, before the request, and
+	// Cached whether it was expected to hold the prefix.
+	Load   Load
+	Cached bool
 
 	server *server
 	at     time.Time
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -79,8 +79,9 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	load := best.total()
 	t.send(best, req, unread, now)
-	return Choice{ID: best.ID, Expected: d, server: best, at: now, unread: unread, memory: req.Prompt + req.Output}, true
+	return Choice{ID: best.ID, Expected: d, Load: load, Cached: unread < req.Prompt, server: best, at: now, unread: unread, memory: req.Prompt + req.Output}, true
 }
 
 // Expect returns the expected time to the first byte of a request, or false
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -40,8 +40,10 @@
 	idleWait   = 60 * time.Second
 	// maxHeader bounds a header in bytes.
 	maxHeader = 64 << 10
-	// sweepEvery is the interval between sweeps of idle connections.
-	sweepEvery = time.Second
+	// sweepEvery is the interval between sweeps of idle connections, and
+	// summaryEvery that between summaries of log lines left out.
+	sweepEvery   = time.Second
+	summaryEvery = 5 * time.Second
 	// memoryShare of the memory limit is the target of the garbage collector.
 	memoryShare = 0.7
 	storeDial   = time.Second
@@ -188,16 +190,20 @@
 	}
 }
 
-// sweep closes idle connections at intervals.
+// sweep closes idle connections and sums up the log at intervals.
 func (e *Entry) sweep() {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for {
 		select {
 		case <-e.stop:
 			return
 		case now := <-t.C:
 			e.relay.Sweep(now)
+		case <-summary.C:
+			e.log.Summarize()
 		}
 	}
 }
--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -40,7 +40,7 @@
 				with("Connection", "keep-alive, X-Hop").with("X-Hop", "1").with("Te", "trailers").
 				with("X-Hold", "1").with("X-Pin-Ms", "9").with("X-Kv-Backup", "1.2.3.4:5").with("Kv-From", "1.2.3.4:5/6").
 				with(platform.HeaderOrg, "other").with(platform.HeaderServer, "s9").with("Yuccalb-Org", "other")
-			w.wantStatus(w.do(tt.host, c), http.StatusOK)
+			wantStatus(t, w.do(tt.host, c), http.StatusOK)
 			seen := tt.srv.Seen()
 			x := seen[len(seen)-1]
 			if want := "POST " + tt.path + " HTTP/1.1"; !strings.HasPrefix(x.Raw, want+"\r\n") {
@@ -90,12 +90,12 @@
 		{"body too large", post("/safe/x", "").with("Content-Length", "99999999"), http.StatusBadRequest},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) { w.wantStatus(w.do(e, tt.call), tt.want) })
+		t.Run(tt.name, func(t *testing.T) { wantStatus(t, w.do(e, tt.call), tt.want) })
 	}
 	if n := len(s.Seen()); n != 0 {
 		t.Errorf("%d requests reached the server", n)
 	}
-	w.wantStatus(w.do(e, get("/open/x").with(platform.HeaderKey, "")), http.StatusOK)
+	wantStatus(t, w.do(e, get("/open/x").with(platform.HeaderKey, "")), http.StatusOK)
 }
 
 // TestSmuggledRequest guards against a second request hidden in the body of a
@@ -133,7 +133,7 @@
 	w.store.Break(func(*http.Request) int { return plattest.Silent })
 	e := w.start(w.settings("a1"))
 	a := w.do(e, get("/safe/x"))
-	w.wantStatus(a, http.StatusServiceUnavailable)
+	wantStatus(t, a, http.StatusServiceUnavailable)
 	if a.header.Get("Retry-After") == "" {
 		t.Error("no time to return")
 	}
@@ -149,7 +149,7 @@
 	e := w.host("a1")
 	full := w.server("s1", "a1", func(x *origin.Exchange) bool { return x.Refuse() })
 	a := w.do(e, post("/order/x", "1"))
-	w.wantStatus(a, http.StatusServiceUnavailable)
+	wantStatus(t, a, http.StatusServiceUnavailable)
 	if a.header.Get("Retry-After") == "" || a.header.Get(platform.HeaderSeal) != "" {
 		t.Errorf("headers of the refusal: %v", a.header)
 	}
@@ -221,7 +221,7 @@
 		w.do(e, get("/open/x"))
 	}
 	for range 10 {
-		w.wantStatus(w.do(e, get("/safe/x")), http.StatusOK)
+		wantStatus(t, w.do(e, get("/safe/x")), http.StatusOK)
 	}
 }
 
@@ -233,7 +233,7 @@
 	w.server("s1", "a1", func(x *origin.Exchange) bool { <-x.Left; return false })
 	began := time.Now()
 	a := w.do(e, get("/short/x"))
-	w.wantStatus(a, http.StatusGatewayTimeout)
+	wantStatus(t, a, http.StatusGatewayTimeout)
 	if took := time.Since(began); took > 550*time.Millisecond {
 		t.Errorf("answered after %v, the timeout is 300 ms", took)
 	}
@@ -255,8 +255,8 @@
 	t.Cleanup(s.Close)
 	w.addServer("s1", "a1", s)
 	for range 5 {
-		w.wantStatus(w.do(e, post("/order/long", long)), http.StatusOK)
-		w.wantStatus(w.do(e, post("/order/short", "1")), http.StatusOK)
+		wantStatus(t, w.do(e, post("/order/long", long)), http.StatusOK)
+		wantStatus(t, w.do(e, post("/order/short", "1")), http.StatusOK)
 	}
 	for _, x := range s.Seen() {
 		if x.Method != http.MethodPost || !strings.HasPrefix(x.URL.Path, "/order/") {
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -25,11 +25,11 @@
 	e := w.host("a1")
 	w.server("s1", "a1", ok)
 	conn := w.dial(e)
-	w.wantStatus(w.exchange(conn, get("/safe/x")), http.StatusOK)
+	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusOK)
 	w.store.PutConfig(config(2, "key-2"))
 	time.Sleep(e.settings.Revoke)
-	w.wantStatus(w.exchange(conn, get("/safe/x")), http.StatusUnauthorized)
-	w.wantStatus(w.exchange(conn, get("/safe/x").with(platform.HeaderKey, "key-2")), http.StatusOK)
+	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusUnauthorized)
+	wantStatus(t, w.exchange(conn, get("/safe/x").with(platform.HeaderKey, "key-2")), http.StatusOK)
 }
 
 // TestKeysUnconfirmed guards against a host that goes on to accept keys when it
@@ -42,17 +42,17 @@
 	w.store.Break(func(*http.Request) int { return plattest.Silent })
 	time.Sleep(e.settings.Revoke)
 	a := w.do(e, get("/safe/x"))
-	w.wantStatus(a, http.StatusServiceUnavailable)
+	wantStatus(t, a, http.StatusServiceUnavailable)
 	if a.header.Get("Retry-After") == "" {
 		t.Error("no time to return")
 	}
-	w.wantStatus(w.do(e, get("/open/x")), http.StatusOK)
+	wantStatus(t, w.do(e, get("/open/x")), http.StatusOK)
 	if resp, err := http.Get("http://" + e.settings.Ready.String() + platform.ReadyPath); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("ready: %v, %v", resp, err)
 	}
 	w.store.Break(nil)
 	w.waitReady(e)
-	w.wantStatus(w.do(e, get("/safe/x")), http.StatusOK)
+	wantStatus(t, w.do(e, get("/safe/x")), http.StatusOK)
 }
 
 // TestProofFromPeers guards against a host that refuses keys because the store
@@ -77,7 +77,7 @@
 	w.eventually("hosts know each other", func() bool { return len(a.exchange.Peers()) == 1 && len(b.exchange.Peers()) == 1 })
 	cut.Store(true)
 	time.Sleep(a.settings.Revoke + time.Second)
-	w.wantStatus(w.do(a, get("/safe/x")), http.StatusOK)
+	wantStatus(t, w.do(a, get("/safe/x")), http.StatusOK)
 }
 
 // TestRestartWhileStoreIsAway guards against a host that turns proper requests
@@ -87,7 +87,7 @@
 	w.store.Break(func(*http.Request) int { return http.StatusTooManyRequests })
 	e := w.start(w.settings("a1"))
 	for range 5 {
-		w.wantStatus(w.do(e, get("/safe/x")), http.StatusServiceUnavailable)
+		wantStatus(t, w.do(e, get("/safe/x")), http.StatusServiceUnavailable)
 		time.Sleep(50 * time.Millisecond)
 	}
 }
@@ -117,7 +117,7 @@
 	if n := count(two); n > 0 {
 		t.Errorf("a server of an evacuated data centre got %d requests", n)
 	}
-	w.wantStatus(w.do(e, get("/safe/x")), http.StatusServiceUnavailable)
+	wantStatus(t, w.do(e, get("/safe/x")), http.StatusServiceUnavailable)
 }
 
 // TestAnotherServerAtTheAddress guards against requests that are given up, or
@@ -149,7 +149,7 @@
 	far := w.server("s2", "b1", ok)
 	w.eventually("region b known", func() bool { return len(a.fleet.Places("desk")) == 1 })
 	for range 10 {
-		w.wantStatus(w.do(a, get("/home-b/x")), http.StatusOK)
+		wantStatus(t, w.do(a, get("/home-b/x")), http.StatusOK)
 	}
 	if len(home.Seen()) > 0 || len(far.Seen()) != 10 {
 		t.Errorf("%d requests in region a, %d in b", len(home.Seen()), len(far.Seen()))
@@ -169,7 +169,7 @@
 	for range 20 {
 		last = w.do(e, get("/safe/x").with(platform.HeaderTokens, "90,10"))
 	}
-	w.wantStatus(last, http.StatusTooManyRequests)
+	wantStatus(t, last, http.StatusTooManyRequests)
 	if n := len(s.Seen()); n < 10 || n > 15 {
 		t.Errorf("%d requests of 100 tokens were admitted, want the burst of 1000", n)
 	}
--- a/internal/edge/entry/stream_test.go
+++ b/internal/edge/entry/stream_test.go
@@ -75,7 +75,7 @@
 			one := w.server("s1", "a1", script)
 			two := w.server("s2", "a1", script)
 			a := w.do(e, post("/chat/x", "1"))
-			w.wantStatus(a, http.StatusOK)
+			wantStatus(t, a, http.StatusOK)
 			if a.err == nil {
 				t.Errorf("the cut stream looks complete: %q", a.body)
 			}
@@ -158,7 +158,7 @@
 		return x.Reset()
 	})
 	a := w.do(e, post("/chat/x", "1"))
-	w.wantStatus(a, http.StatusBadGateway)
+	wantStatus(t, a, http.StatusBadGateway)
 	if seal := a.header.Get(platform.HeaderSeal); seal != "" {
 		t.Errorf("the refusal bears the signature %q", seal)
 	}
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -251,10 +251,10 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, last: resp.Close}
 }
 
-func (w *world) wantStatus(a answer, want int) {
-	w.t.Helper()
+func wantStatus(t *testing.T, a answer, want int) {
+	t.Helper()
 	if a.status != want {
-		w.t.Fatalf("status %d (error %v, body %q), want %d", a.status, a.err, a.body, want)
+		t.Fatalf("status %d (error %v, body %q), want %d", a.status, a.err, a.body, want)
 	}
 }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -63,7 +63,7 @@
 			return
 		}
 		if ref == nil && q.mayRetry(res, try) && q.pay(svc) {
-			q.s.log.Requests.Info("request retried", zap.String("id", q.id), zap.Int("try", try), zap.String("reason", q.reason), zap.String("server", q.server))
+			q.logRetry(res, try)
 			continue
 		}
 		q.giveUp(res, ref)
@@ -71,6 +71,18 @@
 	}
 }
 
+// logRetry records that another attempt follows; a stream that had begun goes
+// on within the same response.
+func (q *request) logRetry(res result, try int) {
+	msg := "request retried"
+	if res == resultCut {
+		msg = "request resumed"
+	}
+	if e := q.s.log.Requests.Check(zap.InfoLevel, msg); e != nil {
+		e.Write(append(q.decision(), zap.Int("try", try), zap.String("reason", q.reason))...)
+	}
+}
+
 // pay takes a retry from the budget of the service. An attempt that was never
 // sent costs nothing.
 func (q *request) pay(svc *fleet.Service) bool {
@@ -181,6 +193,8 @@
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
 	q.expected = c.Expected
+	q.choice = c
+	q.listed = q.s.fleet.View().At
 	return c, true, nil
 }
 
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -65,6 +65,8 @@
 	expected time.Duration
 	place    place
 	server   string
+	choice   pick.Choice // of the last attempt in the own region
+	listed   time.Time   // when the entries that decided were read
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
@@ -229,26 +231,44 @@
 
 // finish records the end of the request.
 func (q *request) finish(outcome string, status int) {
-	took := time.Since(q.arrived)
 	service := q.service
 	if service == "" {
 		service = "none"
 	}
+	took := time.Since(q.arrived)
 	q.s.stats.Request(service, outcome, q.reason, took)
+	if !q.first.IsZero() {
+		q.s.stats.First(service, q.first.Sub(q.arrived))
+	}
+	log := q.s.log.Requests
+	if outcome == "served" {
+		log = q.s.log.Served
+	}
+	if e := log.Check(zap.InfoLevel, "request "+outcome); e != nil {
+		e.Write(append(q.decision(), zap.Int("status", status), zap.String("reason", q.reason), zap.Duration("took", took))...)
+	}
+}
+
+// decision returns the inputs that decided on the request.
+func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
-		zap.String("id", q.id), zap.String("service", q.service), zap.Int("status", status),
-		zap.String("reason", q.reason), zap.Duration("took", took), zap.Int("sends", q.sends), zap.Int("ran", q.ran),
+		zap.String("id", q.id), zap.String("service", q.service), zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge),
+		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared), zap.Duration("left", q.left()),
+		zap.Int("sends", q.sends), zap.Int("ran", q.ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
-		zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge), zap.Bool("forwarded", q.forwarded),
-		zap.Duration("left", q.left()), zap.Int("prompt", q.pick.Prompt),
+		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
+	}
+	if !q.listed.IsZero() {
+		fields = append(fields, zap.Duration("list_age", time.Since(q.listed)))
 	}
 	if !q.first.IsZero() {
-		first := q.first.Sub(q.arrived)
-		q.s.stats.First(service, first)
-		fields = append(fields, zap.Duration("first", first))
+		fields = append(fields, zap.Duration("first", q.first.Sub(q.arrived)))
+	}
+	if q.lastID != "" {
+		fields = append(fields, zap.String("last_event", q.lastID))
 	}
 	if q.route != nil {
 		fields = append(fields, zap.String("route", q.route.Name))
 	}
-	q.s.log.Requests.Info("request "+outcome, fields...)
+	return fields
 }
--- /dev/null
+++ b/internal/edge/story/story_test.go
@@ -0,0 +1,74 @@
+package story
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// TestStories guards against a story that misses a line of the request, mixes
+// in those of others, or shows what the host came to believe only later.
+func TestStories(t *testing.T) {
+	for _, id := range []string{"cut", "late", "refused"} {
+		t.Run(id, func(t *testing.T) {
+			var l Log
+			files, err := filepath.Glob("testdata/*.log")
+			if err != nil || len(files) < 2 {
+				t.Fatalf("logs %v, %v", files, err)
+			}
+			for _, name := range files {
+				read(t, &l, name)
+			}
+			var out bytes.Buffer
+			if n, err := l.Write(&out, id); err != nil || n == 0 {
+				t.Fatalf("%d lines, %v", n, err)
+			}
+			golden := filepath.Join("testdata", id+".golden")
+			if *update {
+				if err := os.WriteFile(golden, out.Bytes(), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(string(want), out.String()); diff != "" {
+				t.Errorf("story differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func read(t *testing.T, l *Log, name string) {
+	t.Helper()
+	f, err := os.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := l.Read(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSkippedLines guards against a log with other lines in it that can't be
+// read.
+func TestSkippedLines(t *testing.T) {
+	var l Log
+	skipped, err := l.Read(strings.NewReader("panic: x\n{\"msg\":\n\n 1.5 host {\"ts\":\"2026-01-01T00:00:00Z\",\"msg\":\"a\",\"id\":\"x\"}\n"))
+	if err != nil || skipped != 3 {
+		t.Fatalf("%d lines skipped, %v", skipped, err)
+	}
+	var out bytes.Buffer
+	if n, err := l.Write(&out, "x"); n != 1 || err != nil {
+		t.Errorf("%d lines, %v", n, err)
+	}
+}
