A leaving host listens until callers have other addresses

Cause: an incident on the Hüttenlauf site (docs/incidents follows): while the hosts of a region were restarted in turn, 409 requests found no connection at a host that had closed its listener 1.5 s after the signal; some callers keep a lookup for three lifetimes. Change: the host listens for three lifetimes and 200 ms, less if no request arrives for 700 ms and none runs. A caller that left is no longer logged as a cut response without a reason.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -30,9 +30,12 @@
 const (
 	// lookupTTL is how long callers may keep the answer of a lookup.
 	lookupTTL = time.Second
-	// linger is how long a leaving host takes new connections, until callers
-	// have learned of other hosts.
-	linger = 1500 * time.Millisecond
+	// linger is how long a leaving host takes new connections: some callers
+	// keep the answer of a lookup for three times its lifetime. It ends early
+	// once no request has arrived for quiet.
+	linger    = 3*lookupTTL + 200*time.Millisecond
+	quiet     = 700 * time.Millisecond
+	quietTick = 50 * time.Millisecond
 	// exitMargin is kept free at the end of the grace time.
 	exitMargin = 400 * time.Millisecond
 	// headerWait and idleWait bound reading a header and idle connections.
@@ -248,8 +251,13 @@
 
 // pause waits until callers have learned that the host leaves.
 func (e *Entry) pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(linger):
+	t := time.NewTicker(quietTick)
+	defer t.Stop()
+	for end := time.Now().Add(linger); time.Now().Before(end) && !e.relay.Quiet(quiet); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
 	}
 }
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -250,3 +250,40 @@
 	go func() { _ = b.Close(context.Background()) }()
 	want("b", a)
 }
+
+// TestCallersWithOldAnswers guards against a leaving host that stops listening
+// while callers still have its address from a lookup. Seen in an incident of
+// the Hüttenlauf site: 409 requests without a connection while the three hosts
+// of a region were restarted in turn.
+func TestCallersWithOldAnswers(t *testing.T) {
+	w := newWorld(t)
+	e := w.host("a1")
+	w.server("s1", "a1", ok)
+	began := time.Now()
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(context.Background()) }()
+	for time.Since(began) < 3*lookupTTL {
+		wantStatus(t, w.do(e, get("/safe/x")), http.StatusOK)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(began); d > e.settings.Grace {
+		t.Errorf("the stop took %v, the grace time is %v", d, e.settings.Grace)
+	}
+}
+
+// TestIdleHostStopsSoon guards against a stop that waits for callers of whom
+// there are none.
+func TestIdleHostStopsSoon(t *testing.T) {
+	w := newWorld(t)
+	e := w.host("a1")
+	began := time.Now()
+	if err := e.Close(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(began); d > 2*time.Second {
+		t.Errorf("the stop took %v", d)
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -55,7 +55,7 @@
 	}
 	for try := 1; ; try++ {
 		if cancelled(q.r.Context()) {
-			q.left499()
+			q.callerLeft()
 			return
 		}
 		res, ref := q.attempt()
@@ -93,10 +93,10 @@
 	return svc.Budget.Take()
 }
 
-// left499 records a caller that left before its answer.
-func (q *request) left499() {
+// callerLeft records a caller that left before the end of its response.
+func (q *request) callerLeft() {
 	q.reason = reasonLeft
-	q.finish("left", 499)
+	q.finish("left", 0)
 }
 
 // mayRetry reports whether the rules of the route allow another attempt.
@@ -118,13 +118,17 @@
 // giveUp answers a request that gets no further attempt.
 func (q *request) giveUp(res result, ref *refusal) {
 	if q.began {
-		q.finish("cut", 0)
+		if cancelled(q.r.Context()) {
+			q.callerLeft()
+		} else {
+			q.finish("cut", 0)
+		}
 		// The connection is closed without the end of the response, so that
 		// the caller does not take it for complete.
 		panic(http.ErrAbortHandler)
 	}
 	if cancelled(q.r.Context()) {
-		q.left499()
+		q.callerLeft()
 		return
 	}
 	if q.ran > 0 {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -41,6 +41,8 @@
 	servers *send.Client
 	peers   *send.Client
 	running atomic.Int64
+	// arrived is when the last request arrived, in Unix nanoseconds.
+	arrived atomic.Int64
 	// closing makes callers open their next connection elsewhere.
 	closing atomic.Bool
 }
@@ -80,13 +82,22 @@
 // Running returns the number of requests in progress.
 func (s *Relay) Running() int64 { return s.running.Load() }
 
+// Quiet reports whether no request runs and none has arrived for d.
+func (s *Relay) Quiet(d time.Duration) bool {
+	return s.running.Load() == 0 && time.Now().UnixNano()-s.arrived.Load() > int64(d)
+}
+
 // Leave asks callers to close their connections.
-func (s *Relay) Leave() { s.closing.Store(true) }
+func (s *Relay) Leave() {
+	s.arrived.Store(time.Now().UnixNano())
+	s.closing.Store(true)
+}
 
 // ServeHTTP serves a caller's request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	s.arrived.Store(time.Now().UnixNano())
 	// A body in chunks may have come with a length as well, which net/http
 	// ignores and hides: what follows on such a connection is not trusted.
 	if s.closing.Load() || len(r.TransferEncoding) > 0 {
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -253,11 +253,14 @@
 func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge),
-		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared), zap.Duration("left", q.left()),
+		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared),
 		zap.Int("sends", q.sends), zap.Int("ran", q.ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
 	}
+	if !q.until.IsZero() {
+		fields = append(fields, zap.Duration("left", q.left()))
+	}
 	if !q.listed.IsZero() {
 		fields = append(fields, zap.Duration("list_age", time.Since(q.listed)))
 	}
