Keep only entries that were missing at the first read after an outage

Ruled out: the store (stable at the time), stale answers. Change: an entry counts as lapsed only if it is missing at the first read after an outage; while any is kept, the host reads for itself.

--- a/internal/edge/track/track.go
+++ b/internal/edge/track/track.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -95,12 +96,19 @@
 
 	lease   int64
 	servers map[string]spec.Server
+	// lapsed are servers whose entries were missing at the first read after
+	// an outage of the store, until the time when they should be back.
+	lapsed      map[string]spec.Server
+	lapsedUntil time.Time
+	keeping     atomic.Bool // lapsed is not empty
 
 	outage struct {
 		sync.Mutex
 		// since is when the first call failed after the last success, and
-		// ended when the last long outage ended.
-		since, ended time.Time
+		// ended is set when a long outage has ended, until the next read of
+		// the entries.
+		since time.Time
+		ended bool
 	}
 }
 
@@ -173,7 +181,8 @@
 	case k.List < v.List || !v.Listed:
 	case k.Digest != v.Digest:
 		raise(&t.wantedList, k.List)
-	case k.Listed > 0:
+	case k.Listed > 0 && !t.keeping.Load():
+		// While lapsed entries are kept, only an own read can drop them.
 		t.listed.Raise(k.Listed)
 	}
 }
@@ -218,17 +227,18 @@
 	lasted := now.Sub(t.outage.since)
 	t.outage.since = time.Time{}
 	if lasted > outageAfter {
-		t.outage.ended = now
+		t.outage.ended = true
 	}
 	t.opts.Log.Info("store back", zap.String("call", call), zap.Duration("lasted", lasted))
 }
 
-// returned reports whether a long outage has ended within the time that
-// servers need to register again.
-func (t *Tracker) returned(now time.Time) bool {
+// returned reports whether a long outage has ended since it was last called.
+func (t *Tracker) returned() bool {
 	t.outage.Lock()
 	defer t.outage.Unlock()
-	return !t.outage.ended.IsZero() && now.Sub(t.outage.ended) < returning
+	ended := t.outage.ended
+	t.outage.ended = false
+	return ended
 }
 
 // wait sleeps for d or until the tracker is closed.
@@ -322,7 +332,7 @@
 	switch {
 	case !v.Listed, t.wantedList.Load() > v.List:
 		return true
-	case (t.refresh.Load() || t.returned(time.Now())) && age > refreshAge:
+	case (t.refresh.Load() || t.keeping.Load()) && age > refreshAge:
 		return true
 	}
 	return age > entriesAge+t.late()
@@ -376,24 +386,30 @@
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
 }
 
-// merge keeps servers that are missing right after an outage of the store.
-// At all other times a server whose entry is missing has left.
+// merge keeps servers that are missing at the first read after an outage of
+// the store, until they should have registered again. At all other times a
+// server whose entry is missing has left.
 func (t *Tracker) merge(list []spec.Server, now time.Time) []spec.Server {
-	seen := make(map[string]bool, len(list))
+	seen := make(map[string]spec.Server, len(list))
 	for _, s := range list {
-		seen[s.ID] = true
+		seen[s.ID] = s
 	}
-	if t.returned(now) {
-		for id, s := range t.servers {
-			if !seen[id] {
-				list = append(list, s)
-			}
-		}
+	if t.returned() {
+		t.lapsed = maps.Clone(t.servers)
+		t.lapsedUntil = now.Add(returning)
 	}
-	t.servers = make(map[string]spec.Server, len(list))
-	for _, s := range list {
-		t.servers[s.ID] = s
+	if now.After(t.lapsedUntil) {
+		t.lapsed = nil
+	}
+	maps.DeleteFunc(t.lapsed, func(id string, _ spec.Server) bool {
+		_, back := seen[id]
+		return back
+	})
+	for _, s := range t.lapsed {
+		list = append(list, s)
 	}
+	t.keeping.Store(len(t.lapsed) > 0)
+	t.servers = seen
 	return list
 }
 
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -127,6 +127,39 @@
 	}
 }
 
+// TestLeavingAfterOutage guards against keeping a server that was seen after an
+// outage and left then, and against keeping a lapsed one because another host
+// confirms the entries. Seen on the bench as requests 3.1 s after servers had
+// left (Hüttenlauf, hunt-5d32-19).
+func TestLeavingAfterOutage(t *testing.T) {
+	s := newStore(t)
+	s.PutServer("s1", "desk", "a1", addr, "ready")
+	s.PutServer("s2", "desk", "a1", addr, "ready")
+	tr := start(t, s, 1)
+	eventually(t, "servers", func() bool { return tr.knows("s1") && tr.knows("s2") })
+	s.Break(func(*http.Request) int { return http.StatusServiceUnavailable })
+	time.Sleep(2 * outageAfter)
+	s.RemoveServer("s2")
+	s.Break(nil)
+	list := tr.View().List
+	eventually(t, "read after the outage", func() bool { return tr.View().List > list })
+	s.RemoveServer("s1")
+	confirm := func() {
+		k := tr.Known()
+		k.Listed = clock.Now()
+		tr.Heard(k)
+	}
+	began := time.Now()
+	eventually(t, "s1 gone", func() bool { confirm(); return !tr.knows("s1") })
+	if d := time.Since(began); d > 2*time.Second {
+		t.Errorf("s1 was kept for %v although it was seen after the outage", d)
+	}
+	eventually(t, "s2 gone", func() bool { confirm(); return !tr.knows("s2") })
+	if d := time.Since(began); d > returning+2*time.Second {
+		t.Errorf("s2 was kept for %v", d)
+	}
+}
+
 // TestUnreadableValue guards against giving up a configuration because its
 // successor can't be read.
 func TestUnreadableValue(t *testing.T) {
