--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -178,17 +178,18 @@
 	}
 	if !q.forwarded {
 		if p, far, ok := q.other(d, usable); ok {
+			q.expected = far
 			if far > q.patience(left) {
 				return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, far - q.route.Goal/2}
 			}
 			q.place = p
-			q.expected = far
 			return pick.Choice{}, false, nil
 		}
 	}
 	if !usable {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
+	q.expected = d
 	if d > q.patience(left) {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, d - q.route.Goal/2}
 	}
--- a/internal/edge/story/story.go
+++ b/internal/edge/story/story.go
@@ -32,7 +32,7 @@
 // parts are the parts of the state in the order in which they are shown.
 var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "server"}
 
-// shown are the fields of a line that are not repeated.
+// hidden are the fields of a line that are shown elsewhere.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
 
 // Line is one line of a log.
@@ -56,7 +56,7 @@
 func (l Line) text() string {
 	var names []string
 	for name, v := range l.Fields {
-		if !slices.Contains(hidden, name) && v != "" && v != false && v != 0.0 {
+		if !slices.Contains(hidden, name) && v != "" && v != false && v != json.Number("0") {
 			names = append(names, name)
 		}
 	}
@@ -96,7 +96,9 @@
 		return Line{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal(b[i:], &fields) != nil {
+	d := json.NewDecoder(bytes.NewReader(b[i:]))
+	d.UseNumber()
+	if d.Decode(&fields) != nil {
 		return Line{}, false
 	}
 	l := Line{Fields: fields}
