--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -95,6 +95,18 @@
 	return 0, true
 }
 
+// Refund gives back what Take took for a request that did not run.
+func (b *Book) Refund(org string, cost float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[org]
+	if a == nil {
+		return
+	}
+	a.level = min(a.level+cost, a.limit.Burst)
+	a.own -= cost
+}
+
 func (b *Book) account(org string, limit Limit, now time.Time) *account {
 	a := b.accounts[org]
 	if a == nil {
@@ -165,13 +177,13 @@
 }
 
 func (u *usage) hear(a *account, spent float64, since time.Duration) {
-	delta := max(spent-u.spent, 0)
+	delta := spent - u.spent // negative after refunds
 	u.spent = spent
 	a.level += u.assumed - delta
 	a.level = min(a.level, a.limit.Burst)
 	u.assumed = 0
 	if since >= minInterval {
-		u.rate = u.rate*(1-rateWeight) + delta/since.Seconds()*rateWeight
+		u.rate = max(u.rate*(1-rateWeight)+delta/since.Seconds()*rateWeight, 0)
 	}
 }
 
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -184,3 +184,21 @@
 		t.Error("the 400 tokens that the restarted host admitted are not counted")
 	}
 }
+
+// TestRefund is the load of a system that refuses requests because its servers
+// are full. It guards against tokens that such requests take from those that
+// come later, on this host and on others.
+func TestRefund(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 1000}
+	f := newFleet(2, 1, true)
+	for step := range 100 {
+		at := time.Duration(step) * 100 * time.Millisecond
+		for _, b := range f.books {
+			if _, ok := b.Take(org, limit, 400, epoch.Add(at)); !ok {
+				t.Fatalf("rejected after %v although nothing has run", at)
+			}
+			b.Refund(org, 400)
+		}
+		f.exchange(at)
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -198,10 +198,12 @@
 		return nil
 	}
 	limit := share.Limit{Rate: q.org.Rate, Burst: q.org.Burst}
-	wait, ok := s.fleet.Book().Take(q.org.Name, limit, q.cost(), time.Now())
+	cost := q.cost()
+	wait, ok := s.fleet.Book().Take(q.org.Name, limit, cost, time.Now())
 	if !ok {
 		return &refusal{http.StatusTooManyRequests, reasonLimit, max(wait, retryBusy)}
 	}
+	q.taken = cost
 	return nil
 }
 
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -54,9 +54,10 @@
 	urgency   int
 	orgName   string
 
-	paid     bool // the budget has paid for the next retry
-	sends    int  // requests that reached a server or may have
-	ran      int  // those of them that may have run
+	taken    float64 // from the limit of the organisation
+	paid     bool    // the budget has paid for the next retry
+	sends    int     // requests that reached a server or may have
+	ran      int     // those of them that may have run
 	tried    []netip.AddrPort
 	reason   string
 	began    bool      // the response's header was written
@@ -235,6 +236,9 @@
 	if service == "" {
 		service = "none"
 	}
+	if q.taken > 0 && q.ran == 0 {
+		q.s.fleet.Book().Refund(q.org.Name, q.taken)
+	}
 	took := time.Since(q.arrived)
 	q.s.stats.Request(service, outcome, q.reason, took)
 	if !q.first.IsZero() {
