Lead callers by the homes of the traffic; name leaving hosts before other regions

Change: a region is judged by the part of the requests with homes that it may serve; hosts that are stopping but still listen are named before hosts of other regions; of those a home goes first. Callers that are led away are logged.

--- a/internal/core/steer/steer.go
+++ b/internal/core/steer/steer.go
@@ -17,50 +17,68 @@
 	// are led away.
 	fullShare = 500 * time.Millisecond
 	maxShare  = 0.75
+	// maxMisfit is the part of the requests with homes that may be led to a
+	// region outside them.
+	maxMisfit = 0.02
 )
 
 // Region is what is known of a region.
 type Region struct {
 	Name string
-	// Hosts are the addresses of hosts that take callers.
-	Hosts []netip.AddrPort
+	// Hosts are the addresses of hosts that take callers, Leaving those of
+	// hosts that stop soon but still listen.
+	Hosts, Leaving []netip.AddrPort
 	// Load is the expected wait of a new request.
 	Load time.Duration
-	// Open is set when callers of other regions may be led there.
-	Open bool
+	// Misfit is the part of the requests on routes with homes that may not be
+	// served in the region, or 1 if that is not known.
+	Misfit float64
 }
 
-// Hosts returns the addresses for a caller of the region named home.
-func Hosts(home string, regions []Region, rng *rand.Rand) []netip.AddrPort {
+// open reports whether callers of other regions may be led to the region.
+func (r *Region) open() bool { return r.Misfit <= maxMisfit }
+
+// Pick returns the hosts that a caller of the region named home is told to
+// use, and the name of their region. Without any host it returns nil.
+func Pick(home string, regions []Region, rng *rand.Rand) ([]netip.AddrPort, string) {
 	var own, best *Region
 	for i := range regions {
 		r := &regions[i]
-		if len(r.Hosts) == 0 {
-			continue
-		}
-		if r.Name == home {
+		switch {
+		case r.Name == home:
 			own = r
-			continue
-		}
-		if !r.Open {
-			continue
-		}
-		if best == nil || r.Load < best.Load {
+		case len(r.Hosts) == 0:
+		case best == nil || better(r, best):
 			best = r
 		}
 	}
 	switch {
-	case own == nil && best == nil:
-		return nil
-	case own == nil:
-		return best.Hosts
-	case best == nil:
-		return own.Hosts
+	case own == nil || len(own.Hosts) == 0 && len(own.Leaving) == 0:
+		if best == nil {
+			return nil, ""
+		}
+		return best.Hosts, best.Name
+	case len(own.Hosts) == 0:
+		return own.Leaving, own.Name
+	case best == nil || !best.open():
+		return own.Hosts, own.Name
 	}
 	if rng.Float64() < share(own.Load-best.Load) {
-		return best.Hosts
+		return best.Hosts, best.Name
+	}
+	return own.Hosts, own.Name
+}
+
+// better reports whether callers are rather led to a than to b: to a region
+// that may serve them, and then to the less loaded one.
+func better(a, b *Region) bool {
+	if a.open() != b.open() {
+		return a.open()
+	}
+	if !a.open() && a.Misfit != b.Misfit {
+		return a.Misfit < b.Misfit
 	}
-	return own.Hosts
+	return a.Load < b.Load
 }
 
 // share returns the part of the callers to lead away for a difference in load.
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -86,7 +86,7 @@
 	e.fleet = fleet.New(fleet.Options{
 		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer},
 		Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds, First: settings.First,
-		Revoke: settings.Revoke, Retries: settings.Retries, Log: log.Logger,
+		Revoke: settings.Revoke, Retries: settings.Retries, Log: log.Logger, Requests: log.Requests,
 		Store: platform.NewStore(settings.Store, transport), Count: metrics.Store,
 	}, exchange)
 	e.relay = relay.New(relay.Options{Fleet: e.fleet, Log: log, Stats: metrics})
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -50,6 +50,8 @@
 	// Count counts calls of the store.
 	Count track.Counter
 	Log   *zap.Logger
+	// Requests is for lines about single requests.
+	Requests *zap.Logger
 }
 
 // Fleet is the picture that one host has. It is safe for concurrent use.
@@ -61,6 +63,7 @@
 	tracker *track.Tracker
 	gossip  *gossip.Exchange
 	book    *share.Book
+	homes   steer.Homes
 	leaving atomic.Bool
 	ready   atomic.Bool
 
@@ -388,34 +391,79 @@
 	return d
 }
 
-// Lead returns the addresses of hosts for a caller of a region.
-func (f *Fleet) Lead(region string, rng *rand.Rand) []netip.AddrPort {
-	v := f.View()
-	regions := make(map[string]*steer.Region)
-	add := func(name string, addr netip.AddrPort, wait time.Duration) {
-		r := regions[name]
+// Bound counts a request of a route with homes.
+func (f *Fleet) Bound(homes []string) { f.homes.Add(homes) }
+
+// regions returns what is known of all regions.
+func (f *Fleet) regions() []steer.Region {
+	var static []string
+	homed := false
+	if snap := f.View().Snapshot; snap != nil {
+		static, homed = snap.Homes()
+	}
+	found := make(map[string]*steer.Region)
+	region := func(name string, wait time.Duration) *steer.Region {
+		r := found[name]
 		if r == nil {
-			r = &steer.Region{Name: name, Load: wait, Open: v.Snapshot != nil && v.Snapshot.Welcomes(name)}
-			regions[name] = r
+			r = &steer.Region{Name: name, Load: wait, Misfit: f.homes.Misfit(name, static, homed)}
+			found[name] = r
 		}
-		r.Hosts = append(r.Hosts, addr)
+		return r
 	}
 	if f.Ready() {
-		add(f.opts.Region, f.opts.Self.Front, load(f.State(false).Services))
+		r := region(f.opts.Region, load(f.State(false).Services))
+		r.Hosts = append(r.Hosts, f.opts.Self.Front)
 	}
 	for _, p := range f.gossip.Peers() {
-		if p.State.Ready && !p.State.Leaving && time.Since(p.Heard) < gossip.Lost {
-			add(f.Region(p.State.Host.Site), p.State.Host.Front, load(p.State.Services))
+		if time.Since(p.Heard) >= gossip.Lost {
+			continue
+		}
+		r := region(f.Region(p.State.Host.Site), load(p.State.Services))
+		switch {
+		case p.State.Leaving:
+			r.Leaving = append(r.Leaving, p.State.Host.Front)
+		case p.State.Ready:
+			r.Hosts = append(r.Hosts, p.State.Host.Front)
 		}
 	}
-	list := make([]steer.Region, 0, len(regions))
-	for _, r := range regions {
+	list := make([]steer.Region, 0, len(found))
+	for _, r := range found {
 		list = append(list, *r)
 	}
-	hosts := steer.Hosts(region, list, rng)
-	if len(hosts) == 0 && !f.Leaving() {
-		// Callers get a truthful refusal rather than no address at all.
-		hosts = []netip.AddrPort{f.opts.Self.Front}
+	return list
+}
+
+// Lead returns the addresses of hosts for a caller of a region.
+func (f *Fleet) Lead(region string, rng *rand.Rand) []netip.AddrPort {
+	regions := f.regions()
+	hosts, name := steer.Pick(region, regions, rng)
+	switch {
+	case len(hosts) == 0 && f.Leaving():
+		return nil
+	case len(hosts) == 0:
+		// The refusal there tells when to return.
+		f.opts.Requests.Info("no host for a caller", zap.String("caller", region))
+		return []netip.AddrPort{f.opts.Self.Front}
+	case name != region:
+		f.led(region, name, regions)
 	}
 	return hosts
 }
+
+// led records a caller that is led to another region.
+func (f *Fleet) led(caller, region string, regions []steer.Region) {
+	e := f.opts.Requests.Check(zap.InfoLevel, "caller led away")
+	if e == nil {
+		return
+	}
+	fields := []zap.Field{zap.String("caller", caller), zap.String("region", region), zap.Int64("config", f.View().Rev)}
+	for _, r := range regions {
+		switch r.Name {
+		case region:
+			fields = append(fields, zap.Duration("load", r.Load), zap.Float64("misfit", r.Misfit))
+		case caller:
+			fields = append(fields, zap.Duration("own_load", r.Load), zap.Int("own_hosts", len(r.Hosts)))
+		}
+	}
+	e.Write(fields...)
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -161,6 +161,9 @@
 		return &refusal{http.StatusNotFound, reasonNoRoute, 0}
 	}
 	q.bound()
+	if len(q.route.Regions) > 0 {
+		s.fleet.Bound(q.route.Regions)
+	}
 	if ref := s.authorize(q, v.Snapshot); ref != nil {
 		return ref
 	}
--- a/internal/edge/track/track.go
+++ b/internal/edge/track/track.go
@@ -309,7 +309,8 @@
 	next.Rev = it.Rev
 	t.view.Store(&next)
 	t.proof.Raise(proved)
-	t.opts.Log.Info("configuration in force", zap.Int64("rev", it.Rev), zap.Int64("version", cfg.Version), zap.Int("routes", len(cfg.Routes)), zap.Duration("age", clock.Now()-proved))
+	homes, _ := next.Snapshot.Homes()
+	t.opts.Log.Info("configuration in force", zap.Strings("homes", homes), zap.Int64("rev", it.Rev), zap.Int64("version", cfg.Version), zap.Int("routes", len(cfg.Routes)), zap.Duration("age", clock.Now()-proved))
 	t.opts.Changed()
 }
 
