--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -25,6 +25,8 @@
 	// minInterval is the shortest time between reports from which a rate is
 	// derived.
 	minInterval = 50 * time.Millisecond
+	// refundAbove is the part of the burst that must be left for a refund.
+	refundAbove = 0.4
 	// movedShare of a second's rate is what one host may admit before it
 	// tells the others ahead of time.
 	movedShare = 0.08
@@ -95,12 +97,14 @@
 	return 0, true
 }
 
-// Refund gives back what Take took for a request that did not run.
+// Refund gives back what Take took for a request that did not run. An
+// organisation at its limit gets nothing back: its refused requests would only
+// return and crowd out those of others.
 func (b *Book) Refund(org string, cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[org]
-	if a == nil {
+	if a == nil || a.level < refundAbove*a.limit.Burst {
 		return
 	}
 	a.level = min(a.level+cost, a.limit.Burst)
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -202,3 +202,23 @@
 		f.exchange(at)
 	}
 }
+
+// TestNoRefundAtLimit is the load of a hot organisation while servers are full.
+// It guards against refused requests that are tried again and again at the
+// expense of other organisations.
+func TestNoRefundAtLimit(t *testing.T) {
+	b := NewBook(true)
+	limit := Limit{Rate: 1000, Burst: 1000}
+	tried := 0
+	for range 50 {
+		if _, ok := b.Take(org, limit, 100, epoch); ok {
+			tried++
+			if tried > 6 {
+				b.Refund(org, 100)
+			}
+		}
+	}
+	if tried > 10 {
+		t.Errorf("%d requests were tried with a burst for 10", tried)
+	}
+}
