--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -290,8 +290,9 @@
 
 // Summary is the state of a service in a region.
 type Summary struct {
-	// Servers is the number of usable servers, Wait the mean of their
-	// expected times to the first byte of a short request.
+	// Servers is the number of usable servers, Wait the expected time to the
+	// first byte of a short request: the mean of the better half of them, to
+	// which requests go.
 	Servers int
 	Wait    time.Duration
 }
@@ -301,17 +302,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var sum Summary
-	var wait time.Duration
+	var waits []time.Duration
 	for _, s := range t.servers {
 		if s.Leaving || s.evacuated || s.failures >= failuresDown || s.limited(now) {
 			continue
 		}
 		sum.Servers++
 		d, _ := s.cost(&Request{}, &t.svc, 0, now)
-		wait += d
+		waits = append(waits, d)
 	}
 	if sum.Servers > 0 {
-		sum.Wait = wait / time.Duration(sum.Servers)
+		sum.Wait = lowerMean(waits)
 	}
 	return sum
 }
+
+// lowerMean returns the mean of the lower half of list, which must not be
+// empty.
+func lowerMean(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	half := list[:(len(list)+1)/2]
+	var sum time.Duration
+	for _, d := range half {
+		sum += d
+	}
+	return sum / time.Duration(len(half))
+}
