Refuse by the expected time and choose by a score

Change: a server has a score, which orders servers and regions, and an expected time, which decides on refusals; the wait for a place is derived from how long a request holds one. The rate of reading and its use stand once.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -14,8 +14,10 @@
 
 // Model of a server, used until its responses have been measured.
 const (
-	// readRate is how fast a prompt is read, in tokens per second.
-	readRate = 54_600.0
+	// engineHeld and plainHeld are how long a request takes a place of a
+	// model engine and of a plain service.
+	engineHeld = 700 * time.Millisecond
+	plainHeld  = 50 * time.Millisecond
 	// batchDelay is what each request in the batch adds to a first byte.
 	batchDelay = 500 * time.Microsecond
 	// rankDelay keeps the hosts of a region from placing a new prefix on
@@ -30,6 +32,9 @@
 	placedFor = 60 * time.Second
 )
 
+// ReadRate is how fast a server reads a prompt, in tokens per second.
+const ReadRate = 54_600.0
+
 // MissWeight counts the time to read a prefix again more than once, since it
 // also delays the other requests of the server.
 const MissWeight = 3.0
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -135,34 +135,63 @@
 	s.beats = 0
 }
 
-// cost returns the expected time to the first byte and the part of the prompt
-// that is to be read; rank is that of the server for the prefix.
-func (s *server) cost(req *Request, svc *spec.Service, rank int, now time.Time) (time.Duration, int) {
+// cost is what speaks against sending a request to a server.
+type cost struct {
+	// score orders the servers, time is the expected time to the first byte.
+	// The score also holds what a choice costs others, and doubts.
+	score, time time.Duration
+	// unread is the part of the prompt that is to be read, in tokens.
+	unread int
+}
+
+// cost rates the server for a request; rank is that of the server for the
+// prefix.
+func (s *server) cost(req *Request, svc *spec.Service, rank int, now time.Time) cost {
 	l := s.total()
 	slow := s.slowness(now)
 	hit := 0
 	if req.Prefix != 0 && s.cache.holds(req.Prefix, now) {
 		hit = req.Shared
 	}
-	unread := max(req.Prompt-hit, 0)
-	ahead := float64(l.Unread) + float64(req.Prompt-req.Shared) + MissWeight*float64(unread-(req.Prompt-req.Shared))
-	d := time.Duration(ahead / readRate * float64(time.Second) * slow)
-	d += time.Duration(float64(l.Running) * float64(batchDelay) * slow)
-	d += time.Duration(s.errors * float64(errorDelay))
+	c := cost{unread: max(req.Prompt-hit, 0)}
+	c.time = scale(readTime(l.Unread+c.unread)+time.Duration(l.Running)*batchDelay, slow)
+	c.time += s.queue(l, svc)
+	c.score = c.time + time.Duration(s.errors*float64(errorDelay))
 	if req.Prefix != 0 && hit == 0 {
-		d += time.Duration(rank) * rankDelay
+		c.score += scale(readTime(req.Shared), (MissWeight-1)*slow) + time.Duration(rank)*rankDelay
 	}
 	if now.Before(s.fullUntil) {
-		d += fullDelay
+		c.score += fullDelay
 	}
-	if slots := max(s.Slots, svc.Slots); slots > 0 && l.Running >= slots {
-		d += fullDelay + time.Duration(l.Running-slots)*batchDelay*20
+	if slots := s.slots(svc); slots > 0 && l.Running >= slots {
+		c.score += fullDelay
 	}
-	if svc.Cache > 0 {
-		over := float64(l.Memory+req.Prompt+req.Output) - memoryShare*float64(svc.Cache)
-		if over > 0 {
-			d += time.Duration(2 * over / readRate * float64(time.Second))
+	return c
+}
+
+// slots returns the number of requests that the server works on at once.
+func (s *server) slots(svc *spec.Service) int { return max(s.Slots, svc.Slots) }
+
+// queue returns the expected wait for a place in the batch and in the memory.
+func (s *server) queue(l Load, svc *spec.Service) time.Duration {
+	var d time.Duration
+	if slots := s.slots(svc); slots > 0 && l.Running >= slots {
+		held := plainHeld
+		if svc.Engine {
+			held = engineHeld
 		}
+		d += held * time.Duration(l.Running-slots+1) / time.Duration(slots)
 	}
-	return d, unread
+	if over := float64(l.Memory) - memoryShare*float64(svc.Cache); svc.Cache > 0 && over > 0 {
+		d += 2 * readTime(int(over))
+	}
+	return d
+}
+
+// readTime returns how long a server reads tokens of prompts.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / ReadRate * float64(time.Second))
 }
+
+// scale multiplies a duration.
+func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -75,51 +75,55 @@
 func (t *Table) Pick(req *Request, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, d, unread := t.best(req, now)
+	best, c := t.best(req, now)
 	if best == nil {
 		return Choice{}, false
 	}
 	load := best.total()
-	t.send(best, req, unread, now)
-	return Choice{ID: best.ID, Expected: d, Load: load, Cached: unread < req.Prompt, server: best, at: now, unread: unread, memory: req.Prompt + req.Output}, true
+	t.send(best, req, c.unread, now)
+	return Choice{
+		ID: best.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt,
+		server: best, at: now, unread: c.unread, memory: req.Prompt + req.Output,
+	}, true
 }
 
-// Expect returns the expected time to the first byte of a request, or false
-// when no server may get it now.
-func (t *Table) Expect(req *Request, now time.Time) (time.Duration, bool) {
+// Expect returns the score of the best server for a request, which is
+// compared with that of other regions, and the expected time to the first
+// byte; or false when no server may get the request now.
+func (t *Table) Expect(req *Request, now time.Time) (score, first time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, d, _ := t.best(req, now)
-	return d, best != nil
+	best, c := t.best(req, now)
+	return c.score, c.time, best != nil
 }
 
-func (t *Table) best(req *Request, now time.Time) (*server, time.Duration, int) {
+// best returns the server with the least score, or nil.
+func (t *Table) best(req *Request, now time.Time) (*server, cost) {
 	ranks := t.ranks(req.Prefix)
 	var best *server
-	var least time.Duration
-	var unread int
+	var least cost
 	ties := 1
 	for i, id := range t.order {
 		s := t.servers[id]
 		if !s.usable(req, t.warm.rate(&t.svc, id), now) {
 			continue
 		}
-		d, n := s.cost(req, &t.svc, ranks[i], now)
-		if best != nil && d == least {
+		c := s.cost(req, &t.svc, ranks[i], now)
+		switch {
+		case best == nil || c.score < least.score:
+			ties = 1
+		case c.score > least.score:
+			continue
+		default:
 			ties++
 			if t.rng.IntN(ties) > 0 {
 				continue
 			}
-		} else if best != nil && d > least {
-			continue
-		} else {
-			ties = 1
 		}
 		best = s
-		least = d
-		unread = n
+		least = c
 	}
-	return best, least, unread
+	return best, least
 }
 
 // ranks returns the rendezvous rank of each server of order for a prefix.
@@ -308,8 +312,7 @@
 			continue
 		}
 		sum.Servers++
-		d, _ := s.cost(&Request{}, &t.svc, 0, now)
-		waits = append(waits, d)
+		waits = append(waits, s.cost(&Request{}, &t.svc, 0, now).time)
 	}
 	if sum.Servers > 0 {
 		sum.Wait = lowerMean(waits)
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -30,8 +30,6 @@
 	// byteDelay is added per byte of a body for another region: such links
 	// are narrow and traffic on them is dear.
 	byteDelay = 5 * time.Microsecond
-	// readRate is how fast a prompt is read, in tokens per second.
-	readRate = 54_600.0
 )
 
 // result is what became of one attempt.
@@ -169,58 +167,61 @@
 // choose picks a server of the own region or another region.
 func (q *request) choose(now time.Time, left time.Duration) (pick.Choice, bool, *refusal) {
 	svc := q.s.fleet.Service(q.service)
-	var d time.Duration
+	var own estimate
 	usable := false
 	if svc != nil && q.allows(q.s.fleet.Home()) {
-		d, usable = svc.Table.Expect(&q.pick, now)
+		own.score, own.first, usable = svc.Table.Expect(&q.pick, now)
 	}
 	if !q.forwarded {
-		if p, far, ok := q.other(d, usable); ok {
-			q.expected = far
-			if far > q.patience(left) {
-				return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, far - q.route.Goal/2}
-			}
+		if p, far, ok := q.other(own.score, usable); ok {
 			q.place = p
-			return pick.Choice{}, false, nil
+			return pick.Choice{}, false, q.tooLate(far.first, left)
 		}
 	}
 	if !usable {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
-	q.expected = d
-	if d > q.patience(left) {
-		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonOverload, d - q.route.Goal/2}
+	if ref := q.tooLate(own.first, left); ref != nil {
+		return pick.Choice{}, false, ref
 	}
 	c, ok := svc.Table.Pick(&q.pick, now)
 	if !ok {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
-	q.expected = c.Expected
 	q.choice = c
 	q.listed = q.s.fleet.View().At
 	return c, true, nil
 }
 
-// patience returns the longest expected time to the first byte at which the
-// request is still sent. The time to read its prompt comes on top: large
-// prompts would never be served otherwise.
-func (q *request) patience(left time.Duration) time.Duration {
-	if q.route.Goal <= 0 {
-		return left
-	}
-	read := float64(q.pick.Prompt - q.pick.Shared)
-	if q.pick.Prefix != 0 {
-		read += pick.MissWeight * float64(q.pick.Shared)
-	}
-	own := time.Duration(read / readRate * float64(time.Second))
-	return min(left, time.Duration(patienceGoals*float64(q.route.Goal))+own)
+// estimate is what is expected of a place: a score to compare it with others
+// and the time to the first byte.
+type estimate struct{ score, first time.Duration }
+
+// tooLate refuses a request whose first byte is expected too late: a longer
+// queue only makes all responses late. The time to read its prompt does not
+// count against it, or large prompts would never be served.
+func (q *request) tooLate(first, left time.Duration) *refusal {
+	q.expected = first
+	bound := left
+	if q.route.Goal > 0 {
+		bound = min(left, time.Duration(patienceGoals*float64(q.route.Goal))+readTime(q.pick.Prompt))
+	}
+	if first <= bound {
+		return nil
+	}
+	return &refusal{http.StatusServiceUnavailable, reasonOverload, max(first-q.route.Goal/2, retryBusy)}
+}
+
+// readTime returns how long a server reads tokens of a prompt.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / pick.ReadRate * float64(time.Second))
 }
 
-// other returns a host of another region if that is expected to answer sooner
-// than the own one, or if the own one can't serve the request.
-func (q *request) other(own time.Duration, usable bool) (place, time.Duration, bool) {
+// other returns a host of another region if that has the better score than the
+// own one, or if the own one can't serve the request.
+func (q *request) other(own time.Duration, usable bool) (place, estimate, bool) {
 	var best place
-	var least time.Duration
+	var least estimate
 	for _, p := range q.s.fleet.Places(q.service) {
 		if !q.allows(p.Region) {
 			continue
@@ -229,23 +230,34 @@
 		if len(hosts) == 0 {
 			continue
 		}
-		read := float64(q.pick.Prompt - q.pick.Shared)
-		if q.pick.Prefix != 0 && !p.Holds(q.pick.Prefix) {
-			read += pick.MissWeight * float64(q.pick.Shared)
-		}
-		d := p.Wait + hopDelay + time.Duration(len(q.body))*byteDelay + time.Duration(read/readRate*float64(time.Second))
-		if best.addr.IsValid() && d >= least {
+		e := q.estimate(&p)
+		if best.addr.IsValid() && e.score >= least.score {
 			continue
 		}
 		best = place{region: p.Region, addr: hosts[rand.IntN(len(hosts))]}
-		least = d
+		least = e
 	}
-	if !best.addr.IsValid() || usable && own <= least {
-		return place{}, 0, false
+	if !best.addr.IsValid() || usable && own <= least.score {
+		return place{}, estimate{}, false
 	}
 	return best, least, true
 }
 
+// estimate rates another region for the request.
+func (q *request) estimate(p *fleet.Place) estimate {
+	e := estimate{first: p.Wait + hopDelay + readTime(q.pick.Prompt)}
+	e.score = e.first + time.Duration(len(q.body))*byteDelay
+	switch {
+	case q.pick.Prefix == 0:
+	case p.Holds(q.pick.Prefix):
+		e.first -= readTime(q.pick.Shared)
+		e.score -= readTime(q.pick.Shared)
+	default:
+		e.score += time.Duration((pick.MissWeight - 1) * float64(readTime(q.pick.Shared)))
+	}
+	return e
+}
+
 // sendLocal sends the request to a server of the own region.
 func (q *request) sendLocal(c pick.Choice) result {
 	svc := q.s.fleet.Service(q.service)
