--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -50,7 +50,7 @@
 	Send    SendCmd    `cmd:"" help:"Send one request as a caller and print the response as it arrives."`
 	Load    LoadCmd    `cmd:"" help:"Send chats at a given rate and report times and rejections."`
 	Replay  ReplayCmd  `cmd:"" help:"Replay a recorded trace on a model of one data centre (12 servers, 8 hosts) and print the figures of a routing policy."`
-	Explain ExplainCmd `cmd:"" help:"Tell the story of one request from the logs of hosts."`
+	Explain ExplainCmd `cmd:"" help:"Print the history of one request from the logs of hosts."`
 	Demo    DemoCmd    `cmd:"" help:"Run two regions with three hosts and stand-ins in this process and send a chat, a look-up and a booking."`
 	Fake    FakeCmd    `cmd:"" help:"Run a stand-in for the platform, a model engine or a plain service."`
 }
--- a/internal/cli/cmds/explain.go
+++ b/internal/cli/cmds/explain.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"os"
 
-	"github.com/yuccalb/yuccalb/internal/edge/story"
+	"github.com/yuccalb/yuccalb/internal/edge/events"
 )
 
-// ExplainCmd tells the story of one request from logs.
+// ExplainCmd prints the history of one request from logs.
 type ExplainCmd struct {
 	ID    string   `arg:"" help:"Identifier of the request."`
 	Files []string `arg:"" help:"Logs of one or more hosts, JSON lines." type:"existingfile"`
@@ -15,7 +15,7 @@
 
 // Run executes the command. It fails when no line has the identifier.
 func (c *ExplainCmd) Run(e *env) error {
-	var l story.Log
+	var l events.Log
 	for _, name := range c.Files {
 		if err := readLog(e, &l, name); err != nil {
 			return exit(ExitInput, err)
@@ -31,7 +31,7 @@
 	return nil
 }
 
-func readLog(e *env, l *story.Log, name string) error {
+func readLog(e *env, l *events.Log, name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return fmt.Errorf("explain: %w", err)
--- a/internal/edge/story/story.go
+++ b/internal/edge/events/events.go
@@ -1,6 +1,6 @@
-// Package story puts together what the logs of several hosts say of one
+// Package events puts together what the logs of several hosts say of one
 // request: its lines in order of time, and what each host believed then.
-package story
+package events
 
 import (
 	"bufio"
@@ -112,7 +112,7 @@
 	return l, true
 }
 
-// Write tells the story of the request id. It returns the number of its lines.
+// Write writes the history of the request id. It returns the number of its lines.
 func (l *Log) Write(w io.Writer, id string) (int, error) {
 	slices.SortStableFunc(l.lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	var own []int
@@ -130,7 +130,7 @@
 		}
 	}
 	if _, err := w.Write(out.Bytes()); err != nil {
-		return len(own), fmt.Errorf("write story: %w", err)
+		return len(own), fmt.Errorf("write history: %w", err)
 	}
 	return len(own), nil
 }
--- a/internal/edge/story/story_test.go
+++ b/internal/edge/events/events_test.go
@@ -1,4 +1,4 @@
-package story
+package events
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
-// TestStories guards against a story that misses a line of the request, mixes
+// TestHistory guards against a history that misses a line of the request, mixes
 // in those of others, or shows what the host came to believe only later.
-func TestStories(t *testing.T) {
+func TestHistory(t *testing.T) {
 	for _, id := range []string{"cut", "late", "refused"} {
 		t.Run(id, func(t *testing.T) {
 			var l Log
@@ -41,7 +41,7 @@
 				t.Fatal(err)
 			}
 			if diff := cmp.Diff(string(want), out.String()); diff != "" {
-				t.Errorf("story differs (-want +got):\n%s", diff)
+				t.Errorf("history differs (-want +got):\n%s", diff)
 			}
 		})
 	}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -388,8 +388,8 @@
 	return d
 }
 
-// Bound counts a request of a route with homes.
-func (f *Fleet) Bound(homes []string) { f.homes.Add(homes) }
+// CountHomes counts a request of a route with homes.
+func (f *Fleet) CountHomes(homes []string) { f.homes.Add(homes) }
 
 // regions returns what is known of all regions.
 func (f *Fleet) regions() []steer.Region {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -174,7 +174,7 @@
 	}
 	q.bound()
 	if len(q.route.Regions) > 0 {
-		s.fleet.Bound(q.route.Regions)
+		s.fleet.CountHomes(q.route.Regions)
 	}
 	if ref := s.authorize(q, v.Snapshot); ref != nil {
 		return ref
