Give the tests of hosts an IP address of their own

Cause: tests of several packages listen on 127.0.0.1 below the range of outgoing connections and run at the same time; in one run TestStalledForward found its port taken and TestLookup heard a host of another test. Change: the tests of internal/edge/entry use 127.0.9.1 and the soak 127.0.10.1.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -364,7 +364,7 @@
 // soakAddr returns an address below the range of outgoing connections.
 func soakAddr(n int) netip.AddrPort {
 	for port := 26000 + n*20; ; port++ {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 10, 1}), uint16(port))
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
 			continue
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -66,12 +66,13 @@
 // of these takes one before its host listens on it.
 var ports atomic.Uint32
 
-// freeAddr returns an address that nobody listens on.
+// freeAddr returns an address that nobody listens on. Its IP address is not that
+// of other packages, whose tests run at the same time.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
 	for range 1000 {
 		port := uint16(15000 + ports.Add(1)%10000)
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, 1}), port)
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
 			continue
