Remove what the new daemon does not use

Cause: the read of the whole change found a deadline on responses, a look-up of organisations by name and a wrapper of slices.Contains that nothing needs, and a doc comment that named another function. Change: they are gone; the comment describes what it stands above.

--- a/internal/core/spec/snapshot.go
+++ b/internal/core/spec/snapshot.go
@@ -10,7 +10,6 @@
 	Config
 	hosts    map[string][]*Route
 	keys     map[string]*Org
-	orgs     map[string]*Org
 	services map[string]*Service
 	homes    []string
 	homed    bool
@@ -22,7 +21,6 @@
 		Config:   cfg,
 		hosts:    make(map[string][]*Route),
 		keys:     make(map[string]*Org),
-		orgs:     make(map[string]*Org),
 		services: make(map[string]*Service),
 	}
 	for i := range s.Routes {
@@ -38,7 +36,6 @@
 	}
 	for i := range s.Orgs {
 		o := &s.Orgs[i]
-		s.orgs[o.Name] = o
 		for _, key := range o.Keys {
 			s.keys[key] = o
 		}
@@ -76,9 +73,6 @@
 // ByKey returns the organisation that holds a key, or nil.
 func (s *Snapshot) ByKey(key string) *Org { return s.keys[key] }
 
-// Org returns an organisation by name, or nil.
-func (s *Snapshot) Org(name string) *Org { return s.orgs[name] }
-
 // Service returns a service by name, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -226,7 +226,7 @@
 		if !q.allows(p.Region) {
 			continue
 		}
-		hosts := slices.DeleteFunc(p.Hosts, func(a netip.AddrPort) bool { return contains(q.tried, a) })
+		hosts := slices.DeleteFunc(p.Hosts, func(a netip.AddrPort) bool { return slices.Contains(q.tried, a) })
 		if len(hosts) == 0 {
 			continue
 		}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -7,7 +7,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -248,8 +247,8 @@
 	q.serve()
 }
 
-// regions returns the regions, other than the own one, where the request may
-// be served.
+// allows reports whether the request may be served in region. A forwarded one
+// is served here only: its first host has checked the homes.
 func (q *request) allows(region string) bool {
 	if q.forwarded {
 		return region == q.s.fleet.Home()
@@ -269,6 +268,3 @@
 func formatRetry(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
-
-// contains reports whether list holds addr.
-func contains(list []netip.AddrPort, addr netip.AddrPort) bool { return slices.Contains(list, addr) }
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 )
 
 // Response is a response whose body is being read.
@@ -56,9 +55,6 @@
 	return nil
 }
 
-// SetReadDeadline sets the time at which reads of the body fail.
-func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
-
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
