Keep what a load report says when the server list is read again

Cause: the table of a service is given the server list once per tick of the membership, and each time it took the state of a server from the settings alone: a server that had reported that it leaves was open again until its next report. This is what TestLeavingServer (known red) showed once in four runs beside load. Ruled out: reports that overtake each other; those are ordered by their time. Change: the state of the last report is kept beside that of the settings. Before: the new case of TestPickConstraints fails.

--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -52,6 +52,9 @@
 	failures int32
 	closed   bool // leaving or down by the settings or the last report
 	live     bool // in the server list
+	// reportedClosed is what the last report said, which outlives changes of
+	// the settings.
+	reportedClosed bool
 
 	server   Server
 	gen      uint32
@@ -84,7 +87,7 @@
 func (s *state) setServer(server Server) {
 	s.server = server
 	s.network = server.Network.Seconds()
-	s.closed = server.Leaving
+	s.closed = server.Leaving || s.reportedClosed
 	s.live = true
 }
 
@@ -96,7 +99,8 @@
 		return
 	}
 	s.reported = at
-	s.closed = s.server.Leaving || load.Leaving || load.Down
+	s.reportedClosed = load.Leaving || load.Down
+	s.closed = s.server.Leaving || s.reportedClosed
 	s.requests = float64(load.Queued + load.Running)
 	s.setLimit(load.Limit)
 	s.pending = float64(load.Pending)
--- a/internal/core/route/table_test.go
+++ b/internal/core/route/table_test.go
@@ -77,6 +77,10 @@
 		"leaving by report": {func(table *route.Table, _ *route.Request) {
 			table.Report([]route.Load{{Addr: addr(0), Leaving: true, At: start}})
 		}, nil},
+		"leaving by report, then listed again": {func(table *route.Table, _ *route.Request) {
+			table.Report([]route.Load{{Addr: addr(0), Leaving: true, At: start}})
+			table.SetServers([]route.Server{{Addr: addr(0)}, {Addr: addr(1)}}, start)
+		}, nil},
 		"down": {func(table *route.Table, _ *route.Request) {
 			table.Report([]route.Load{{Addr: addr(0), Down: true, At: start}})
 		}, nil},
