Give scripted servers addresses of their own

Cause: TestUnsafeOnce once counted 16 requests at a server that should get one. One request makes at most four attempts, so the others came from a host of another test; in the same hour TestLookup had heard a host of another test on 127.0.0.1. Change: a scripted server listens on an address that no other test of any package uses, and the test prints the requests beyond the first.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -32,6 +32,7 @@
 
 const (
 	soakHosts   = 4
+	soakPorts   = 5 // addresses of one host
 	soakServers = 4
 	soakCallers = 8
 	soakRevoke  = 3 * time.Second
@@ -112,7 +113,7 @@
 	s.configure()
 	for i := range soakServers {
 		f := &fault{}
-		srv := origin.New(s.script(f, s.serverID(i)))
+		srv := origin.New(soakAddr(soakHosts*soakPorts+i), s.script(f, s.serverID(i)))
 		t.Cleanup(srv.Close)
 		s.servers = append(s.servers, srv)
 		s.faulty = append(s.faulty, f)
@@ -356,7 +357,7 @@
 		"store": s.store.Addr().String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
 	}
 	for n, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
-		m[name] = soakAddr(i*5 + n).String()
+		m[name] = soakAddr(i*soakPorts + n).String()
 	}
 	return m
 }
--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -201,8 +201,12 @@
 				if a.header.Get(platform.HeaderSeal) != "" && a.status != http.StatusOK {
 					t.Errorf("status %d bears a server's signature", a.status)
 				}
-				if n := len(one.Seen()) + len(two.Seen()); n != 1 {
-					t.Errorf("%d attempts, want 1", n)
+				seen := append(one.Seen(), two.Seen()...)
+				if len(seen) != 1 {
+					t.Errorf("%d attempts, want 1", len(seen))
+				}
+				for _, x := range seen[min(1, len(seen)):] {
+					t.Logf("attempt from %v:\n%s", x.Conn.RemoteAddr(), x.Raw)
 				}
 			})
 		}
@@ -245,7 +249,7 @@
 	w := newWorld(t)
 	e := w.host("a1")
 	long := strings.Repeat("x", 3<<20)
-	s := origin.New(func(x *origin.Exchange) bool {
+	s := origin.New(freeAddr(t), func(x *origin.Exchange) bool {
 		sent := x.Reply(http.StatusOK, "early")
 		time.Sleep(50 * time.Millisecond)
 		n, err := io.Copy(io.Discard, x.Request.Body)
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -138,7 +138,7 @@
 // region know it.
 func (w *world) server(id, site string, script origin.Script) *origin.Server {
 	w.t.Helper()
-	s := origin.New(script)
+	s := origin.New(freeAddr(w.t), script)
 	w.t.Cleanup(s.Close)
 	w.addServer(id, site, s)
 	return s
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -48,9 +48,10 @@
 	done  sync.WaitGroup
 }
 
-// New starts a server on a free port.
-func New(script Script) *Server {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// New starts a server. Tests that run at the same time use addresses of their
+// own, so that a request of one never reaches a server of another.
+func New(addr netip.AddrPort, script Script) *Server {
+	l, err := net.Listen("tcp4", addr.String())
 	if err != nil {
 		panic(fmt.Sprintf("origin: listen: %v", err)) // a test can't go on
 	}
