Open an account with what peers had admitted by then

Cause: a peer that was known before an account was opened counted with a total of zero, so its next report took all that it had admitted since its start from the new account. Change: a book keeps the last report of each peer, and a new account begins there. Before: TestNewAccount is rejected for 10 s. After: it passes, as do the others.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -50,6 +50,9 @@
 type peer struct {
 	boot  int64
 	heard time.Time
+	// spent is the last report. What it says when an account is opened, or
+	// when the peer is first heard, is part of the past.
+	spent map[string]float64
 }
 
 // account is the state of one organisation.
@@ -118,6 +121,9 @@
 		if !b.fresh {
 			a.level = min(limit.Burst, limit.Rate*startFill)
 		}
+		for name, p := range b.peers {
+			a.peers[name] = &usage{spent: p.spent[org]}
+		}
 		b.accounts[org] = a
 	}
 	a.limit = limit
@@ -137,8 +143,7 @@
 	for name, p := range b.peers {
 		u := a.peers[name]
 		if u == nil {
-			u = &usage{}
-			a.peers[name] = u
+			continue // its first report is being taken
 		}
 		expected := u.rate * d
 		if now.Sub(p.heard) > lostAfter {
@@ -164,12 +169,11 @@
 	restarted := p.boot != boot
 	p.boot = boot
 	p.heard = now
+	p.spent = spent
 	for org, a := range b.accounts {
 		b.advance(a, now)
 		u := a.peers[host]
 		if u == nil {
-			// What the host admitted before this account existed here is part
-			// of the past.
 			a.peers[host] = &usage{spent: spent[org]}
 			continue
 		}
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -222,3 +222,24 @@
 		t.Errorf("%d requests were tried with a burst for 10", tried)
 	}
 }
+
+// TestNewAccount is the load of a restarted host, to which the first requests of
+// an organisation come after the first reports of the others. It guards against
+// taking all that they have admitted since their start from the new account:
+// the organisation would be rejected for as long as that took them.
+func TestNewAccount(t *testing.T) {
+	b := NewBook(false)
+	limit := Limit{Rate: 1000, Burst: 1000}
+	total := 60 * limit.Rate
+	at := epoch
+	for range 20 {
+		b.Hear("h1", 1, map[string]float64{org: total}, at)
+		for range 10 {
+			at = at.Add(10 * time.Millisecond)
+			b.Take(org, limit, 1, at)
+		}
+	}
+	if wait, ok := b.Take(org, limit, 10, at); !ok {
+		t.Errorf("rejected for %v although nobody has admitted anything for 2 s", wait)
+	}
+}
