Prefer equally good servers to which a connection is open

Change: a server that a connection has to be opened to costs 3 ms more in the comparison, which six requests in a batch outweigh.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -9,6 +9,7 @@
 package pick
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -23,6 +24,9 @@
 	// rankDelay keeps the hosts of a region from placing a new prefix on
 	// several servers at once: it is added per rank of a rendezvous hash.
 	rankDelay = 100 * time.Millisecond
+	// dialDelay is added for a server that a connection has to be opened to.
+	// Hosts then keep to servers of their own while these are equally good.
+	dialDelay = 3 * time.Millisecond
 	// memoryShare of a server's memory may be taken by running requests
 	// before another server is preferred.
 	memoryShare = 0.8
@@ -79,6 +83,9 @@
 	Prompt, Output int
 	// Exclude lists servers that failed this request.
 	Exclude []string
+	// Connected reports whether a connection to a server is at hand. It may
+	// be nil.
+	Connected func(netip.AddrPort) bool
 }
 
 // Choice is a chosen server. It is passed to Done once.
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -160,6 +160,9 @@
 	if req.Prefix != 0 && hit == 0 {
 		c.score += scale(readTime(req.Shared), (MissWeight-1)*slow) + time.Duration(rank)*rankDelay
 	}
+	if req.Connected != nil && !req.Connected(s.Addr) {
+		c.score += dialDelay
+	}
 	if now.Before(s.fullUntil) {
 		c.score += fullDelay
 	}
--- a/internal/core/pick/table_test.go
+++ b/internal/core/pick/table_test.go
@@ -366,3 +366,34 @@
 		}
 	}
 }
+
+// TestConnectionsKept is the load of a large region, in which each host sends
+// few requests to each of many equal servers. It guards against a connection
+// opened for each of them, and against keeping to a server that is busier.
+func TestConnectionsKept(t *testing.T) {
+	tab := newTable(50)
+	open := make(map[netip.AddrPort]bool)
+	req := &Request{Prompt: 300, Output: 50, Connected: func(a netip.AddrPort) bool { return open[a] }}
+	at := epoch
+	for range 200 {
+		at = at.Add(100 * time.Millisecond)
+		c := mustPick(t, tab, req, at)
+		s, _ := tab.Server(c.ID)
+		open[s.Addr] = true
+		tab.Begun(&c, at.Add(20*time.Millisecond))
+		tab.Done(&c, Served, at.Add(50*time.Millisecond))
+	}
+	if len(open) > 5 {
+		t.Errorf("connections to %d servers were opened, 5 are enough", len(open))
+	}
+	loads := make(map[string]Load)
+	for i := range 50 {
+		if open[entryOf(i).Addr] {
+			loads[entryOf(i).ID] = Load{Running: 20}
+		}
+	}
+	tab.Peer("h1", loads, nil, at)
+	if c := mustPick(t, tab, req, at); loads[c.ID].Running > 0 {
+		t.Error("a busy server was chosen for its connection")
+	}
+}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -72,7 +72,9 @@
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	return &request{s: s, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
+	q := &request{s: s, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
+	q.pick.Connected = s.servers.Connected
+	return q
 }
 
 // path returns the undecoded path.
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -168,6 +168,14 @@
 	return newConn(nc, addr), nil
 }
 
+// Connected reports whether a connection to addr is idle and usable.
+func (c *Client) Connected(addr netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	return len(list) > 0 && time.Now().Before(list[len(list)-1].until)
+}
+
 // pop takes the idle connection that was used last.
 func (c *Client) pop(addr netip.AddrPort) (*conn, error) {
 	c.mu.Lock()
