Decide on attempts and regions in pure packages

Cause: whether a request may be tried again, whether it can be served in time and whether another region serves it better was decided in internal/edge/relay, in between calls, and could be tested only with sockets. Change: core/retry.Rules and Tally, core/admit; relay asks them and acts. One difference: a server's own error after the last attempt is passed on; it was held back for an attempt that could not follow. Tests: TestRules, TestPays, TestPeak, TestLate, each under the load it answers.

--- /dev/null
+++ b/internal/core/admit/admit_test.go
@@ -0,0 +1,79 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+)
+
+const ms = time.Millisecond
+
+// longPrompt is a request with a long shared prefix.
+var longPrompt = Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 17_000, Shared: 13_300, Prefixed: true, Bytes: 5000}
+
+// question is a short request.
+var question = Demand{Goal: 800 * ms, Left: 5 * time.Second, Prompt: 383, Bytes: 400}
+
+// TestPeak is the load of regions that have their peaks in turn. It guards
+// against requests that wait in a queue while another region idles, that cross
+// regions for less than the way takes, or that leave the cache of their prefix.
+func TestPeak(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand Demand
+		own    time.Duration // score of the own region
+		wait   time.Duration // in the other one
+		cached bool          // there
+		usable bool
+		want   bool
+	}{
+		{"both idle", question, 10 * ms, 0, false, true, false},
+		{"own queue shorter than the way", question, 100 * ms, 0, false, true, false},
+		{"own queue longer than the way", question, 200 * ms, 0, false, true, true},
+		{"both at their peak", question, 200 * ms, 200 * ms, false, true, false},
+		{"no server", question, 0, 900 * ms, false, false, true},
+		{"prefix cached here", longPrompt, pick.ReadTime(3700), 0, false, true, false},
+		{"prefix cached here, long queue", longPrompt, 2 * time.Second, 0, false, true, true},
+		{"prefix cached there only", longPrompt, 3 * pick.ReadTime(17_000), 0, true, true, true},
+		{"prefix cached nowhere", longPrompt, 3 * pick.ReadTime(17_000), 0, false, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			own := Estimate{Score: tt.own, First: tt.own}
+			if got := Leaves(own, tt.usable, tt.demand.Far(tt.wait, tt.cached)); got != tt.want {
+				t.Errorf("leaves: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestLate is the load of a system whose servers are all busy. It guards against
+// a queue in which every response is late, against refusing requests that are
+// served in time, and against refusing large prompts for their own length.
+func TestLate(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand Demand
+		first  time.Duration
+		want   bool
+	}{
+		{"in time", question, 700 * ms, false},
+		{"a little late", question, 1100 * ms, false},
+		{"far too late", question, 1400 * ms, true},
+		{"after the end", Demand{Left: 100 * ms}, 200 * ms, true},
+		{"no goal", Demand{Left: 5 * time.Second}, 4 * time.Second, false},
+		{"large prompt", Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 100_000}, pick.ReadTime(100_000) + time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			retry, late := tt.demand.Late(tt.first)
+			if late != tt.want {
+				t.Fatalf("late: %v, want %v", late, tt.want)
+			}
+			if late && tt.demand.Goal > 0 && (retry < tt.demand.Goal/2 || retry > tt.first) {
+				t.Errorf("come back after %v, while the queue takes %v", retry, tt.first)
+			}
+		})
+	}
+}
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -154,11 +154,11 @@
 		hit = req.Shared
 	}
 	c := cost{unread: max(req.Prompt-hit, 0)}
-	c.time = scale(readTime(l.Unread+c.unread)+time.Duration(l.Running)*batchDelay, slow)
+	c.time = scale(ReadTime(l.Unread+c.unread)+time.Duration(l.Running)*batchDelay, slow)
 	c.time += s.queue(l, svc)
 	c.score = c.time + time.Duration(s.errors*float64(errorDelay))
 	if req.Prefix != 0 && hit == 0 {
-		c.score += scale(readTime(req.Shared), (MissWeight-1)*slow) + time.Duration(rank)*rankDelay
+		c.score += scale(ReadTime(req.Shared), (MissWeight-1)*slow) + time.Duration(rank)*rankDelay
 	}
 	if req.Connected != nil && !req.Connected(s.Addr) {
 		c.score += dialDelay
@@ -186,13 +186,13 @@
 		d += held * time.Duration(l.Running-slots+1) / time.Duration(slots)
 	}
 	if over := float64(l.Memory) - memoryShare*float64(svc.Cache); svc.Cache > 0 && over > 0 {
-		d += 2 * readTime(int(over))
+		d += 2 * ReadTime(int(over))
 	}
 	return d
 }
 
-// readTime returns how long a server reads tokens of prompts.
-func readTime(tokens int) time.Duration {
+// ReadTime returns how long a server reads tokens of prompts.
+func ReadTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / ReadRate * float64(time.Second))
 }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -11,55 +11,32 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
-const (
-	// patienceGoals is the expected time to a first byte, in goals of the
-	// route, beyond which a request is refused: a longer queue only makes all
-	// responses late.
-	patienceGoals = 1.5
-	// maxTries bounds the attempts of one request, those that were not sent
-	// included.
-	maxTries = 4
-	// hopDelay is what another region adds to the time to a first byte.
-	hopDelay = 120 * time.Millisecond
-	// byteDelay is added per byte of a body for another region: such links
-	// are narrow and traffic on them is dear.
-	byteDelay = 5 * time.Microsecond
-)
-
-// result is what became of one attempt.
-type result int
-
-const (
-	resultDone   result = iota // the caller has its answer, or has left
-	resultNotRun               // the request did not run
-	resultFailed               // it may have run, and nothing was passed on
-	resultCut                  // part of the response was passed on
-	resultError                // a server's own error, held back for a retry
-)
-
 // serve makes attempts until the caller has its answer.
 func (q *request) serve() {
 	svc := q.s.fleet.Service(q.service)
 	if svc != nil {
 		svc.Budget.Request()
 	}
-	for try := 1; ; try++ {
+	for {
 		if cancelled(q.r.Context()) {
 			q.callerLeft()
 			return
 		}
+		q.tally.Tries++
 		res, ref := q.attempt()
-		if res == resultDone {
+		if res == retry.Done {
 			return
 		}
-		if ref == nil && q.mayRetry(res, try) && q.pay(svc) {
-			q.logRetry(res, try)
+		if ref == nil && q.mayRetry(res, svc) {
+			q.logRetry(res)
 			continue
 		}
 		q.giveUp(res, ref)
@@ -69,24 +46,14 @@
 
 // logRetry records that another attempt follows; a stream that had begun goes
 // on within the same response.
-func (q *request) logRetry(res result, try int) {
+func (q *request) logRetry(res retry.Result) {
 	msg := "request retried"
-	if res == resultCut {
+	if res == retry.Cut {
 		msg = "request resumed"
 	}
 	if e := q.s.log.Requests.Check(zap.InfoLevel, msg); e != nil {
-		e.Write(append(q.decision(), zap.Int("try", try), zap.String("reason", q.reason))...)
-	}
-}
-
-// pay takes a retry from the budget of the service. An attempt that was never
-// sent costs nothing.
-func (q *request) pay(svc *fleet.Service) bool {
-	if q.paid || svc == nil || q.sends == 0 {
-		q.paid = false
-		return true
+		e.Write(append(q.decision(), zap.Int("try", q.tally.Tries), zap.String("reason", q.reason))...)
 	}
-	return svc.Budget.Take()
 }
 
 // callerLeft records a caller that left before the end of its response.
@@ -95,24 +62,34 @@
 	q.finish("left", 0)
 }
 
-// mayRetry reports whether the rules of the route allow another attempt.
-func (q *request) mayRetry(res result, try int) bool {
-	if try >= maxTries || q.left() <= 0 || cancelled(q.r.Context()) {
+// mayRetry reports whether another attempt follows, and takes it from the
+// budget.
+func (q *request) mayRetry(res retry.Result, svc *fleet.Service) bool {
+	if q.left() <= 0 || cancelled(q.r.Context()) || !q.rules().Allows(res, q.tally) {
 		return false
 	}
-	switch res {
-	case resultNotRun:
-		return !q.forwarded || q.ran == 0
-	case resultFailed, resultError:
-		return q.route.Idempotent && q.ran < q.route.Attempts
-	case resultCut:
-		return q.route.Resumable && q.ran < q.route.Attempts
+	if q.paid {
+		q.paid = false
+		return true
 	}
-	return false
+	return q.tally.Pays(budget(svc))
+}
+
+// rules returns what the route allows.
+func (q *request) rules() retry.Rules {
+	return retry.Rules{Idempotent: q.route.Idempotent, Resumable: q.route.Resumable, Attempts: q.route.Attempts, Forwarded: q.forwarded}
+}
+
+// budget returns that of a service, nil if it is not known.
+func budget(svc *fleet.Service) *retry.Budget {
+	if svc == nil {
+		return nil
+	}
+	return svc.Budget
 }
 
 // giveUp answers a request that gets no further attempt.
-func (q *request) giveUp(res result, ref *refusal) {
+func (q *request) giveUp(res retry.Result, ref *refusal) {
 	if q.began {
 		if cancelled(q.r.Context()) {
 			q.callerLeft()
@@ -127,7 +104,7 @@
 		q.callerLeft()
 		return
 	}
-	if q.ran > 0 {
+	if q.tally.Ran > 0 {
 		status := http.StatusBadGateway
 		if q.left() <= 0 {
 			status = http.StatusGatewayTimeout
@@ -138,7 +115,7 @@
 	}
 	if ref == nil {
 		reason := q.reason
-		if res == resultNotRun && reason == "" {
+		if res == retry.NotRun && reason == "" {
 			reason = reasonNotRun
 		}
 		ref = &refusal{http.StatusServiceUnavailable, reason, retryBusy}
@@ -148,15 +125,15 @@
 
 // attempt sends the request once. A refusal is returned when there is nowhere
 // to send it.
-func (q *request) attempt() (result, *refusal) {
+func (q *request) attempt() (retry.Result, *refusal) {
 	now := time.Now()
 	left := q.until.Sub(now)
 	if left <= 0 {
-		return resultNotRun, &refusal{http.StatusServiceUnavailable, reasonTimeout, retryBusy}
+		return retry.NotRun, &refusal{http.StatusServiceUnavailable, reasonTimeout, retryBusy}
 	}
 	choice, local, ref := q.choose(now, left)
 	if ref != nil {
-		return resultNotRun, ref
+		return retry.NotRun, ref
 	}
 	if local {
 		return q.sendLocal(choice), nil
@@ -167,21 +144,22 @@
 // choose picks a server of the own region or another region.
 func (q *request) choose(now time.Time, left time.Duration) (pick.Choice, bool, *refusal) {
 	svc := q.s.fleet.Service(q.service)
-	var own estimate
+	var own admit.Estimate
 	usable := false
 	if svc != nil && q.allows(q.s.fleet.Home()) {
-		own.score, own.first, usable = svc.Table.Expect(&q.pick, now)
+		own.Score, own.First, usable = svc.Table.Expect(&q.pick, now)
 	}
+	demand := q.demand(left)
 	if !q.forwarded {
-		if p, far, ok := q.other(own.score, usable); ok {
+		if p, far, ok := q.other(demand); ok && admit.Leaves(own, usable, far) {
 			q.place = p
-			return pick.Choice{}, false, q.tooLate(far.first, left)
+			return pick.Choice{}, false, q.tooLate(demand, far.First)
 		}
 	}
 	if !usable {
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
-	if ref := q.tooLate(own.first, left); ref != nil {
+	if ref := q.tooLate(demand, own.First); ref != nil {
 		return pick.Choice{}, false, ref
 	}
 	c, ok := svc.Table.Pick(&q.pick, now)
@@ -193,80 +171,67 @@
 	return c, true, nil
 }
 
-// estimate is what is expected of a place: a score to compare it with others
-// and the time to the first byte.
-type estimate struct{ score, first time.Duration }
+// demand describes the request to the decisions of package admit.
+func (q *request) demand(left time.Duration) *admit.Demand {
+	return &admit.Demand{
+		Goal: q.route.Goal, Left: left, Prompt: q.pick.Prompt, Shared: q.pick.Shared,
+		Prefixed: q.pick.Prefix != 0, Bytes: len(q.body),
+	}
+}
 
-// tooLate refuses a request whose first byte is expected too late: a longer
-// queue only makes all responses late. The time to read its prompt does not
-// count against it, or large prompts would never be served.
-func (q *request) tooLate(first, left time.Duration) *refusal {
+// tooLate refuses a request whose first byte is expected too late.
+func (q *request) tooLate(d *admit.Demand, first time.Duration) *refusal {
 	q.expected = first
-	bound := left
-	if q.route.Goal > 0 {
-		bound = min(left, time.Duration(patienceGoals*float64(q.route.Goal))+readTime(q.pick.Prompt))
-	}
-	if first <= bound {
+	wait, late := d.Late(first)
+	if !late {
 		return nil
 	}
-	return &refusal{http.StatusServiceUnavailable, reasonOverload, max(first-q.route.Goal/2, retryBusy)}
+	return &refusal{http.StatusServiceUnavailable, reasonOverload, max(wait, retryBusy)}
 }
 
-// readTime returns how long a server reads tokens of a prompt.
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / pick.ReadRate * float64(time.Second))
-}
-
-// other returns a host of another region if that has the better score than the
-// own one, or if the own one can't serve the request.
-func (q *request) other(own time.Duration, usable bool) (place, estimate, bool) {
+// other returns a host of the other region that is expected to be best for the
+// request, or false if there is none.
+func (q *request) other(d *admit.Demand) (place, admit.Estimate, bool) {
 	var best place
-	var least estimate
+	var least admit.Estimate
 	for _, p := range q.s.fleet.Places(q.service) {
 		if !q.allows(p.Region) {
 			continue
 		}
-		hosts := slices.DeleteFunc(p.Hosts, func(a netip.AddrPort) bool { return slices.Contains(q.tried, a) })
-		if len(hosts) == 0 {
+		e := d.Far(p.Wait, p.Holds(q.pick.Prefix))
+		if best.addr.IsValid() && e.Score >= least.Score {
 			continue
 		}
-		e := q.estimate(&p)
-		if best.addr.IsValid() && e.score >= least.score {
+		addr, ok := q.untried(p.Hosts)
+		if !ok {
 			continue
 		}
-		best = place{region: p.Region, addr: hosts[rand.IntN(len(hosts))]}
+		best = place{region: p.Region, addr: addr}
 		least = e
 	}
-	if !best.addr.IsValid() || usable && own <= least.score {
-		return place{}, estimate{}, false
-	}
-	return best, least, true
+	return best, least, best.addr.IsValid()
 }
 
-// estimate rates another region for the request.
-func (q *request) estimate(p *fleet.Place) estimate {
-	e := estimate{first: p.Wait + hopDelay + readTime(q.pick.Prompt)}
-	e.score = e.first + time.Duration(len(q.body))*byteDelay
-	switch {
-	case q.pick.Prefix == 0:
-	case p.Holds(q.pick.Prefix):
-		e.first -= readTime(q.pick.Shared)
-		e.score -= readTime(q.pick.Shared)
-	default:
-		e.score += time.Duration((pick.MissWeight - 1) * float64(readTime(q.pick.Shared)))
+// untried returns one of the hosts that this request was not sent to before.
+func (q *request) untried(hosts []netip.AddrPort) (netip.AddrPort, bool) {
+	if len(q.tried) > 0 {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(a netip.AddrPort) bool { return slices.Contains(q.tried, a) })
+	}
+	if len(hosts) == 0 {
+		return netip.AddrPort{}, false
 	}
-	return e
+	return hosts[rand.IntN(len(hosts))], true
 }
 
 // sendLocal sends the request to a server of the own region.
-func (q *request) sendLocal(c pick.Choice) result {
+func (q *request) sendLocal(c pick.Choice) retry.Result {
 	svc := q.s.fleet.Service(q.service)
 	e, ok := svc.Table.Server(c.ID)
 	q.server = c.ID
 	q.place = place{addr: e.Addr}
 	if !ok {
 		svc.Table.Done(&c, pick.Aborted, time.Now())
-		return resultNotRun
+		return retry.NotRun
 	}
 	begun := func() { svc.Table.Begun(&c, time.Now()) }
 	res, outcome := q.exchange(q.s.servers, q.build(q.forServer(c.ID), q.place), begun)
@@ -280,7 +245,7 @@
 }
 
 // sendPeer sends the request to a host of another region.
-func (q *request) sendPeer() result {
+func (q *request) sendPeer() retry.Result {
 	q.tried = append(q.tried, q.place.addr)
 	q.server = q.place.addr.String()
 	res, outcome := q.exchange(q.s.peers, q.build(q.forPeer(), q.place), func() {})
@@ -309,23 +274,23 @@
 }
 
 // exchange sends one request and passes its response on.
-func (q *request) exchange(c *send.Client, req *send.Request, begun func()) (result, pick.Outcome) {
+func (q *request) exchange(c *send.Client, req *send.Request, begun func()) (retry.Result, pick.Outcome) {
 	resp, err := c.Do(q.r.Context(), req)
 	if err != nil {
 		return q.failed(err, c, req)
 	}
 	defer func() { _ = resp.Close() }() // it reports no errors
 	if o, notRun := notRun(resp); notRun {
-		q.sends++
+		q.tally.Sends++
 		q.reason = reasonNotRun
 		drain(resp)
-		return resultNotRun, o
+		return retry.NotRun, o
 	}
-	q.sends++
-	q.ran++
+	q.tally.Sends++
+	q.tally.Ran++
 	if resp.Header.Get(headerOutcome) == outcomeUnknown {
 		q.reason = reasonUnanswered
-		return resultFailed, pick.Broken
+		return retry.Unknown, pick.Broken
 	}
 	return q.deliver(resp, begun)
 }
@@ -344,23 +309,23 @@
 }
 
 // failed sorts a call without a response.
-func (q *request) failed(err error, c *send.Client, req *send.Request) (result, pick.Outcome) {
+func (q *request) failed(err error, c *send.Client, req *send.Request) (retry.Result, pick.Outcome) {
 	var e *send.Error
 	if !errors.As(err, &e) {
 		e = &send.Error{Stage: send.StageWait, Err: err}
 	}
 	if e.Stage == send.StageConnect {
 		if cancelled(q.r.Context()) {
-			return resultNotRun, pick.Aborted
+			return retry.NotRun, pick.Aborted
 		}
 		q.reason = reasonNoServer
 		q.s.log.Requests.Warn("connect failed", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
-		return resultNotRun, pick.NoConnect
+		return retry.NotRun, pick.NoConnect
 	}
-	q.sends++
-	q.ran++
+	q.tally.Sends++
+	q.tally.Ran++
 	if cancelled(q.r.Context()) {
-		return resultFailed, pick.Aborted
+		return retry.Unknown, pick.Aborted
 	}
 	q.reason = reasonBroken
 	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Error(err))
@@ -369,5 +334,5 @@
 	}
 	// Other idle connections to the same address may have gone the same way.
 	c.Drop(req.Addr)
-	return resultFailed, pick.Broken
+	return retry.Unknown, pick.Broken
 }
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -32,25 +33,25 @@
 }
 
 // deliver passes a server's response on.
-func (q *request) deliver(resp *send.Response, begun func()) (result, pick.Outcome) {
+func (q *request) deliver(resp *send.Response, begun func()) (retry.Result, pick.Outcome) {
 	success := resp.Status >= 200 && resp.Status < 300
 	if success && resp.Header.Get(platform.HeaderSeal) == "" {
 		q.reason = reasonBroken
 		q.s.log.Requests.Warn("success without a signature", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
-		return resultFailed, pick.Broken
+		return retry.Unknown, pick.Broken
 	}
 	if success && q.route.Stream {
 		return q.stream(resp, begun)
 	}
 	if q.began {
 		q.reason = reasonCut
-		return resultCut, pick.Failed
+		return retry.Cut, pick.Failed
 	}
 	return q.whole(resp, begun, success)
 }
 
 // whole reads a response and passes it on when it is complete.
-func (q *request) whole(resp *send.Response, begun func(), success bool) (result, pick.Outcome) {
+func (q *request) whole(resp *send.Response, begun func(), success bool) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
 	n, err := io.Copy(&body, io.LimitReader(resp, maxBuffered))
 	if err == nil && n == maxBuffered {
@@ -63,7 +64,7 @@
 		}
 	}
 	if err != nil {
-		return q.torn(err, resultFailed)
+		return q.torn(err, retry.Unknown)
 	}
 	begun()
 	outcome := pick.Served
@@ -71,7 +72,7 @@
 		outcome = pick.Failed
 		if q.retryable() {
 			q.reason = "server error"
-			return resultError, outcome
+			return retry.Answered, outcome
 		}
 	}
 	q.first = time.Now()
@@ -90,20 +91,17 @@
 		q.reason = "server error"
 	}
 	q.finish(name, resp.Status)
-	return resultDone, outcome
+	return retry.Done, outcome
 }
 
 // retryable reports whether a server's error can be replaced by another
 // attempt.
 func (q *request) retryable() bool {
-	if q.forwarded || !q.route.Idempotent || q.ran >= q.route.Attempts || q.left() < minRetry {
+	if q.forwarded || q.left() < minRetry || !q.rules().Allows(retry.Answered, q.tally) {
 		return false
 	}
-	svc := q.s.fleet.Service(q.service)
-	if svc == nil {
-		return false
-	}
-	if !svc.Budget.Take() {
+	b := budget(q.s.fleet.Service(q.service))
+	if b == nil || !b.Take() {
 		return false
 	}
 	q.paid = true
@@ -114,7 +112,7 @@
 const minRetry = 150 * time.Millisecond
 
 // long passes on a response that is too long to be read whole first.
-func (q *request) long(resp *send.Response, head *bytes.Buffer, begun func()) (result, pick.Outcome) {
+func (q *request) long(resp *send.Response, head *bytes.Buffer, begun func()) (retry.Result, pick.Outcome) {
 	begun()
 	q.first = time.Now()
 	q.copyHeader(resp)
@@ -128,14 +126,14 @@
 		_, err = io.Copy(q.w, resp)
 	}
 	if err != nil {
-		return q.torn(err, resultCut)
+		return q.torn(err, retry.Cut)
 	}
 	q.finish("served", resp.Status)
-	return resultDone, pick.Served
+	return retry.Done, pick.Served
 }
 
 // torn sorts a response that broke off.
-func (q *request) torn(err error, res result) (result, pick.Outcome) {
+func (q *request) torn(err error, res retry.Result) (retry.Result, pick.Outcome) {
 	if cancelled(q.r.Context()) {
 		return res, pick.Aborted
 	}
@@ -162,7 +160,7 @@
 
 // stream passes events on as they come. Only whole events are passed on, so
 // that another server can go on after the last one.
-func (q *request) stream(resp *send.Response, begun func()) (result, pick.Outcome) {
+func (q *request) stream(resp *send.Response, begun func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
 	for {
@@ -178,14 +176,14 @@
 		if whole > 0 {
 			begun()
 			if werr := q.passEvents(resp, buf[:whole], control); werr != nil {
-				return resultDone, pick.Aborted
+				return retry.Done, pick.Aborted
 			}
 			buf = append(buf[:0], buf[whole:]...)
 		}
 		if errors.Is(err, io.EOF) {
 			begun()
 			q.endStream(resp)
-			return resultDone, pick.Served
+			return retry.Done, pick.Served
 		}
 		if err != nil {
 			return q.torn(err, q.cutResult())
@@ -194,11 +192,11 @@
 }
 
 // cutResult tells a stream that has begun from one that has not.
-func (q *request) cutResult() result {
+func (q *request) cutResult() retry.Result {
 	if q.began {
-		return resultCut
+		return retry.Cut
 	}
-	return resultFailed
+	return retry.Unknown
 }
 
 // begin writes the header of a stream. It is written with the first event: a
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -93,7 +93,7 @@
 		Addr: p.addr, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: h, Body: q.body, HasBody: q.r.ContentLength != 0 || q.r.Header["Content-Length"] != nil,
 		ID: q.id, IDHeader: platform.HeaderID, Until: q.until.Add(answerMargin),
-		Fresh: q.ran > 0,
+		Fresh: q.tally.Ran > 0,
 	}
 }
 
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -78,7 +78,7 @@
 // peerOutcome tells the first host whether the request may have run.
 func (q *request) peerOutcome(status int) {
 	outcome := outcomeUnknown
-	if q.ran == 0 && status != http.StatusGatewayTimeout {
+	if q.tally.Ran == 0 && status != http.StatusGatewayTimeout {
 		outcome = outcomeNotRun
 	}
 	q.w.Header().Set(headerOutcome, outcome)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -57,8 +58,7 @@
 
 	taken    float64 // from the limit of the organisation
 	paid     bool    // the budget has paid for the next retry
-	sends    int     // requests that reached a server or may have
-	ran      int     // those of them that may have run
+	tally    retry.Tally
 	tried    []netip.AddrPort
 	reason   string
 	began    bool      // the response's header was written
@@ -239,7 +239,7 @@
 	if service == "" {
 		service = "none"
 	}
-	if q.taken > 0 && q.ran == 0 {
+	if q.taken > 0 && q.tally.Ran == 0 {
 		q.s.fleet.Book().Refund(q.org.Name, q.taken)
 	}
 	took := time.Since(q.arrived)
@@ -261,7 +261,7 @@
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge),
 		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared),
-		zap.Int("sends", q.sends), zap.Int("ran", q.ran), zap.Bool("forwarded", q.forwarded),
+		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
 	}
