Split the time to the first byte in metrics and logs

Cause: a slow first byte could not be told apart by retries, reading, queue and another region. Change: yuccalb_first_byte_part_seconds, and the fields retried_for and read of a request's last line.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -97,6 +97,8 @@
 	// Cached whether it was expected to hold the prefix.
 	Load   Load
 	Cached bool
+	// Read is how long the server should read what it has not cached.
+	Read time.Duration
 
 	server *server
 	at     time.Time
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -82,7 +82,7 @@
 	load := best.total()
 	t.send(best, req, c.unread, now)
 	return Choice{
-		ID: best.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt,
+		ID: best.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
 		server: best, at: now, unread: c.unread, memory: req.Prompt + req.Output,
 	}, true
 }
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -287,3 +287,33 @@
 		t.Errorf("the stop took %v", d)
 	}
 }
+
+// TestFirstByteParts guards against metrics that do not tell where the time to a
+// first byte went.
+func TestFirstByteParts(t *testing.T) {
+	w := newWorld(t)
+	e := w.host("a1")
+	w.server("s1", "a1", func(x *origin.Exchange) bool {
+		time.Sleep(250 * time.Millisecond)
+		return x.Reply(http.StatusOK, "served")
+	})
+	wantStatus(t, w.do(e, get("/safe/x")), http.StatusOK)
+	resp, err := http.Get("http://" + e.settings.Metrics.String() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{
+		`yuccalb_first_byte_part_seconds_bucket{part="retry",service="desk",le="0.2"} 1`,
+		`yuccalb_first_byte_part_seconds_bucket{part="queue",service="desk",le="0.2"} 0`,
+		`yuccalb_first_byte_part_seconds_count{part="read",service="desk"} 1`,
+	} {
+		if !strings.Contains(string(body), line) {
+			t.Errorf("the metrics do not contain %s", line)
+		}
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -127,6 +127,9 @@
 // to send it.
 func (q *request) attempt() (retry.Result, *refusal) {
 	now := time.Now()
+	if q.first.IsZero() {
+		q.attempted = now
+	}
 	left := q.until.Sub(now)
 	if left <= 0 {
 		return retry.NotRun, &refusal{http.StatusServiceUnavailable, reasonTimeout, retryBusy}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -17,6 +17,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/stats"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
@@ -56,19 +57,21 @@
 	urgency   int
 	orgName   string
 
-	taken    float64 // from the limit of the organisation
-	paid     bool    // the budget has paid for the next retry
-	tally    retry.Tally
-	tried    []netip.AddrPort
-	reason   string
-	began    bool      // the response's header was written
-	first    time.Time // of the response's first byte
-	lastID   string    // of the last event passed on
-	expected time.Duration
-	place    place
-	server   string
-	choice   pick.Choice // of the last attempt in the own region
-	listed   time.Time   // when the entries that decided were read
+	taken  float64 // from the limit of the organisation
+	paid   bool    // the budget has paid for the next retry
+	tally  retry.Tally
+	tried  []netip.AddrPort
+	reason string
+	began  bool      // the response's header was written
+	first  time.Time // of the response's first byte
+	// attempted is when the last attempt before the first byte began.
+	attempted time.Time
+	lastID    string // of the last event passed on
+	expected  time.Duration
+	place     place
+	server    string
+	choice    pick.Choice // of the last attempt in the own region
+	listed    time.Time   // when the entries that decided were read
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
@@ -245,7 +248,7 @@
 	took := time.Since(q.arrived)
 	q.s.stats.Request(service, outcome, q.reason, took)
 	if !q.first.IsZero() {
-		q.s.stats.First(service, q.first.Sub(q.arrived))
+		q.recordFirst(service)
 	}
 	log := q.s.log.Requests
 	if outcome == "served" {
@@ -256,6 +259,21 @@
 	}
 }
 
+// recordFirst records the time to the first byte and its parts.
+func (q *request) recordFirst(service string) {
+	m := q.s.stats
+	m.First(service, q.first.Sub(q.arrived))
+	m.Part(service, stats.PartRetry, q.attempted.Sub(q.arrived))
+	rest := q.first.Sub(q.attempted)
+	if q.place.region != "" {
+		m.Part(service, stats.PartRegion, rest)
+		return
+	}
+	read := min(q.choice.Read, rest)
+	m.Part(service, stats.PartRead, read)
+	m.Part(service, stats.PartQueue, rest-read)
+}
+
 // decision returns the inputs that decided on the request.
 func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
@@ -272,7 +290,7 @@
 		fields = append(fields, zap.Duration("list_age", time.Since(q.listed)))
 	}
 	if !q.first.IsZero() {
-		fields = append(fields, zap.Duration("first", q.first.Sub(q.arrived)))
+		fields = append(fields, zap.Duration("first", q.first.Sub(q.arrived)), zap.Duration("retried_for", q.attempted.Sub(q.arrived)), zap.Duration("read", q.choice.Read))
 	}
 	if q.lastID != "" {
 		fields = append(fields, zap.String("last_event", q.lastID))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -20,6 +20,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	first    *prometheus.HistogramVec
+	parts    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	store    *prometheus.CounterVec
@@ -35,6 +36,9 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "yuccalb_first_byte_seconds", Help: "Time from arrival to the first byte of the response.", Buckets: seconds,
 		}, []string{"service"}),
+		parts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "yuccalb_first_byte_part_seconds", Help: "Parts of the time to the first byte: retry (until the last attempt), read (expected for the prompt), queue (the rest, at a server of the own region) or region (in another one).", Buckets: seconds,
+		}, []string{"service", "part"}),
 		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "yuccalb_response_seconds", Help: "Time from arrival to the end of the response.", Buckets: seconds,
 		}, []string{"service"}),
@@ -45,7 +49,7 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.first, m.whole, m.attempts, m.store,
+	m.registry.MustRegister(m.requests, m.first, m.parts, m.whole, m.attempts, m.store,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -71,6 +75,19 @@
 	m.first.WithLabelValues(service).Observe(took.Seconds())
 }
 
+// Parts of the time to the first byte.
+const (
+	PartRetry  = "retry"
+	PartRead   = "read"
+	PartQueue  = "queue"
+	PartRegion = "region"
+)
+
+// Part records a part of the time to the first byte.
+func (m *Metrics) Part(service, part string, took time.Duration) {
+	m.parts.WithLabelValues(service, part).Observe(took.Seconds())
+}
+
 // Attempt records a request that was sent to a server or another region.
 func (m *Metrics) Attempt(service, place, outcome string) {
 	m.attempts.WithLabelValues(service, place, outcome).Inc()
