Bound retries by the platform's ratio, in equal parts for all hosts

The limit of what can be saved up was divided by the hosts that had registered when the service was first seen, at a start of the system by one: each host could save up all of it. A forwarded request earned at both hosts. Change: settings have ratio beside retries; four fifths of both are used, the limit is divided by all hosts as they are known, and only the first host counts a request.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -2,41 +2,59 @@
 
 import "sync/atomic"
 
-// Parts of a retry that one request earns, and the retries kept in reserve.
 const (
-	partsPerRetry = 10
-	// Reserve bounds the retries that can be saved up: after a long quiet
-	// time a burst of failures causes no more than this many at once.
+	// Ratio is the part of a retry that one request earns, unless a budget
+	// has another one.
+	Ratio = 0.1
+	// Reserve bounds the retries that can be saved up, unless a budget has
+	// another limit: after a long quiet time a burst of failures causes no
+	// more than this many at once.
 	Reserve = 50
+	// retryUnits is one retry in the units that a budget counts in.
+	retryUnits = 10_000
 )
 
-// Budget bounds retries to a tenth of the requests. It starts empty, so that
-// the bound of 1.1 attempts per request holds from the first request on. It is
-// safe for concurrent use. The zero value is ready.
+// Budget bounds retries to a part of the requests. It starts empty, so that the
+// bound holds from the first request on. It is safe for concurrent use. The
+// zero value is ready.
 type Budget struct {
-	// Limit bounds the retries that can be saved up; 0 stands for Reserve. It
-	// must not change once the budget is in use.
-	Limit int64
+	// Ratio is the part of a retry that one request earns, 0 for the constant
+	// of that name. It must not change once the budget is in use.
+	Ratio float64
 
-	parts atomic.Int64
+	limit atomic.Int64 // in units, 0 for Reserve
+	saved atomic.Int64 // in units
 }
 
-// limit returns the bound in parts.
-func (b *Budget) limit() int64 {
-	if b.Limit > 0 {
-		return b.Limit * partsPerRetry
+// SetLimit bounds the retries that can be saved up.
+func (b *Budget) SetLimit(retries float64) {
+	b.limit.Store(max(int64(retries*retryUnits), 1))
+}
+
+// most returns the bound in units.
+func (b *Budget) most() int64 {
+	if n := b.limit.Load(); n > 0 {
+		return n
+	}
+	return Reserve * retryUnits
+}
+
+// earned returns what one request earns in units.
+func (b *Budget) earned() int64 {
+	if b.Ratio > 0 {
+		return int64(b.Ratio * retryUnits)
 	}
-	return Reserve * partsPerRetry
+	return Ratio * retryUnits
 }
 
-// Request earns a tenth of a retry. It is called once per request.
+// Request earns part of a retry. It is called once per request.
 func (b *Budget) Request() {
 	for {
-		old := b.parts.Load()
-		if old >= b.limit() {
+		old := b.saved.Load()
+		if old >= b.most() {
 			return
 		}
-		if b.parts.CompareAndSwap(old, old+1) {
+		if b.saved.CompareAndSwap(old, old+b.earned()) {
 			return
 		}
 	}
@@ -45,11 +63,11 @@
 // Take uses up one retry and reports whether the budget had one.
 func (b *Budget) Take() bool {
 	for {
-		old := b.parts.Load()
-		if old < partsPerRetry {
+		old := b.saved.Load()
+		if old < retryUnits {
 			return false
 		}
-		if b.parts.CompareAndSwap(old, old-partsPerRetry) {
+		if b.saved.CompareAndSwap(old, old-retryUnits) {
 			return true
 		}
 	}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -38,7 +38,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var budget Budget
-			for range partsPerRetry {
+			for range int(1 / Ratio) {
 				budget.Request()
 			}
 			d := NewAttempts(c.call).Fail(c.failure, &budget, rand.New(rand.NewPCG(1, 1)))
@@ -56,7 +56,7 @@
 // an earlier one that may have run.
 func TestRunIsRemembered(t *testing.T) {
 	var budget Budget
-	for range partsPerRetry {
+	for range int(1 / Ratio) {
 		budget.Request()
 	}
 	a := NewAttempts(Call{Idempotent: true})
--- a/internal/core/retry/rules_test.go
+++ b/internal/core/retry/rules_test.go
@@ -50,10 +50,30 @@
 	if (Tally{Tries: 1, Sends: 1}).Pays(&b) {
 		t.Error("a repeated request was allowed by an empty budget")
 	}
-	for range partsPerRetry {
+	for range int(1 / Ratio) {
 		b.Request()
 	}
 	if !(Tally{Tries: 1, Sends: 1}).Pays(&b) {
 		t.Error("a repeated request was not allowed within the budget")
 	}
 }
+
+// TestSharedBudget guards against hosts that each save up what all together may
+// use at once.
+func TestSharedBudget(t *testing.T) {
+	const hosts = 7
+	sum := 0
+	for range hosts {
+		b := Budget{Ratio: 0.2}
+		b.SetLimit(54.0 / hosts)
+		for range 1000 {
+			b.Request()
+		}
+		for b.Take() {
+			sum++
+		}
+	}
+	if sum > 54 || sum < 40 {
+		t.Errorf("%d retries at once at %d hosts, want at most 54 and most of them", sum, hosts)
+	}
+}
--- a/internal/edge/boot/boot.go
+++ b/internal/edge/boot/boot.go
@@ -39,8 +39,9 @@
 	Revoke time.Duration `yaml:"revoke"`
 	Grace  time.Duration `yaml:"grace"`
 	// Retries is how many retries of a service all hosts together may save
-	// up.
-	Retries int64 `yaml:"retries"`
+	// up, and Ratio the part of a retry that each request to it earns.
+	Retries int64   `yaml:"retries"`
+	Ratio   float64 `yaml:"ratio"`
 	// Memory is the most that the process may use, in MB.
 	Memory int64 `yaml:"memory"`
 	// Files is the most descriptors that the process may open.
@@ -92,5 +93,13 @@
 			errs = append(errs, fmt.Errorf("field %s: %v is not positive", name, d))
 		}
 	}
+	if s.Ratio < 0 || s.Ratio > 1 {
+		errs = append(errs, fmt.Errorf("field ratio: %v is not between 0 and 1", s.Ratio))
+	}
+	for name, n := range map[string]int64{"retries": s.Retries, "memory": s.Memory, "files": int64(s.Files)} {
+		if n < 0 {
+			errs = append(errs, fmt.Errorf("field %s: %d is negative", name, n))
+		}
+	}
 	return errors.Join(errs...)
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -101,7 +101,7 @@
 	e.fleet = fleet.New(fleet.Options{
 		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer},
 		Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds, First: settings.First,
-		Revoke: settings.Revoke, Retries: settings.Retries, Log: log.Logger, Requests: log.Requests,
+		Revoke: settings.Revoke, Retries: settings.Retries, RetryRatio: settings.Ratio, Log: log.Logger, Requests: log.Requests,
 		Store: platform.NewStore(settings.Store, transport), Mirror: mirror.NewClient(transport), Count: metrics.Store,
 	}, exchange)
 	e.mirror = mirror.Handler(e.fleet)
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -26,6 +26,10 @@
 // working, for the time between the check and the dispatch.
 const proofMargin = 400 * time.Millisecond
 
+// retryShare of the retries that are allowed are used. The rest is for calls that
+// servers make on behalf of a repeated request, which count as well.
+const retryShare = 0.8
+
 // settleTime is the time after the start in which all hosts of a region that was
 // restarted as a whole have registered and been listed.
 const settleTime = 1500 * time.Millisecond
@@ -41,8 +45,10 @@
 	First bool
 	// Revoke is the time within which withdrawn keys must stop working.
 	Revoke time.Duration
-	// Retries bounds the retries that all hosts together may save up.
-	Retries int64
+	// Retries bounds the retries of a service that all hosts together may
+	// save up, and RetryRatio those that each request to it earns.
+	Retries    int64
+	RetryRatio float64
 	Store   track.Store
 	// Mirror reads from other hosts what they have read from the store.
 	Mirror track.Mirror
@@ -175,8 +181,9 @@
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
-			s = f.newService(svc, len(v.Hosts))
+			s = f.newService(svc)
 		}
+		s.Budget.SetLimit(retryShare * float64(f.opts.Retries) / float64(f.hosts(v, now)))
 		var list []spec.Server
 		for _, e := range v.Servers {
 			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
@@ -190,10 +197,19 @@
 	f.book.Keep(f.accounted(v, now))
 }
 
-func (f *Fleet) newService(svc spec.Service, hosts int) *Service {
+func (f *Fleet) newService(svc spec.Service) *Service {
 	seed := uint64(time.Now().UnixNano())
 	return &Service{
 		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
-		Budget: &retry.Budget{Limit: max(f.opts.Retries/int64(max(hosts, 1)), 1)},
+		Budget: &retry.Budget{Ratio: retryShare * f.opts.RetryRatio},
+	}
+}
+
+// hosts returns the number of hosts of all regions.
+func (f *Fleet) hosts(v *track.View, now time.Time) int {
+	n := len(f.nearNames(v, now))
+	for _, list := range f.farHosts() {
+		n += len(list)
 	}
+	return n
 }
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -22,7 +22,8 @@
 // serve makes attempts until the caller has its answer.
 func (q *request) serve() {
 	svc := q.s.fleet.Service(q.service)
-	if svc != nil {
+	// The host that a caller asked counts the request.
+	if svc != nil && !q.forwarded {
 		svc.Budget.Request()
 	}
 	for {
