Let the soak fail connections through a loopback proxy

Cause: the soak could stop, pause and restart processes and make servers and the store misbehave, but not the connections between them, and its callers opened a connection for each request. Change: internal/fake/proxy delays, resets, holds one way or silences what passes it; one stands before each server, before each host for its callers, and before the store for each host. Callers keep their connections, and resumable streams are checked event by event.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/internal/fake/proxy"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
@@ -32,7 +34,7 @@
 
 const (
 	soakHosts   = 4
-	soakPorts   = 5 // addresses of one host
+	soakEvents  = 5 // of a resumable stream
 	soakServers = 4
 	soakCallers = 8
 	soakRevoke  = 3 * time.Second
@@ -66,6 +68,13 @@
 	hosts   []*process
 	servers []*origin.Server
 	faulty  []*fault
+	addrs   int // handed out by addr
+	// proxies stand before servers, before the store for each host, and
+	// before each host for its callers.
+	proxies  []*proxy.Proxy
+	toServer []*proxy.Proxy
+	toStore  []*proxy.Proxy
+	toHost   []*proxy.Proxy
 
 	mu        sync.Mutex
 	runs      map[string]int    // by identifier
@@ -113,14 +122,17 @@
 	s.configure()
 	for i := range soakServers {
 		f := &fault{}
-		srv := origin.New(soakAddr(soakHosts*soakPorts+i), s.script(f, s.serverID(i)))
+		srv := origin.New(s.addr(), s.script(f, s.serverID(i)))
 		t.Cleanup(srv.Close)
 		s.servers = append(s.servers, srv)
 		s.faulty = append(s.faulty, f)
+		s.toServer = append(s.toServer, s.proxy(srv.Addr()))
 		s.register(i)
 	}
 	for i := range soakHosts {
+		s.toStore = append(s.toStore, s.proxy(s.store.Addr()))
 		p := &process{bin: bin, settings: s.settings(i)}
+		s.toHost = append(s.toHost, s.proxy(netip.MustParseAddrPort(p.settings["front"].(string))))
 		t.Cleanup(p.kill)
 		s.hosts = append(s.hosts, p)
 		if err := p.start(); err != nil {
@@ -130,12 +142,23 @@
 	return s
 }
 
+// proxy starts a proxy before target.
+func (s *soak) proxy(target netip.AddrPort) *proxy.Proxy {
+	p, err := proxy.New(s.addr(), target)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(p.Close)
+	s.proxies = append(s.proxies, p)
+	return p
+}
+
 func soakSite(i int) string { return [2]string{"a1", "b1"}[i%2] }
 
 func (s *soak) serverID(i int) string { return fmt.Sprintf("s%d-%s", i, s.name) }
 
 func (s *soak) register(i int) {
-	s.store.PutServer(s.serverID(i), "desk", soakSite(i), s.servers[i].Addr(), "ready")
+	s.store.PutServer(s.serverID(i), "desk", soakSite(i), s.toServer[i].Addr(), "ready")
 }
 
 // currentKey is the key that is in force.
@@ -157,6 +180,7 @@
 			{Prefix: "/safe/", Service: "desk", Kind: "safe", Attempts: 2, TimeoutMS: 2000},
 			{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000},
 			{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 3000},
+			{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 3000},
 		},
 	})
 	s.withdrawn[old] = time.Now()
@@ -176,6 +200,9 @@
 			return x.Refuse()
 		}
 		s.ran(x)
+		if strings.HasPrefix(x.URL.Path, "/ask/") {
+			return stream(x, kind)
+		}
 		switch kind {
 		case resets:
 			return x.Reset()
@@ -189,6 +216,41 @@
 	}
 }
 
+// stream sends the events that follow the last one of an earlier attempt, and
+// breaks off in their midst while there is a fault.
+func stream(x *origin.Exchange, kind int) bool {
+	last, err := strconv.Atoi(x.Header.Get(platform.HeaderResume))
+	if err != nil {
+		last = 0 // the first attempt states none
+	}
+	x.StartStream()
+	for id := last + 1; id <= soakEvents; id++ {
+		if kind != healthy && id == last+3 {
+			return x.Reset()
+		}
+		x.Chunk(origin.Event(id))
+		time.Sleep(5 * time.Millisecond)
+	}
+	return x.EndStream()
+}
+
+// whole returns the body of a complete response.
+func whole(path, id string) string {
+	if !strings.HasPrefix(path, "/ask/") {
+		return id
+	}
+	var b strings.Builder
+	for i := range soakEvents {
+		b.WriteString(origin.Event(i + 1))
+	}
+	return b.String()
+}
+
+// repeatable reports whether a request may run more than once.
+func repeatable(path string) bool {
+	return strings.HasPrefix(path, "/safe/") || strings.HasPrefix(path, "/ask/")
+}
+
 // ran checks a request that a server runs.
 func (s *soak) ran(x *origin.Exchange) {
 	s.mu.Lock()
@@ -200,7 +262,7 @@
 		s.t.Errorf("a server runs %s %s of request %s, which is %q", x.Method, x.URL.Path, id, want)
 	case s.notRun[id]:
 		s.t.Errorf("request %s runs after it was reported as not run", id)
-	case s.runs[id] > 1 && !strings.HasPrefix(x.URL.Path, "/safe/"):
+	case s.runs[id] > 1 && !repeatable(x.URL.Path):
 		s.t.Errorf("request %s (%s) runs %d times", id, x.URL.Path, s.runs[id])
 	}
 }
@@ -227,9 +289,12 @@
 // waitServed waits until each host serves.
 func (s *soak) waitServed() {
 	s.t.Helper()
-	for i, h := range s.hosts {
+	for i := range s.hosts {
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-			if status, _, _ := s.request(h, "GET", "/safe/x", fmt.Sprintf("%s-wait-%d-%d", s.name, i, time.Now().UnixNano()), s.currentKey()); status == http.StatusOK {
+			var l line
+			status, _, _ := s.request(&l, i, "GET", "/safe/x", fmt.Sprintf("%s-wait-%d-%d", s.name, i, time.Now().UnixNano()), s.currentKey())
+			l.close()
+			if status == http.StatusOK {
 				break
 			}
 			if time.Now().After(end) {
@@ -241,7 +306,8 @@
 
 // call sends requests, sometimes with a key that was withdrawn.
 func (s *soak) call(caller int, rng *rand.Rand, stop <-chan struct{}) {
-	kinds := []string{"GET /safe/", "POST /order/", "POST /chat/"}
+	kinds := []string{"GET /safe/", "POST /order/", "POST /chat/", "POST /ask/"}
+	lines := make([]line, len(s.hosts))
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -255,34 +321,55 @@
 			key = "key-1"
 		}
 		began := time.Now()
-		status, body, err := s.request(s.hosts[rng.IntN(len(s.hosts))], method, path+id, id, key)
-		s.check(id, key, began, status, body, err)
+		host := rng.IntN(len(s.hosts))
+		status, body, err := s.request(&lines[host], host, method, path+id, id, key)
+		s.check(id, path, key, began, status, body, err)
+	}
+}
+
+// line is a caller's connection to a host, kept until it ends.
+type line struct {
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+func (l *line) close() {
+	if l.conn != nil {
+		_ = l.conn.Close() // nothing more is expected of it
+		l.conn = nil
 	}
 }
 
-// request sends one request on a connection of its own.
-func (s *soak) request(h *process, method, path, id, key string) (int, string, error) {
+// request sends one request to a host on a line, which is opened if need be.
+func (s *soak) request(l *line, host int, method, path, id, key string) (int, string, error) {
 	s.mu.Lock()
 	s.sent[id] = method + " " + path
 	s.mu.Unlock()
-	conn, err := net.DialTimeout("tcp4", h.settings["front"].(string), time.Second)
-	if err != nil {
-		return 0, "", err
+	if l.conn == nil {
+		conn, err := net.DialTimeout("tcp4", s.toHost[host].Addr().String(), time.Second)
+		if err != nil {
+			return 0, "", err
+		}
+		l.conn = conn
+		l.br = bufio.NewReader(conn)
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 3000\r\nContent-Length: 0\r\n\r\n",
+	_ = l.conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(l.conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 3000\r\nContent-Length: 0\r\n\r\n",
 		method, path, plattest.Host, platform.HeaderID, id, platform.HeaderKey, key, platform.HeaderDeadline)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	resp, err := http.ReadResponse(l.br, &http.Request{Method: method})
 	if err != nil {
+		l.close()
 		return 0, "", err
 	}
 	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.Close {
+		l.close()
+	}
 	return resp.StatusCode, string(body), err
 }
 
 // check compares an answer with what may be answered.
-func (s *soak) check(id, key string, began time.Time, status int, body string, err error) {
+func (s *soak) check(id, path, key string, began time.Time, status int, body string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -291,8 +378,8 @@
 	switch status {
 	case http.StatusOK:
 		s.served++
-		if body != id {
-			s.t.Errorf("request %s got %q", id, body)
+		if want := whole(path, id); body != want {
+			s.t.Errorf("request %s got %q, want %q", id, body, want)
 		}
 		if at, gone := s.withdrawn[key]; gone && began.Sub(at) > soakRevoke+slack {
 			s.t.Errorf("request %s was served %v after its key %s was withdrawn", id, began.Sub(at), key)
@@ -311,7 +398,7 @@
 func (s *soak) inject() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	i := s.rng.IntN(soakServers)
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(12) {
 	case 0:
 		h.signal(syscall.SIGSTOP)
 	case 1:
@@ -334,12 +421,20 @@
 	case 8:
 		s.store.RemoveServer(s.serverID(i))
 		time.AfterFunc(time.Second, func() { s.register(i) })
+	default:
+		// Faults of connections are more frequent, and several last at once.
+		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
+			{}, {}, {Delay: 200 * time.Millisecond}, {Reset: true}, {HoldForth: true}, {HoldBack: true}, {HoldForth: true, HoldBack: true},
+		}[s.rng.IntN(7)])
 	}
 }
 
 // heal ends all faults.
 func (s *soak) heal() {
 	s.store.Break(nil)
+	for _, p := range s.proxies {
+		p.Set(proxy.Fault{})
+	}
 	for i, f := range s.faulty {
 		f.set(healthy)
 		s.register(i)
@@ -354,17 +449,19 @@
 	site := soakSite(i)
 	m := map[string]any{
 		"host": fmt.Sprintf("host-%d-%s", i, s.name), "site": site, "region": site[:1], "sites": map[string]string{"a1": "a", "b1": "b"},
-		"store": s.store.Addr().String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
+		"store": s.toStore[i].Addr().String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
 	}
-	for n, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
-		m[name] = soakAddr(i*soakPorts + n).String()
+	for _, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
+		m[name] = s.addr().String()
 	}
 	return m
 }
 
-// soakAddr returns an address below the range of outgoing connections.
-func soakAddr(n int) netip.AddrPort {
-	for port := 26000 + n*20; ; port++ {
+// addr returns an address of the soak's own below the range of outgoing
+// connections, so that none of these takes it.
+func (s *soak) addr() netip.AddrPort {
+	s.addrs++
+	for port := 26000 + s.addrs*20; ; port++ {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 10, 1}), uint16(port))
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
