Name large hosts to callers more often than small ones

Cause: hosts of the grown deployments have 0.192 to 0.8 cores and 10 to 200 Mbit/s, and each got the same number of callers and of forwarded requests. Change: a look-up names at most six hosts, drawn by their cores (steer.Sample); requests for another region go to its hosts in the same way. Regions of up to six hosts are named whole, as before.

--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -122,4 +122,6 @@
 	// Front takes callers' connections, Peer those of other hosts.
 	Front netip.AddrPort `cbor:"3,keyasint"`
 	Peer  netip.AddrPort `cbor:"4,keyasint"`
+	// Cores is the processor time that the host may take, 0 if not told.
+	Cores float64 `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/core/steer/steer.go
+++ b/internal/core/steer/steer.go
@@ -25,9 +25,8 @@
 // Region is what is known of a region.
 type Region struct {
 	Name string
-	// Hosts are the addresses of hosts that take callers, Leaving those of
-	// hosts that stop soon but still listen.
-	Hosts, Leaving []netip.AddrPort
+	// Hosts take callers, Leaving ones stop soon but still listen.
+	Hosts, Leaving []Host
 	// Load is the expected wait of a new request.
 	Load time.Duration
 	// Misfit is the part of the requests on routes with homes that may not be
@@ -41,6 +40,14 @@
 // Pick returns the hosts that a caller of the region named home is told to
 // use, and the name of their region. Without any host it returns nil.
 func Pick(home string, regions []Region, rng *rand.Rand) ([]netip.AddrPort, string) {
+	hosts, region := pick(home, regions, rng)
+	if len(hosts) == 0 {
+		return nil, region
+	}
+	return Sample(hosts, mostNamed, rng), region
+}
+
+func pick(home string, regions []Region, rng *rand.Rand) ([]Host, string) {
 	var own, best *Region
 	for i := range regions {
 		r := &regions[i]
--- a/internal/core/steer/steer_test.go
+++ b/internal/core/steer/steer_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-func host(n byte) []netip.AddrPort {
-	return []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)}
+func host(n byte) []Host {
+	return []Host{{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)}}
 }
 
 // TestPick guards against callers that are led to a region that may not take
@@ -45,7 +45,7 @@
 				if (len(got) == 0) != tt.none {
 					t.Fatalf("got %v", got)
 				}
-				if len(got) > 0 && got[0] == host(2)[0] {
+				if len(got) > 0 && got[0] == host(2)[0].Addr {
 					away++
 				}
 			}
@@ -86,3 +86,43 @@
 		t.Errorf("misfit %v after the traffic has changed", m)
 	}
 }
+
+// TestSample is the load of a region of unlike hosts. It guards against small
+// hosts that get as many callers as large ones, and against callers that all
+// get the same few hosts.
+func TestSample(t *testing.T) {
+	var hosts []Host
+	for i := range 25 {
+		h := host(byte(i))[0]
+		h.Weight = 0.2
+		if i < 4 {
+			h.Weight = 0.8
+		}
+		hosts = append(hosts, h)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	const n = 20_000
+	got := make(map[netip.AddrPort]int)
+	for range n {
+		addrs := Sample(hosts, mostNamed, rng)
+		if len(addrs) != mostNamed {
+			t.Fatalf("%d hosts, want %d", len(addrs), mostNamed)
+		}
+		got[addrs[rng.IntN(len(addrs))]]++
+	}
+	large, small := 0, n
+	for _, h := range hosts {
+		c := got[h.Addr]
+		if h.Weight > 0.5 {
+			large = max(large, c)
+		} else {
+			small = min(small, c)
+		}
+	}
+	if small == 0 || float64(large)/float64(small) < 2 || float64(large)/float64(small) > 5 {
+		t.Errorf("a large host got %d callers, a small one %d: want 2 to 5 times as many", large, small)
+	}
+	if addrs := Sample(hosts[:2], mostNamed, rng); len(addrs) != 2 {
+		t.Errorf("%d of two hosts", len(addrs))
+	}
+}
--- a/internal/edge/boot/boot.go
+++ b/internal/edge/boot/boot.go
@@ -42,6 +42,9 @@
 	// up, and Ratio the part of a retry that each request to it earns.
 	Retries int64   `yaml:"retries"`
 	Ratio   float64 `yaml:"ratio"`
+	// Cores is the processor time that the process may take. Hosts with more
+	// of it get more callers.
+	Cores float64 `yaml:"cores"`
 	// Memory is the most that the process may use, in MB.
 	Memory int64 `yaml:"memory"`
 	// Files is the most descriptors that the process may open.
@@ -96,6 +99,9 @@
 	if s.Ratio < 0 || s.Ratio > 1 {
 		errs = append(errs, fmt.Errorf("field ratio: %v is not between 0 and 1", s.Ratio))
 	}
+	if s.Cores < 0 {
+		errs = append(errs, fmt.Errorf("field cores: %v is negative", s.Cores))
+	}
 	for name, n := range map[string]int64{"retries": s.Retries, "memory": s.Memory, "files": int64(s.Files)} {
 		if n < 0 {
 			errs = append(errs, fmt.Errorf("field %s: %d is negative", name, n))
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -99,7 +99,7 @@
 	transport := &http.Transport{DialContext: send.NewDialer(storeDial).DialContext, MaxIdleConnsPerHost: 4}
 	e.exchange = exchange
 	e.fleet = fleet.New(fleet.Options{
-		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer},
+		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer, Cores: settings.Cores},
 		Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds, First: settings.First,
 		Revoke: settings.Revoke, Retries: settings.Retries, RetryRatio: settings.Ratio, Log: log.Logger, Requests: log.Requests,
 		Store: platform.NewStore(settings.Store, transport), Mirror: mirror.NewClient(transport), Count: metrics.Store,
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -49,7 +49,7 @@
 	// save up, and RetryRatio those that each request to it earns.
 	Retries    int64
 	RetryRatio float64
-	Store   track.Store
+	Store      track.Store
 	// Mirror reads from other hosts what they have read from the store.
 	Mirror track.Mirror
 	// Count counts calls of the store.
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -39,9 +39,9 @@
 			case m.Leaving && m.Host.Name == f.opts.Self.Name:
 				// Its listener closes soon.
 			case m.Leaving:
-				r.Leaving = append(r.Leaving, m.Host.Front)
+				r.Leaving = append(r.Leaving, steer.Host{Addr: m.Host.Front, Weight: m.Host.Cores})
 			case m.Ready:
-				r.Hosts = append(r.Hosts, m.Host.Front)
+				r.Hosts = append(r.Hosts, steer.Host{Addr: m.Host.Front, Weight: m.Host.Cores})
 			}
 		}
 		return r
--- a/internal/edge/fleet/place.go
+++ b/internal/edge/fleet/place.go
@@ -1,19 +1,19 @@
 package fleet
 
 import (
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/steer"
 )
 
 // Place is another region that can serve a request.
 type Place struct {
 	Region string
 	// Hosts must not be changed.
-	Hosts []netip.AddrPort
+	Hosts []steer.Host
 	pick.Summary
 	held []uint32
 }
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -3,13 +3,13 @@
 import (
 	"maps"
 	"math"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 )
@@ -33,8 +33,8 @@
 	gossip.Region
 	// made is when it was summed up, on the own steady clock.
 	made time.Time
-	// hosts are the addresses of the members that stay.
-	hosts []netip.AddrPort
+	// hosts are the members that stay, by their address for other hosts.
+	hosts []steer.Host
 }
 
 // staying returns the members that do not leave, or all if all do.
@@ -83,7 +83,7 @@
 	}
 	n := &report{Region: r, made: made}
 	for _, h := range n.staying() {
-		n.hosts = append(n.hosts, h.Peer)
+		n.hosts = append(n.hosts, steer.Host{Addr: h.Peer, Weight: h.Cores})
 	}
 	s.last[r.Name] = n
 	s.fresh[r.Name] = direct
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
@@ -217,14 +218,15 @@
 }
 
 // untried returns one of the hosts that this request was not sent to before.
-func (q *request) untried(hosts []netip.AddrPort) (netip.AddrPort, bool) {
+func (q *request) untried(hosts []steer.Host) (netip.AddrPort, bool) {
 	if len(q.tried) > 0 {
-		hosts = slices.DeleteFunc(slices.Clone(hosts), func(a netip.AddrPort) bool { return slices.Contains(q.tried, a) })
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.tried, h.Addr) })
 	}
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return hosts[rand.IntN(len(hosts))], true
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return steer.Sample(hosts, 1, rng)[0], true
 }
 
 // sendLocal sends the request to a server of the own region.
