Spread requests over servers by what other hosts have sent unseen

Cause: each host sends to the server that is best by the last reports. In a region of 25 hosts all of them send what arrives in 250 ms to the same server: in a model of 36 servers with 12 places requests wait 26 ms for a place at half of the capacity, 35 ms at 70% and 54 ms at 85%. Ruled out in the model: scores raised at random by up to 30% (7, 35, 66 ms), and the best of a random part of the servers (12, 30, 67 ms at best). Change: a host fills servers up to a common level with the requests that it expects the others to have sent since their last report, by its own rate, and draws a server in proportion to what it lacks (core/pick/fill.go). Requests with a prefix still go to the server that holds it. With one host nothing changes.

--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -172,6 +172,30 @@
 	return c
 }
 
+// candidate rates the server for a request.
+func (s *server) candidate(req *Request, svc *spec.Service, rank int, now time.Time) candidate {
+	c := candidate{server: s, cost: s.cost(req, svc, rank, now), slope: batchDelay + ReadTime(req.Prompt)}
+	slots := s.slots(svc)
+	running := s.total().Running
+	if slots == 0 {
+		c.free = math.Inf(1)
+		return c
+	}
+	c.free = float64(max(slots-running, 0))
+	if running >= slots {
+		c.slope += held(svc) / time.Duration(slots)
+	}
+	return c
+}
+
+// held returns how long a request takes a place.
+func held(svc *spec.Service) time.Duration {
+	if svc.Engine {
+		return engineHeld
+	}
+	return plainHeld
+}
+
 // slots returns the number of requests that the server works on at once.
 func (s *server) slots(svc *spec.Service) int { return max(s.Slots, svc.Slots) }
 
@@ -179,11 +203,7 @@
 func (s *server) queue(l Load, svc *spec.Service) time.Duration {
 	var d time.Duration
 	if slots := s.slots(svc); slots > 0 && l.Running >= slots {
-		held := plainHeld
-		if svc.Engine {
-			held = engineHeld
-		}
-		d += held * time.Duration(l.Running-slots+1) / time.Duration(slots)
+		d += held(svc) * time.Duration(l.Running-slots+1) / time.Duration(slots)
 	}
 	if over := float64(l.Memory) - memoryShare*float64(svc.Cache); svc.Cache > 0 && over > 0 {
 		d += 2 * ReadTime(int(over))
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -25,6 +25,8 @@
 	order   []string // sorted, for equal decisions in equal states
 	placed  []placed
 	rng     *rand.Rand
+	// arrivals are the own requests.
+	arrivals arrivals
 }
 
 // NewTable returns an empty table; rng breaks ties.
@@ -75,55 +77,56 @@
 func (t *Table) Pick(req *Request, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, c := t.best(req, now)
-	if best == nil {
+	list := t.candidates(req, now)
+	if len(list) == 0 {
 		return Choice{}, false
 	}
-	load := best.total()
-	t.send(best, req, c.unread, now)
+	t.arrivals.add(now)
+	best := t.choose(req, list)
+	s, c := best.server, best.cost
+	load := s.total()
+	t.send(s, req, c.unread, now)
 	return Choice{
-		ID: best.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
-		server: best, at: now, unread: c.unread, memory: req.Prompt + req.Output,
+		ID: s.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
+		server: s, at: now, unread: c.unread, memory: req.Prompt + req.Output,
 	}, true
 }
 
+// choose returns the candidate for a request. Requests with a prefix go to the
+// server that holds it, as those of other hosts do.
+func (t *Table) choose(req *Request, list []candidate) candidate {
+	unseen := t.unseen()
+	if req.Prefix != 0 || unseen < leastUnseen {
+		return bestOf(list, t.rng)
+	}
+	return fill(list, unseen, t.rng)
+}
+
 // Expect returns the score of the best server for a request, which is
 // compared with that of other regions, and the expected time to the first
 // byte; or false when no server may get the request now.
 func (t *Table) Expect(req *Request, now time.Time) (score, first time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, c := t.best(req, now)
-	return c.score, c.time, best != nil
+	list := t.candidates(req, now)
+	if len(list) == 0 {
+		return 0, 0, false
+	}
+	best := bestOf(list, t.rng)
+	return best.cost.score, best.cost.time, true
 }
 
-// best returns the server with the least score, or nil.
-func (t *Table) best(req *Request, now time.Time) (*server, cost) {
+// candidates returns the servers that may get a request.
+func (t *Table) candidates(req *Request, now time.Time) []candidate {
 	ranks := t.ranks(req.Prefix)
-	var best *server
-	var least cost
-	ties := 1
+	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
 		s := t.servers[id]
-		if !s.usable(req, t.warm.rate(&t.svc, id), now) {
-			continue
-		}
-		c := s.cost(req, &t.svc, ranks[i], now)
-		switch {
-		case best == nil || c.score < least.score:
-			ties = 1
-		case c.score > least.score:
-			continue
-		default:
-			ties++
-			if t.rng.IntN(ties) > 0 {
-				continue
-			}
+		if s.usable(req, t.warm.rate(&t.svc, id), now) {
+			list = append(list, s.candidate(req, &t.svc, ranks[i], now))
 		}
-		best = s
-		least = c
 	}
-	return best, least
+	return list
 }
 
 // ranks returns the rendezvous rank of each server of order for a prefix.
--- a/internal/core/pick/warm.go
+++ b/internal/core/pick/warm.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,8 @@
 	// Settled is set once the host has had time to learn of the others; until
 	// then it sends nothing to cold servers.
 	Settled bool
+	// Reports is the time between reports of these hosts.
+	Reports time.Duration
 }
 
 // rate returns the requests per second that the own host may send to a cold
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/core/spread"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
@@ -177,7 +178,11 @@
 	now := time.Now()
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
-	warm := pick.Warming{Self: f.opts.Self.Name, Hosts: f.nearNames(v, now), Settled: now.Sub(f.started) > settleTime}
+	names := f.nearNames(v, now)
+	warm := pick.Warming{
+		Self: f.opts.Self.Name, Hosts: names, Settled: now.Sub(f.started) > settleTime,
+		Reports: spread.Interval(len(names)),
+	}
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
