Keep soaks that run side by side apart

Cause: two soaks on one address took each other's ports as soon as a host of the other was killed, and overlapping restarts of a host started it twice. None of this was the daemon's doing. Change: a soak's address follows from its process id, a host is started again once however often it was told to end, and the output of hosts is kept when a run fails.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -131,7 +131,7 @@
 	}
 	for i := range soakHosts {
 		s.toStore = append(s.toStore, s.proxy(s.store.Addr()))
-		p := &process{bin: bin, settings: s.settings(i)}
+		p := &process{bin: bin, settings: s.settings(i), log: s.logFile(i)}
 		s.toHost = append(s.toHost, s.proxy(netip.MustParseAddrPort(p.settings["front"].(string))))
 		t.Cleanup(p.kill)
 		s.hosts = append(s.hosts, p)
@@ -142,6 +142,24 @@
 	return s
 }
 
+// logFile returns the file for the output of a host. It is kept when the run
+// fails.
+func (s *soak) logFile(host int) *os.File {
+	f, err := os.CreateTemp("", fmt.Sprintf("soak-%s-host-%d-*.log", s.name, host))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() {
+		_ = f.Close() // the processes have ended
+		if s.t.Failed() {
+			s.t.Logf("log of host %d: %s", host, f.Name())
+			return
+		}
+		_ = os.Remove(f.Name()) // a file that is left does no harm
+	})
+	return f
+}
+
 // proxy starts a proxy before target.
 func (s *soak) proxy(target netip.AddrPort) *proxy.Proxy {
 	p, err := proxy.New(s.addr(), target)
@@ -298,7 +316,7 @@
 				break
 			}
 			if time.Now().After(end) {
-				s.t.Fatalf("host %d does not serve", i)
+				s.t.Fatalf("host %d does not serve: status %d, %s", i, status, s.hosts[i].state())
 			}
 		}
 	}
@@ -457,12 +475,19 @@
 	return m
 }
 
+// soakIP is an address that no other process uses, so that soaks can run side
+// by side: a host that is killed gives its ports free.
+func soakIP() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
+}
+
 // addr returns an address of the soak's own below the range of outgoing
 // connections, so that none of these takes it.
 func (s *soak) addr() netip.AddrPort {
 	s.addrs++
 	for port := 26000 + s.addrs*20; ; port++ {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 10, 1}), uint16(port))
+		addr := netip.AddrPortFrom(soakIP(), uint16(port))
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
 			continue
@@ -481,6 +506,10 @@
 	cmd   *exec.Cmd
 	over  bool
 	ended chan struct{}
+	// restarting is set while the end of the process is awaited, so that it is
+	// started once however often it is told to end.
+	restarting bool
+	log        *os.File // its output
 }
 
 func (p *process) start() error {
@@ -504,6 +533,7 @@
 		return err
 	}
 	cmd := exec.Command(p.bin, f.Name())
+	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -518,6 +548,23 @@
 	return nil
 }
 
+// state tells whether the process runs, and the end of its log.
+func (p *process) state() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := "running"
+	select {
+	case <-p.ended:
+		state = "ended: " + p.cmd.ProcessState.String()
+	default:
+	}
+	b, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return fmt.Sprintf("%s, log: %v", state, err)
+	}
+	return fmt.Sprintf("%s, end of the log:\n%s", state, b[max(0, len(b)-4000):])
+}
+
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -529,11 +576,18 @@
 	p.signal(syscall.SIGCONT)
 	p.signal(sig)
 	p.mu.Lock()
-	ended := p.ended
+	defer p.mu.Unlock()
+	if p.restarting {
+		return
+	}
+	p.restarting = true
 	p.settings["first"] = false
-	p.mu.Unlock()
+	ended := p.ended
 	go func() {
 		<-ended
+		p.mu.Lock()
+		p.restarting = false
+		p.mu.Unlock()
 		_ = p.start() // the final check finds a host that does not serve
 	}()
 }
