Forward nothing to hosts that stop soon

Cause: when all hosts of a region were leaving, they counted as hosts to forward to: the list that falls back to leaving hosts, meant for reports, served both purposes. Change: only the exchange of reports falls back to leaving hosts. The choice of its partners is a function of its own, and the limit of retries is computed once for all services. Before: TestPlaces finds three hosts to forward to.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -183,12 +183,13 @@
 		Self: f.opts.Self.Name, Hosts: names, Settled: now.Sub(f.started) > settleTime,
 		Reports: spread.Interval(len(names)),
 	}
+	retries := retryShare * float64(f.opts.Retries) / float64(f.hosts(v, now))
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
 			s = f.newService(svc)
 		}
-		s.Budget.SetLimit(retryShare * float64(f.opts.Retries) / float64(f.hosts(v, now)))
+		s.Budget.SetLimit(retries)
 		var list []spec.Server
 		for _, e := range v.Servers {
 			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -37,19 +37,14 @@
 	hosts []steer.Host
 }
 
-// staying returns the members that do not leave, or all if all do.
+// staying returns the members that do not leave.
 func (r *report) staying() []spec.Host {
-	var list, leaving []spec.Host
+	var list []spec.Host
 	for _, m := range r.Members {
-		if m.Leaving {
-			leaving = append(leaving, m.Host)
-		} else {
+		if !m.Leaving {
 			list = append(list, m.Host)
 		}
 	}
-	if len(list) == 0 {
-		return leaving
-	}
 	return list
 }
 
@@ -106,6 +101,17 @@
 	return slices.Collect(maps.Values(s.last))
 }
 
+// named returns the names of the hosts that reports name.
+func (s *reports) named() map[string]bool {
+	names := make(map[string]bool)
+	for _, r := range s.all() {
+		for _, m := range r.Members {
+			names[m.Host.Name] = true
+		}
+	}
+	return names
+}
+
 // recent returns the reports of regions that are in contact.
 func (s *reports) recent(now time.Time) []*report {
 	return slices.DeleteFunc(s.all(), func(r *report) bool { return now.Sub(r.made) >= gossip.Lost })
--- a/internal/edge/fleet/report_test.go
+++ b/internal/edge/fleet/report_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/core/spread"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
@@ -141,3 +142,27 @@
 		t.Error("a host that the report names is sent to by one that carries no reports")
 	}
 }
+
+// TestPlaces guards against requests that are forwarded to hosts that stop soon,
+// also when no other host of their region is left. Seen on the bench as a
+// response that was cut when its second host reached the end of its grace time
+// (Hüttenlauf, restarts-under-load --vary --seed 311789186998).
+func TestPlaces(t *testing.T) {
+	f := newFleet(t)
+	leave := func(n int) {
+		r := regionOf("b", 3, 0)
+		r.Services = map[string]pick.Summary{"desk": {Servers: 2}}
+		for i := range n {
+			r.Members[i].Leaving = true
+		}
+		f.reports.take(r, time.Now(), true)
+	}
+	leave(1)
+	if places := f.Places("desk"); len(places) != 1 || len(places[0].Hosts) != 2 {
+		t.Errorf("one of three hosts leaves: %+v", places)
+	}
+	leave(3)
+	if places := f.Places("desk"); len(places) != 0 {
+		t.Errorf("all hosts leave: %+v", places)
+	}
+}
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -131,28 +131,14 @@
 // and the seeds while nothing else is known.
 func (f *Fleet) farTargets(near, far []gossip.Peer, now time.Time) []netip.AddrPort {
 	targets := make(map[netip.AddrPort]bool)
-	members := make(map[string]bool)
-	registered := f.farHosts()
-	for region, hosts := range registered {
-		r := f.reports.get(region)
-		width := spread.Width(f.gap(r, now))
-		if r != nil {
-			for _, m := range r.Members {
-				members[m.Host.Name] = true
-			}
-			if width < spread.All {
-				hosts = r.staying()
-			}
-		}
-		if f.Rank() >= width {
-			continue
-		}
-		for _, h := range spread.Order(hosts)[:min(width, len(hosts))] {
+	for region, hosts := range f.farHosts() {
+		for _, h := range f.partners(region, hosts, now) {
 			targets[h.Peer] = true
 		}
 	}
+	named := f.reports.named()
 	for _, p := range far {
-		if !members[p.State.Host.Name] {
+		if !named[p.State.Host.Name] {
 			targets[p.Addr()] = true
 		}
 	}
@@ -164,6 +150,23 @@
 	return f.others(targets)
 }
 
+// partners returns the hosts of another region with which this host exchanges
+// reports. The argument hosts are all that are known of the region: they are
+// needed when the last report may be wrong.
+func (f *Fleet) partners(region string, hosts []spec.Host, now time.Time) []spec.Host {
+	r := f.reports.get(region)
+	width := spread.Width(f.gap(r, now))
+	if f.Rank() >= width {
+		return nil
+	}
+	if width < spread.All {
+		if staying := r.staying(); len(staying) > 0 {
+			hosts = staying
+		}
+	}
+	return spread.Order(hosts)[:min(width, len(hosts))]
+}
+
 // farHosts returns the hosts of each other region that registered or that the
 // last report of the region names.
 func (f *Fleet) farHosts() map[string][]spec.Host {
