Take addresses of tests from one place

Cause: the tests of internal/edge/entry and the soak each searched for free ports on an address of their own. Change: port.Own returns addresses that are the process's own. The tests of yuccalbd stay on 127.0.0.1: with such addresses its hosts did not find each other within a minute (TestStopDuringOutage and others of cmd/yuccalbd; not looked into).

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/internal/fake/port"
 	"github.com/yuccalb/yuccalb/internal/fake/proxy"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
@@ -68,7 +69,6 @@
 	hosts   []*process
 	servers []*origin.Server
 	faulty  []*fault
-	addrs   int // handed out by addr
 	// proxies stand before servers, before the store for each host, and
 	// before each host for its callers.
 	proxies  []*proxy.Proxy
@@ -475,26 +475,14 @@
 	return m
 }
 
-// soakIP is an address that no other process uses, so that soaks can run side
-// by side: a host that is killed gives its ports free.
-func soakIP() netip.Addr {
-	pid := os.Getpid()
-	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
-}
-
-// addr returns an address of the soak's own below the range of outgoing
-// connections, so that none of these takes it.
+// addr returns an address of the soak's own.
 func (s *soak) addr() netip.AddrPort {
-	s.addrs++
-	for port := 26000 + s.addrs*20; ; port++ {
-		addr := netip.AddrPortFrom(soakIP(), uint16(port))
-		l, err := net.Listen("tcp4", addr.String())
-		if err != nil {
-			continue
-		}
-		_ = l.Close() // it was opened to see whether the port is free
-		return addr
+	s.t.Helper()
+	addr, err := port.Own()
+	if err != nil {
+		s.t.Fatal(err)
 	}
+	return addr
 }
 
 // process is one daemon, which is started again when it ends.
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/internal/fake/port"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
@@ -62,26 +63,14 @@
 	return w
 }
 
-// ports hands out ports below the range of outgoing connections, so that none
-// of these takes one before its host listens on it.
-var ports atomic.Uint32
-
-// freeAddr returns an address that nobody listens on. Its IP address is not that
-// of other packages, whose tests run at the same time.
+// freeAddr returns an address that nobody listens on.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for range 1000 {
-		port := uint16(15000 + ports.Add(1)%10000)
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, 1}), port)
-		l, err := net.Listen("tcp4", addr.String())
-		if err != nil {
-			continue
-		}
-		_ = l.Close() // it was opened to see whether the port is free
-		return addr
+	addr, err := port.Own()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
+	return addr
 }
 
 // settings returns those of a new host.
--- a/internal/fake/port/port.go
+++ b/internal/fake/port/port.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 )
 
 // Ports are taken from below the range that systems use for outgoing
@@ -21,9 +23,29 @@
 
 // Free returns a loopback address on which nothing listened a moment ago.
 func Free() (netip.AddrPort, error) {
+	ip := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	return find(ip, func() int { return rand.IntN(highest - lowest) })
+}
+
+// handed counts the addresses that Own has returned.
+var handed atomic.Uint32
+
+// Own returns a loopback address that it has not returned before and that no
+// other process gets from it. Tests use it: they run side by side, and a daemon
+// that was stopped gives its ports free to those of other tests, which then hear
+// what is meant for it.
+func Own() (netip.AddrPort, error) {
+	pid := os.Getpid()
+	// Process ids have at most 22 bits.
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
+	return find(ip, func() int { return int(handed.Add(1)) % (highest - lowest) })
+}
+
+// find tries ports until nothing listens on one.
+func find(ip netip.Addr, offset func() int) (netip.AddrPort, error) {
 	var last error
 	for range tries {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(lowest+rand.IntN(highest-lowest)))
+		addr := netip.AddrPortFrom(ip, uint16(lowest+offset()))
 		ln, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			last = err
