Work out a cold server's rate only for cold servers

Cause: each decision worked out, for every server, the rate that a cold one may get, a hash for each host of the region, and summed up its load twice. Change: the rate is asked for once a server is known to be cold or on probation, and the load is summed up once per candidate. What is decided stays the same.

--- a/internal/core/pick/fill.go
+++ b/internal/core/pick/fill.go
@@ -19,6 +19,7 @@
 // candidate is a server that may get a request.
 type candidate struct {
 	server *server
+	load   Load // of all hosts
 	cost   cost
 	// free is the number of places in its batch, and slope what each further
 	// request adds to its score.
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -100,8 +100,10 @@
 	s.allowAt = now
 }
 
-// usable reports whether a request may be sent to the server.
-func (s *server) usable(req *Request, warm float64, now time.Time) bool {
+// usable reports whether a request may be sent to the server. The rate of a
+// cold server is worked out only if the server is one: it takes a hash for each
+// host of the region.
+func (s *server) usable(req *Request, svc *spec.Service, warm *Warming, now time.Time) bool {
 	if s.Leaving || s.evacuated || slices.Contains(req.Exclude, s.ID) {
 		return false
 	}
@@ -111,7 +113,7 @@
 	if !s.limited(now) {
 		return true
 	}
-	rate := warm
+	rate := warm.rate(svc, s.ID)
 	if rate < 0 {
 		if !s.probation {
 			return true
@@ -144,10 +146,9 @@
 	unread int
 }
 
-// cost rates the server for a request; rank is that of the server for the
-// prefix.
-func (s *server) cost(req *Request, svc *spec.Service, rank int, now time.Time) cost {
-	l := s.total()
+// cost rates the server under a load for a request; rank is that of the server
+// for the prefix.
+func (s *server) cost(l Load, req *Request, svc *spec.Service, rank int, now time.Time) cost {
 	slow := s.slowness(now)
 	hit := 0
 	if req.Prefix != 0 && s.cache.holds(req.Prefix, now) {
@@ -174,15 +175,15 @@
 
 // candidate rates the server for a request.
 func (s *server) candidate(req *Request, svc *spec.Service, rank int, now time.Time) candidate {
-	c := candidate{server: s, cost: s.cost(req, svc, rank, now), slope: batchDelay + ReadTime(req.Prompt)}
+	l := s.total()
+	c := candidate{server: s, load: l, cost: s.cost(l, req, svc, rank, now), slope: batchDelay + ReadTime(req.Prompt)}
 	slots := s.slots(svc)
-	running := s.total().Running
 	if slots == 0 {
 		c.free = math.Inf(1)
 		return c
 	}
-	c.free = float64(max(slots-running, 0))
-	if running >= slots {
+	c.free = float64(max(slots-l.Running, 0))
+	if l.Running >= slots {
 		c.slope += held(svc) / time.Duration(slots)
 	}
 	return c
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -84,10 +84,9 @@
 	t.arrivals.add(now)
 	best := t.choose(req, list)
 	s, c := best.server, best.cost
-	load := s.total()
 	t.send(s, req, c.unread, now)
 	return Choice{
-		ID: s.ID, Expected: c.time, Load: load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
+		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
 		server: s, at: now, unread: c.unread, memory: req.Prompt + req.Output,
 	}, true
 }
@@ -122,7 +121,7 @@
 	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
 		s := t.servers[id]
-		if s.usable(req, t.warm.rate(&t.svc, id), now) {
+		if s.usable(req, &t.svc, &t.warm, now) {
 			list = append(list, s.candidate(req, &t.svc, ranks[i], now))
 		}
 	}
@@ -315,7 +314,7 @@
 			continue
 		}
 		sum.Servers++
-		waits = append(waits, s.cost(&Request{}, &t.svc, 0, now).time)
+		waits = append(waits, s.cost(s.total(), &Request{}, &t.svc, 0, now).time)
 	}
 	if sum.Servers > 0 {
 		sum.Wait = lowerMean(waits)
