Derive whether a retry is paid for from the result of the attempt

Cause: a request kept a flag for a retry that the budget had paid for, set and cleared in two files, although just the attempts whose answer is held back are paid for beforehand. Change: the result says so.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -70,9 +70,8 @@
 	if q.left() <= 0 || cancelled(q.r.Context()) || !q.rules().Allows(res, q.tally) {
 		return false
 	}
-	if q.paid {
-		q.paid = false
-		return true
+	if res == retry.Answered {
+		return true // paid for when the answer was held back
 	}
 	return q.tally.Pays(budget(svc))
 }
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -95,17 +95,13 @@
 }
 
 // retryable reports whether a server's error can be replaced by another
-// attempt.
+// attempt, and takes that from the budget.
 func (q *request) retryable() bool {
 	if q.forwarded || q.left() < minRetry || !q.rules().Allows(retry.Answered, q.tally) {
 		return false
 	}
 	b := budget(q.s.fleet.Service(q.service))
-	if b == nil || !b.Take() {
-		return false
-	}
-	q.paid = true
-	return true
+	return b != nil && b.Take()
 }
 
 // minRetry is the least time left for another attempt.
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -58,7 +58,6 @@
 	orgName   string
 
 	taken  float64 // from the limit of the organisation
-	paid   bool    // the budget has paid for the next retry
 	tally  retry.Tally
 	tried  []netip.AddrPort
 	reason string
