Keep what a host has read in one view

Cause: what a tracker had read stood in three places: the view, with the fields of the last listing copied one by one, the listing itself, and the configuration as it was read; a flag said whether the listing had lapsed servers. The fleet and the mirror had an accessor for each. Change: a view holds the item and embeds the listing; what can be derived (Listed, Usable, lapsed servers) is. The mirror reads the view. Behaviour is unchanged: the tests of internal/edge pass, those of track, mirror and fleet also with the race detector; their assertions read the same values under their new names.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -20,7 +20,6 @@
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
-	"github.com/yuccalb/yuccalb/platform"
 )
 
 // proofMargin is kept below the time within which withdrawn keys must stop
@@ -134,12 +133,6 @@
 // Home returns the own region.
 func (f *Fleet) Home() string { return f.opts.Region }
 
-// Item implements mirror.Reader.
-func (f *Fleet) Item() *platform.Item { return f.tracker.Item() }
-
-// Listing implements mirror.Reader.
-func (f *Fleet) Listing() *track.Listing { return f.tracker.Listing() }
-
 // Leave marks the host as leaving and tells the others at once.
 func (f *Fleet) Leave() {
 	f.leaving.Store(true)
@@ -160,9 +153,9 @@
 func (f *Fleet) Ready() bool {
 	v := f.View()
 	proved, fresh := f.KeyAge()
-	ready := !f.Leaving() && v.Snapshot != nil && v.Listed && fresh
+	ready := !f.Leaving() && v.Snapshot != nil && v.Listed() && fresh
 	if f.ready.Swap(ready) != ready {
-		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Int64("config", v.Rev), zap.Duration("proof_age", proved), zap.Bool("listed", v.Listed))
+		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Int64("config", v.Item.Rev), zap.Duration("proof_age", proved), zap.Bool("listed", v.Listed()))
 	}
 	return ready
 }
@@ -172,7 +165,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.View()
-	if v.Snapshot == nil || !v.Listed {
+	if v.Snapshot == nil || !v.Listed() {
 		return
 	}
 	now := time.Now()
@@ -191,7 +184,7 @@
 		}
 		s.Budget.SetLimit(retries)
 		var list []spec.Server
-		for _, e := range v.Servers {
+		for _, e := range v.Usable() {
 			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
 				list = append(list, e)
 			}
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -142,7 +142,7 @@
 			targets[p.Addr()] = true
 		}
 	}
-	if !f.View().Listed || len(near)+len(far) == 0 {
+	if !f.View().Listed() || len(near)+len(far) == 0 {
 		for _, s := range *f.seeds.Load() {
 			targets[netip.AddrPortFrom(s.Addr(), f.opts.Self.Peer.Port())] = true
 		}
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -51,10 +51,7 @@
 }
 
 // Reader is what a host has read.
-type Reader interface {
-	Item() *platform.Item
-	Listing() *track.Listing
-}
+type Reader interface{ View() *track.View }
 
 // Wanted reports whether a request of another host asks for state.
 func Wanted(r *http.Request) bool { return r.Header.Get(header) != "" }
@@ -62,16 +59,13 @@
 // Handler answers requests for state.
 func Handler(src Reader) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v := src.View()
 		var body any
-		switch r.Header.Get(header) {
-		case kindConfig:
-			if it := src.Item(); it != nil {
-				body = config{Rev: it.Rev, Value: it.Value}
-			}
-		case kindEntries:
-			if l := src.Listing(); l != nil {
-				body = encode(l, time.Now())
-			}
+		switch kind := r.Header.Get(header); {
+		case kind == kindConfig && v.Snapshot != nil:
+			body = config{Rev: v.Item.Rev, Value: v.Item.Value}
+		case kind == kindEntries && v.Listed():
+			body = encode(v.Listing, time.Now())
 		}
 		if body == nil {
 			w.WriteHeader(http.StatusNotFound)
--- a/internal/edge/mirror/mirror_test.go
+++ b/internal/edge/mirror/mirror_test.go
@@ -17,14 +17,10 @@
 	"github.com/yuccalb/yuccalb/platform"
 )
 
-// host is a Reader with fixed answers.
-type host struct {
-	item    *platform.Item
-	listing *track.Listing
-}
+// host is a Reader with a fixed answer.
+type host struct{ view track.View }
 
-func (h *host) Item() *platform.Item    { return h.item }
-func (h *host) Listing() *track.Listing { return h.listing }
+func (h *host) View() *track.View { return &h.view }
 
 func serve(t *testing.T, h *host) netip.AddrPort {
 	t.Helper()
@@ -38,9 +34,10 @@
 func TestMirror(t *testing.T) {
 	now := time.Now()
 	addr := netip.MustParseAddrPort("10.0.0.1:80")
-	want := &host{
-		item: &platform.Item{Key: platform.ConfigKey, Value: []byte("{}"), Rev: 7},
-		listing: &track.Listing{
+	want := &host{track.View{
+		Snapshot: spec.NewSnapshot(spec.Config{}),
+		Item:     platform.Item{Key: platform.ConfigKey, Value: []byte("{}"), Rev: 7},
+		Listing: &track.Listing{
 			Entries: platform.Entries{
 				Servers:   []spec.Server{{ID: "s1", Service: "desk", Addr: addr, Site: "a1", Slots: 3, Warm: time.Second, Born: 5, Seq: 6}},
 				Hosts:     []spec.Host{{Name: "h1", Site: "a1", Front: addr, Peer: addr}},
@@ -49,14 +46,14 @@
 			List: 9, Asked: now.Add(-time.Second), Answered: now.Add(-900 * time.Millisecond),
 			Lapsed: []spec.Server{{ID: "s2", Service: "desk", Addr: addr}}, Until: now.Add(time.Second),
 		},
-	}
+	}}
 	c := NewClient(http.DefaultTransport)
 	from := serve(t, want)
 	it, err := c.Config(t.Context(), from)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(*want.item, it); diff != "" {
+	if diff := cmp.Diff(want.view.Item, it); diff != "" {
 		t.Errorf("configuration:\n%s", diff)
 	}
 	l, err := c.Entries(t.Context(), from)
@@ -64,11 +61,11 @@
 		t.Fatal(err)
 	}
 	opts := []cmp.Option{cmpopts.EquateApproxTime(5 * time.Second), cmpopts.EquateComparable(netip.AddrPort{})}
-	if diff := cmp.Diff(want.listing, l, opts...); diff != "" {
+	if diff := cmp.Diff(want.view.Listing, l, opts...); diff != "" {
 		t.Errorf("listing:\n%s", diff)
 	}
-	if l.Answered.Before(want.listing.Answered) {
-		t.Errorf("answered %v earlier than it was, which makes cold servers look warm", want.listing.Answered.Sub(l.Answered))
+	if l.Answered.Before(want.view.Answered) {
+		t.Errorf("answered %v earlier than it was, which makes cold servers look warm", want.view.Answered.Sub(l.Answered))
 	}
 }
 
@@ -76,7 +73,7 @@
 // none.
 func TestNothingRead(t *testing.T) {
 	c := NewClient(http.DefaultTransport)
-	from := serve(t, &host{})
+	from := serve(t, &host{track.View{Listing: &track.Listing{}}})
 	if _, err := c.Config(t.Context(), from); !errors.Is(err, ErrNone) {
 		t.Errorf("configuration: %v, want %v", err, ErrNone)
 	}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -171,7 +171,7 @@
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
 	}
 	q.choice = c
-	q.listed = q.s.fleet.View().At
+	q.listed = q.s.fleet.View().Asked
 	return c, true, nil
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -162,7 +162,7 @@
 	if v.Snapshot == nil {
 		return &refusal{http.StatusServiceUnavailable, reasonNoConfig, retryState}
 	}
-	q.rev = v.Rev
+	q.rev = v.Item.Rev
 	path, ok := q.path()
 	if !ok || q.id == "" {
 		return &refusal{http.StatusBadRequest, reasonBad, 0}
--- a/internal/edge/track/mirror.go
+++ b/internal/edge/track/mirror.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
@@ -20,19 +19,6 @@
 	avoidTime = time.Second
 )
 
-// Listing is one read of the entries.
-type Listing struct {
-	platform.Entries
-	// List is the revision of the store.
-	List int64
-	// Asked and Answered are the times of the read.
-	Asked, Answered time.Time
-	// Lapsed are servers whose entries were missing at the first read after
-	// an outage of the store. They are kept until they should be back.
-	Lapsed []spec.Server
-	Until  time.Time
-}
-
 // Mirror reads from other hosts what they have read from the store.
 type Mirror interface {
 	Config(ctx context.Context, host netip.AddrPort) (platform.Item, error)
@@ -45,12 +31,6 @@
 	Known
 }
 
-// Listing returns the last read of the entries, nil before the first.
-func (t *Tracker) Listing() *Listing { return t.listing.Load() }
-
-// Item returns the configuration in force as it was read, nil before the first.
-func (t *Tracker) Item() *platform.Item { return t.item.Load() }
-
 func (t *Tracker) sources() []Source {
 	if t.opts.Mirror == nil || t.opts.Sources == nil {
 		return nil
--- a/internal/edge/track/mirror_test.go
+++ b/internal/edge/track/mirror_test.go
@@ -27,14 +27,14 @@
 	if o.down.Load() {
 		return platform.Item{}, errors.New("no answer")
 	}
-	return *o.Item(), nil
+	return o.View().Item, nil
 }
 
 func (o *other) Entries(context.Context, netip.AddrPort) (*Listing, error) {
 	if o.down.Load() {
 		return nil, errors.New("no answer")
 	}
-	return o.Listing(), nil
+	return o.View().Listing, nil
 }
 
 func (o *other) sources() []Source { return []Source{{Addr: addr, Known: o.Known()}} }
@@ -76,7 +76,7 @@
 	t.Parallel()
 	s := newStore(t)
 	o := &other{Tracker: start(t, s, 0)}
-	eventually(t, "other host has read", func() bool { return o.View().Listed && o.View().Snapshot != nil })
+	eventually(t, "other host has read", func() bool { return o.View().Listed() && o.View().Snapshot != nil })
 	unreachable := newStore(t)
 	unreachable.Break(func(*http.Request) int { return http.StatusServiceUnavailable })
 	tr := startBeside(t, unreachable.Addr(), o)
@@ -99,10 +99,10 @@
 	t.Parallel()
 	s := newStore(t)
 	o := &other{Tracker: start(t, s, 0)}
-	eventually(t, "other host has read", func() bool { return o.View().Listed })
+	eventually(t, "other host has read", func() bool { return o.View().Listed() })
 	tr := startBeside(t, s.Addr(), o)
 	exchange(t, tr, o)
-	eventually(t, "entries", func() bool { return tr.View().Listed })
+	eventually(t, "entries", func() bool { return tr.View().Listed() })
 	o.down.Store(true)
 	s.PutServer("s1", "desk", "a1", addr, "ready")
 	s.PutConfig(plattest.Config{Version: 2})
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -51,7 +51,7 @@
 }
 
 func (t *Tracker) knows(id string) bool {
-	return slices.ContainsFunc(t.View().Servers, func(s spec.Server) bool { return s.ID == id })
+	return slices.ContainsFunc(t.View().Usable(), func(s spec.Server) bool { return s.ID == id })
 }
 
 // TestFollows guards against changes of the store that a host does not notice.
@@ -65,7 +65,7 @@
 	s.PutServer("s1", "desk", "a1", addr, "ready")
 	eventually(t, "server", func() bool { return tr.knows("s1") })
 	s.PutServer("s1", "desk", "a1", addr, "draining")
-	eventually(t, "leaving server", func() bool { return tr.knows("s1") && tr.View().Servers[0].Leaving })
+	eventually(t, "leaving server", func() bool { return tr.knows("s1") && tr.View().Usable()[0].Leaving })
 	s.Evacuate("a1")
 	eventually(t, "evacuation", func() bool { return slices.Contains(tr.View().Evacuated, "a1") })
 	if age, known := tr.ProofAge(); !known || age > patience {
@@ -175,9 +175,9 @@
 	s.Break(func(*http.Request) int { time.Sleep(slow); return 0 })
 	began := time.Now()
 	tr := start(t, s, 0)
-	eventually(t, "entries", func() bool { return tr.View().Listed })
-	if v := tr.View(); v.Answered.Sub(v.At) < slow || v.Answered.Before(began.Add(slow)) {
-		t.Errorf("asked at %v, answered at %v", v.At.Sub(began), v.Answered.Sub(began))
+	eventually(t, "entries", func() bool { return tr.View().Listed() })
+	if v := tr.View(); v.Answered.Sub(v.Asked) < slow || v.Answered.Before(began.Add(slow)) {
+		t.Errorf("asked at %v, answered at %v", v.Asked.Sub(began), v.Answered.Sub(began))
 	}
 }
 
--- a/internal/edge/track/view.go
+++ b/internal/edge/track/view.go
@@ -4,30 +4,45 @@
 package track
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/platform"
 )
 
 // View is what a host believes at one moment. It is immutable.
 type View struct {
 	// Snapshot is the configuration in force, nil while none is known, and
-	// Rev its revision in the store.
+	// Item what was read, with its revision in the store.
 	Snapshot *spec.Snapshot
-	Rev      int64
-	Servers  []spec.Server
-	Hosts    []spec.Host
-	// Evacuated are data centres whose servers get no requests.
-	Evacuated []string
-	// At is when the entries were asked for and Answered when they arrived:
-	// what they say of remaining times holds from then on at the latest. List
-	// is the revision of the store, and Digest that of the entries.
-	At, Answered time.Time
-	List         int64
-	Digest       uint64
-	// Listed is set once the entries were read.
-	Listed bool
+	Item     platform.Item
+	// Listing is the last read of the entries, an empty one before the first,
+	// and Digest that of the entries.
+	*Listing
+	Digest uint64
+}
+
+// Listed reports whether the entries were read.
+func (v *View) Listed() bool { return !v.Answered.IsZero() }
+
+// Usable returns the servers that are registered and those that should be back
+// soon.
+func (v *View) Usable() []spec.Server { return slices.Concat(v.Servers, v.Lapsed) }
+
+// Listing is one read of the entries, by this host or another.
+type Listing struct {
+	platform.Entries
+	// List is the revision of the store.
+	List int64
+	// Asked and Answered are the times of the read: what the entries say of
+	// remaining times holds from the latter on at the latest.
+	Asked, Answered time.Time
+	// Lapsed are servers whose entries were missing at the first read after
+	// an outage of the store. They are kept until they should be back.
+	Lapsed []spec.Server
+	Until  time.Time
 }
 
 // Proof is the latest time, on the clock of package clock, at which the
