Name the settings variable in one place

Cause: the command line repeated the name of the environment variable that package platform defines, and nothing else used the definition. Change: the command line takes it from there; the help and the exit codes are as before.

--- a/cmd/yuccalbe/main.go
+++ b/cmd/yuccalbe/main.go
@@ -15,6 +15,7 @@
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/entry"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
+	"github.com/yuccalb/yuccalb/platform"
 )
 
 // Exit codes of the daemon.
@@ -26,14 +27,14 @@
 
 // args is the command line.
 type args struct {
-	Settings string `arg:"" optional:"" env:"YUCCALB_NODE_FILE" help:"Settings file (YAML)."`
+	Settings string `arg:"" optional:"" env:"${settings}" help:"Settings file (YAML)."`
 	Check    bool   `help:"Check the settings and exit."`
 	Debug    bool   `help:"Log debug messages."`
 }
 
 func main() {
 	var a args
-	kong.Parse(&a, kong.Name("yuccalbe"), kong.Description("Gateway daemon for a platform whose store holds the configuration. It stops gracefully on SIGTERM or SIGINT and reads its settings again on SIGHUP."))
+	kong.Parse(&a, kong.Name("yuccalbe"), kong.Vars{"settings": platform.SettingsVariable}, kong.Description("Gateway daemon for a platform whose store holds the configuration. It stops gracefully on SIGTERM or SIGINT and reads its settings again on SIGHUP."))
 	os.Exit(run(a))
 }
 
