--- a/cmd/yuccalbd/daemon_test.go
+++ b/cmd/yuccalbd/daemon_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	for _, d := range f.daemons {
-		if strings.Contains(d.log.String(), f.key) {
+		if strings.Contains(d.Log(), f.key) {
 			t.Error("a log holds the key")
 		}
 	}
@@ -106,7 +106,7 @@
 	}
 	f.platform.SetFault("", infra.Fault{Down: true})
 	f.signal(f.daemons[1], syscall.SIGKILL)
-	<-f.daemons[1].exited
+	_ = f.daemons[1].Wait() // it was killed
 	f.start(f.daemons[1])
 	f.eventually("a restarted host has the version in force", func() error {
 		s, err := f.status(f.daemons[1])
@@ -159,7 +159,7 @@
 	}
 	for _, d := range f.daemons {
 		f.signal(d, syscall.SIGTERM)
-		if err := <-d.exited; err != nil {
+		if err := d.Wait(); err != nil {
 			t.Errorf("exit of %s: %v", d.peer, err)
 		}
 		f.start(d)
--- a/cmd/yuccalbd/fleet_test.go
+++ b/cmd/yuccalbd/fleet_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,10 +9,8 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,9 +19,12 @@
 	"github.com/yuccalb/yuccalb/internal/adapt/store"
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/admin"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/internal/fake/caller"
 	"github.com/yuccalb/yuccalb/internal/fake/infra"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/port"
+	"github.com/yuccalb/yuccalb/internal/fake/proc"
 	"github.com/yuccalb/yuccalb/internal/fake/server"
 )
 
@@ -36,9 +36,8 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "yuccalbd")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("build: %v: %s", err, out))
+	if binary, err = proc.Build(dir); err != nil {
+		panic(err)
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
@@ -65,28 +64,7 @@
 type daemon struct {
 	site              string
 	http, peer, admin netip.AddrPort
-	settings          string
-	cmd               *exec.Cmd
-	log               *syncBuffer
-	exited            chan error
-}
-
-// syncBuffer collects the log of a process.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
+	*proc.Process
 }
 
 // newFleet starts stand-ins and one daemon per given data centre. The engine
@@ -103,15 +81,16 @@
 	f.publish()
 	dir := f.credentials()
 	for _, site := range sites {
-		d := &daemon{site: site, http: freeAddr(t), peer: freeAddr(t), admin: freeAddr(t)}
+		d := &daemon{site: site, http: local.Addr(t), peer: local.Addr(t), admin: local.Addr(t)}
 		text := fmt.Sprintf("site: %s\nhttp: %s\npeer: %s\nadmin: %s\nplatform: %s\nsecret: %[6]s/secret\ntls: {cert: %[6]s/host.pem, key: %[6]s/host-key.pem, ca: %[6]s/ca.pem}\ndrain: 20s\n", site, d.http, d.peer, d.admin, f.url, dir)
 		if len(f.daemons) > 0 {
 			text += fmt.Sprintf("peers: [%q]\n", f.daemons[0].peer)
 		}
-		d.settings = filepath.Join(t.TempDir(), "settings.yaml")
-		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		settings := filepath.Join(t.TempDir(), "settings.yaml")
+		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
+		d.Process = proc.New(t, binary, settings)
 		f.daemons = append(f.daemons, d)
 		f.start(d)
 	}
@@ -120,7 +99,7 @@
 }
 
 // credentials writes the secret for tickets, a certificate authority and a
-// certificate for the loopback address, and returns their folder.
+// certificate for the address of the daemons, and returns their folder.
 func (f *fleet) credentials() string {
 	f.t.Helper()
 	dir, now := f.t.TempDir(), time.Now()
@@ -132,7 +111,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	cert, key, err := ca.Host("host", []netip.Addr{netip.MustParseAddr("127.0.0.1")}, now, time.Hour)
+	cert, key, err := ca.Host("host", []netip.Addr{port.IP()}, now, time.Hour)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -153,16 +132,6 @@
 	return s.URL
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr(t testing.TB) netip.AddrPort {
-	t.Helper()
-	addr, err := port.Free()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 // config returns two regions with one data centre each, which has as many slots
 // as hosts.
 func (f *fleet) config(engineURL, deskURL string, sites []string) *model.Config {
@@ -207,21 +176,9 @@
 // start runs a daemon.
 func (f *fleet) start(d *daemon) {
 	f.t.Helper()
-	d.log, d.exited = &syncBuffer{}, make(chan error, 1)
-	d.cmd = exec.Command(binary, d.settings)
-	d.cmd.Stderr = d.log
-	if err := d.cmd.Start(); err != nil {
+	if err := d.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	cmd, exited := d.cmd, d.exited
-	go func() { exited <- cmd.Wait() }()
-	f.t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGCONT)
-		_ = cmd.Process.Kill()
-		if f.t.Failed() {
-			f.t.Logf("log of %s:\n%s", d.peer, d.log)
-		}
-	})
 }
 
 // ready waits until all running daemons know each other.
@@ -253,17 +210,7 @@
 // eventually waits until check holds.
 func (f *fleet) eventually(what string, check func() error) {
 	f.t.Helper()
-	end := time.Now().Add(patience)
-	for {
-		err := check()
-		if err == nil {
-			return
-		}
-		if time.Now().After(end) {
-			f.t.Fatalf("not within %s: %s: %v", patience, what, err)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
+	await.For(f.t, patience, what, check)
 }
 
 // hosts returns the addresses that a daemon tells callers to use.
@@ -343,7 +290,7 @@
 // signal sends a signal to a daemon.
 func (f *fleet) signal(d *daemon, s syscall.Signal) {
 	f.t.Helper()
-	if err := d.cmd.Process.Signal(s); err != nil {
+	if err := d.Signal(s); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/cmd/yuccalbd/stop_test.go
+++ b/cmd/yuccalbd/stop_test.go
@@ -22,7 +22,7 @@
 			if err := (<-ended).Failure(); err != nil {
 				t.Errorf("the running request: %v", err)
 			}
-			if err := <-leaving.exited; err != nil {
+			if err := leaving.Wait(); err != nil {
 				t.Errorf("exit: %v", err)
 			}
 			// Tokens of the limits come back some seconds after a change of
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -1,27 +1,27 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
-	"github.com/yuccalb/yuccalb/internal/fake/port"
+	"github.com/yuccalb/yuccalb/internal/fake/proc"
 	"github.com/yuccalb/yuccalb/internal/fake/proxy"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
@@ -41,6 +41,10 @@
 	soakRevoke  = 3 * time.Second
 	// slack is added to bounds in time for a busy machine.
 	slack = time.Second
+	// servedWait bounds the wait until a host serves, answerWait that for an
+	// answer.
+	servedWait = 20 * time.Second
+	answerWait = 5 * time.Second
 )
 
 // TestSoak runs the daemon as separate processes, injects faults from outside
@@ -49,9 +53,9 @@
 // complete response is that of its own request, no key reaches a server, and a
 // withdrawn key stops working.
 func TestSoak(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "yuccalbe")
-	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	bin, err := proc.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
@@ -66,9 +70,11 @@
 	t       *testing.T
 	rng     *rand.Rand
 	store   *plattest.Store
-	hosts   []*process
+	dir     string           // of the settings
+	configs []map[string]any // settings of the hosts
+	hosts   []*proc.Process
 	servers []*origin.Server
-	faulty  []*fault
+	faults  []*atomic.Int32 // of the servers
 	// proxies stand before servers, before the store for each host, and
 	// before each host for its callers.
 	proxies  []*proxy.Proxy
@@ -85,25 +91,7 @@
 	served    int
 }
 
-// fault is what a server does to its requests.
-type fault struct {
-	mu   sync.Mutex
-	kind int
-}
-
-func (f *fault) set(kind int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.kind = kind
-}
-
-func (f *fault) get() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.kind
-}
-
-// Faults of servers.
+// What a server does to its requests.
 const (
 	healthy = iota
 	resets
@@ -115,54 +103,38 @@
 
 func newSoak(t *testing.T, bin string, seed uint64) *soak {
 	s := &soak{
-		name: fmt.Sprintf("%d-%d", os.Getpid(), seed), t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: plattest.NewStore(), runs: make(map[string]int),
+		name: fmt.Sprintf("%d-%d", os.Getpid(), seed), t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, seed)), store: plattest.NewStore(), runs: make(map[string]int),
 		sent: make(map[string]string), notRun: make(map[string]bool), withdrawn: make(map[string]time.Time),
 	}
 	t.Cleanup(s.store.Close)
 	s.configure()
 	for i := range soakServers {
-		f := &fault{}
-		srv := origin.New(s.addr(), s.script(f, s.serverID(i)))
+		f := &atomic.Int32{}
+		srv := origin.New(local.Addr(s.t), s.script(f, s.serverID(i)))
 		t.Cleanup(srv.Close)
 		s.servers = append(s.servers, srv)
-		s.faulty = append(s.faulty, f)
+		s.faults = append(s.faults, f)
 		s.toServer = append(s.toServer, s.proxy(srv.Addr()))
 		s.register(i)
 	}
 	for i := range soakHosts {
 		s.toStore = append(s.toStore, s.proxy(s.store.Addr()))
-		p := &process{bin: bin, settings: s.settings(i), log: s.logFile(i)}
-		s.toHost = append(s.toHost, s.proxy(netip.MustParseAddrPort(p.settings["front"].(string))))
-		t.Cleanup(p.kill)
+		front := local.Addr(s.t)
+		s.toHost = append(s.toHost, s.proxy(front))
+		s.configs = append(s.configs, s.settings(i, front))
+		s.write(s.path(i), s.configs[i])
+		p := proc.New(t, bin, s.path(i))
 		s.hosts = append(s.hosts, p)
-		if err := p.start(); err != nil {
+		if err := p.Start(); err != nil {
 			t.Fatal(err)
 		}
 	}
 	return s
 }
 
-// logFile returns the file for the output of a host. It is kept when the run
-// fails.
-func (s *soak) logFile(host int) *os.File {
-	f, err := os.CreateTemp("", fmt.Sprintf("soak-%s-host-%d-*.log", s.name, host))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() {
-		_ = f.Close() // the processes have ended
-		if s.t.Failed() {
-			s.t.Logf("log of host %d: %s", host, f.Name())
-			return
-		}
-		_ = os.Remove(f.Name()) // a file that is left does no harm
-	})
-	return f
-}
-
 // proxy starts a proxy before target.
 func (s *soak) proxy(target netip.AddrPort) *proxy.Proxy {
-	p, err := proxy.New(s.addr(), target)
+	p, err := proxy.New(local.Addr(s.t), target)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -205,9 +177,9 @@
 }
 
 // script answers requests and counts those that ran.
-func (s *soak) script(f *fault, server string) origin.Script {
+func (s *soak) script(f *atomic.Int32, server string) origin.Script {
 	return func(x *origin.Exchange) bool {
-		kind := f.get()
+		kind := f.Load()
 		if x.Header.Get(platform.HeaderServer) != server {
 			return x.Send("HTTP/1.1 421 X\r\n" + platform.HeaderID + ": " + x.ID() + "\r\nContent-Length: 0\r\n\r\n")
 		}
@@ -236,7 +208,7 @@
 
 // stream sends the events that follow the last one of an earlier attempt, and
 // breaks off in their midst while there is a fault.
-func stream(x *origin.Exchange, kind int) bool {
+func stream(x *origin.Exchange, kind int32) bool {
 	last, err := strconv.Atoi(x.Header.Get(platform.HeaderResume))
 	if err != nil {
 		last = 0 // the first attempt states none
@@ -308,31 +280,30 @@
 func (s *soak) waitServed() {
 	s.t.Helper()
 	for i := range s.hosts {
-		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-			var l line
-			status, _, _ := s.request(&l, i, "GET", "/safe/x", fmt.Sprintf("%s-wait-%d-%d", s.name, i, time.Now().UnixNano()), s.currentKey())
-			l.close()
-			if status == http.StatusOK {
-				break
-			}
-			if time.Now().After(end) {
-				s.t.Fatalf("host %d does not serve: status %d, %s", i, status, s.hosts[i].state())
+		await.For(s.t, servedWait, fmt.Sprintf("host %d serves", i), func() error {
+			var l *line.Line
+			id := fmt.Sprintf("%s-wait-%d-%d", s.name, i, time.Now().UnixNano())
+			a := s.request(&l, i, line.Get("/safe/x"), id, s.currentKey())
+			closeLine(&l)
+			if a.Err != nil || a.Status != http.StatusOK {
+				return fmt.Errorf("status %d, error %w", a.Status, a.Err)
 			}
-		}
+			return nil
+		})
 	}
 }
 
 // call sends requests, sometimes with a key that was withdrawn.
 func (s *soak) call(caller int, rng *rand.Rand, stop <-chan struct{}) {
-	kinds := []string{"GET /safe/", "POST /order/", "POST /chat/", "POST /ask/"}
-	lines := make([]line, len(s.hosts))
+	kinds := []line.Call{line.Get("/safe/"), line.Post("/order/", ""), line.Post("/chat/", ""), line.Post("/ask/", "")}
+	lines := make([]*line.Line, len(s.hosts))
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		method, path, _ := strings.Cut(kinds[rng.IntN(len(kinds))], " ")
+		c := kinds[rng.IntN(len(kinds))]
 		id := fmt.Sprintf("%s-c%d-%d", s.name, caller, n)
 		key := s.currentKey()
 		if rng.IntN(5) == 0 {
@@ -340,64 +311,53 @@
 		}
 		began := time.Now()
 		host := rng.IntN(len(s.hosts))
-		status, body, err := s.request(&lines[host], host, method, path+id, id, key)
-		s.check(id, path, key, began, status, body, err)
-	}
-}
-
-// line is a caller's connection to a host, kept until it ends.
-type line struct {
-	conn net.Conn
-	br   *bufio.Reader
-}
-
-func (l *line) close() {
-	if l.conn != nil {
-		_ = l.conn.Close() // nothing more is expected of it
-		l.conn = nil
+		c.Path += id
+		a := s.request(&lines[host], host, c, id, key)
+		s.check(id, c.Path, key, began, a)
 	}
 }
 
-// request sends one request to a host on a line, which is opened if need be.
-func (s *soak) request(l *line, host int, method, path, id, key string) (int, string, error) {
+// request sends one request to a host on a line, which is opened if need be and
+// kept until it ends.
+func (s *soak) request(l **line.Line, host int, c line.Call, id, key string) line.Answer {
 	s.mu.Lock()
-	s.sent[id] = method + " " + path
+	s.sent[id] = c.Method + " " + c.Path
 	s.mu.Unlock()
-	if l.conn == nil {
-		conn, err := net.DialTimeout("tcp4", s.toHost[host].Addr().String(), time.Second)
-		if err != nil {
-			return 0, "", err
+	if *l == nil {
+		var err error
+		if *l, err = line.Dial(s.toHost[host].Addr()); err != nil {
+			*l = nil
+			return line.Answer{Err: err}
 		}
-		l.conn = conn
-		l.br = bufio.NewReader(conn)
 	}
-	_ = l.conn.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(l.conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 3000\r\nContent-Length: 0\r\n\r\n",
-		method, path, plattest.Host, platform.HeaderID, id, platform.HeaderKey, key, platform.HeaderDeadline)
-	resp, err := http.ReadResponse(l.br, &http.Request{Method: method})
-	if err != nil {
-		l.close()
-		return 0, "", err
+	_ = (*l).SetDeadline(time.Now().Add(answerWait)) // a closed line fails below
+	a := (*l).Do(c.With(platform.HeaderKey, key).With(platform.HeaderDeadline, "3000"), id)
+	if a.Err != nil || a.Last {
+		closeLine(l)
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || resp.Close {
-		l.close()
+	return a
+}
+
+// closeLine closes a line if it is open.
+func closeLine(l **line.Line) {
+	if *l != nil {
+		_ = (*l).Close() // nothing more is expected of it
+		*l = nil
 	}
-	return resp.StatusCode, string(body), err
 }
 
 // check compares an answer with what may be answered.
-func (s *soak) check(id, path, key string, began time.Time, status int, body string, err error) {
+func (s *soak) check(id, path, key string, began time.Time, a line.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
+	if a.Err != nil {
 		return
 	}
-	switch status {
+	switch a.Status {
 	case http.StatusOK:
 		s.served++
-		if want := whole(path, id); body != want {
-			s.t.Errorf("request %s got %q, want %q", id, body, want)
+		if want := whole(path, id); a.Body != want {
+			s.t.Errorf("request %s got %q, want %q", id, a.Body, want)
 		}
 		if at, gone := s.withdrawn[key]; gone && began.Sub(at) > soakRevoke+slack {
 			s.t.Errorf("request %s was served %v after its key %s was withdrawn", id, began.Sub(at), key)
@@ -405,7 +365,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		s.notRun[id] = true
 		if s.runs[id] > 0 {
-			s.t.Errorf("request %s got %d although it has run", id, status)
+			s.t.Errorf("request %s got %d although it has run", id, a.Status)
 		}
 	case http.StatusNotFound:
 		s.t.Errorf("request %s got 404 on a route that always was there", id)
@@ -414,21 +374,22 @@
 
 // inject brings about one fault.
 func (s *soak) inject() {
-	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	host := s.rng.IntN(len(s.hosts))
+	h := s.hosts[host]
 	i := s.rng.IntN(soakServers)
 	switch s.rng.IntN(12) {
 	case 0:
-		h.signal(syscall.SIGSTOP)
+		_ = h.Signal(syscall.SIGSTOP) // it may have ended, here and below
 	case 1:
-		h.signal(syscall.SIGCONT)
+		_ = h.Signal(syscall.SIGCONT)
 	case 2:
-		h.restart(syscall.SIGKILL)
+		s.restart(host, syscall.SIGKILL)
 	case 3:
-		h.restart(syscall.SIGTERM)
+		s.restart(host, syscall.SIGTERM)
 	case 4:
-		h.signal(syscall.SIGHUP)
+		_ = h.Signal(syscall.SIGHUP)
 	case 5:
-		s.faulty[i].set(s.rng.IntN(faults))
+		s.faults[i].Store(s.rng.Int32N(faults))
 	case 6:
 		s.store.Break([]plattest.Fault{
 			nil, func(*http.Request) int { return plattest.Silent }, func(*http.Request) int { return http.StatusServiceUnavailable },
@@ -453,139 +414,46 @@
 	for _, p := range s.proxies {
 		p.Set(proxy.Fault{})
 	}
-	for i, f := range s.faulty {
-		f.set(healthy)
+	for i, f := range s.faults {
+		f.Store(healthy)
 		s.register(i)
 	}
 	for _, h := range s.hosts {
-		h.signal(syscall.SIGCONT)
+		_ = h.Signal(syscall.SIGCONT) // it may have ended
 	}
 }
 
-// settings returns those of host i, in the form of its file.
-func (s *soak) settings(i int) map[string]any {
+// settings returns those of host i at its first start.
+func (s *soak) settings(i int, front netip.AddrPort) map[string]any {
 	site := soakSite(i)
 	m := map[string]any{
 		"host": fmt.Sprintf("host-%d-%s", i, s.name), "site": site, "region": site[:1], "sites": map[string]string{"a1": "a", "b1": "b"},
-		"store": s.toStore[i].Addr().String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
+		"store": s.toStore[i].Addr().String(), "front": front.String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
 	}
-	for _, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
-		m[name] = s.addr().String()
+	for _, name := range []string{"ready", "lookup", "peer", "metrics"} {
+		m[name] = local.Addr(s.t).String()
 	}
 	return m
 }
 
-// addr returns an address of the soak's own.
-func (s *soak) addr() netip.AddrPort {
-	s.t.Helper()
-	addr, err := port.Own()
-	if err != nil {
-		s.t.Fatal(err)
+// write writes settings to a file.
+func (s *soak) write(path string, settings map[string]any) {
+	b, err := json.Marshal(settings) // JSON is YAML as well
+	if err == nil {
+		err = os.WriteFile(path, b, 0o600)
 	}
-	return addr
-}
-
-// process is one daemon, which is started again when it ends.
-type process struct {
-	bin      string
-	settings map[string]any
-
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	over  bool
-	ended chan struct{}
-	// restarting is set while the end of the process is awaited, so that it is
-	// started once however often it is told to end.
-	restarting bool
-	log        *os.File // its output
-}
-
-func (p *process) start() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.over {
-		return nil
-	}
-	b, err := json.Marshal(p.settings) // JSON is YAML as well
-	if err != nil {
-		return err
-	}
-	f, err := os.CreateTemp("", "soak-*.yaml")
 	if err != nil {
-		return err
-	}
-	if _, err := f.Write(b); err != nil {
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return err
+		s.t.Errorf("settings: %v", err)
 	}
-	cmd := exec.Command(p.bin, f.Name())
-	cmd.Stdout, cmd.Stderr = p.log, p.log
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	ended := make(chan struct{})
-	p.cmd = cmd
-	p.ended = ended
-	go func() {
-		_ = cmd.Wait() // it was told to end
-		_ = os.Remove(f.Name())
-		close(ended)
-	}()
-	return nil
-}
-
-// state tells whether the process runs, and the end of its log.
-func (p *process) state() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	state := "running"
-	select {
-	case <-p.ended:
-		state = "ended: " + p.cmd.ProcessState.String()
-	default:
-	}
-	b, err := os.ReadFile(p.log.Name())
-	if err != nil {
-		return fmt.Sprintf("%s, log: %v", state, err)
-	}
-	return fmt.Sprintf("%s, end of the log:\n%s", state, b[max(0, len(b)-4000):])
-}
-
-func (p *process) signal(sig syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(sig) // it may have ended
 }
 
-// restart ends the process and starts it again, while the soak goes on.
-func (p *process) restart(sig syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(sig)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.restarting {
-		return
-	}
-	p.restarting = true
-	p.settings["first"] = false
-	ended := p.ended
-	go func() {
-		<-ended
-		p.mu.Lock()
-		p.restarting = false
-		p.mu.Unlock()
-		_ = p.start() // the final check finds a host that does not serve
-	}()
+// restart ends host i with a signal and lets it start again, as one that is not
+// the first of its system.
+func (s *soak) restart(i int, sig syscall.Signal) {
+	s.configs[i]["first"] = false
+	s.write(s.path(i), s.configs[i])
+	s.hosts[i].Restart(sig)
 }
 
-// kill ends the process for good and waits for it.
-func (p *process) kill() {
-	p.mu.Lock()
-	p.over = true
-	ended := p.ended
-	_ = p.cmd.Process.Kill() // it may have ended
-	p.mu.Unlock()
-	<-ended
-}
+// path returns that of the settings of host i.
+func (s *soak) path(i int) string { return filepath.Join(s.dir, fmt.Sprintf("host-%d.yaml", i)) }
--- a/internal/daemon/node/fleet_test.go
+++ b/internal/daemon/node/fleet_test.go
@@ -19,8 +19,10 @@
 	"github.com/yuccalb/yuccalb/internal/adapt/store"
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/internal/fake/caller"
 	"github.com/yuccalb/yuccalb/internal/fake/infra"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/server"
 )
 
@@ -78,7 +80,7 @@
 	var seed string
 	var hosts []infra.Host
 	for _, site := range p.hosts {
-		addr, peer, admin := freeAddr(t), freeAddr(t), freeAddr(t)
+		addr, peer, admin := local.Addr(t), local.Addr(t), local.Addr(t)
 		s, err := setup.Parse(fmt.Appendf(nil, "site: %s\nhttp: %s\npeer: %s\nadmin: %s\nplatform: %s\ndrain: 1s\n%s", site, addr, peer, admin, f.url, seed))
 		if err != nil {
 			t.Fatal(err)
@@ -199,17 +201,7 @@
 // eventually waits until check holds.
 func (f *fleet) eventually(what string, check func() error) {
 	f.t.Helper()
-	end := time.Now().Add(patience)
-	for {
-		err := check()
-		if err == nil {
-			return
-		}
-		if time.Now().After(end) {
-			f.t.Fatalf("not within %s: %s: %v", patience, what, err)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	await.For(f.t, patience, what, check)
 }
 
 // version returns an error unless all given nodes have a version.
--- a/internal/daemon/node/hops_test.go
+++ b/internal/daemon/node/hops_test.go
@@ -19,8 +19,9 @@
 	"github.com/yuccalb/yuccalb/internal/adapt/store"
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/internal/fake/infra"
-	"github.com/yuccalb/yuccalb/internal/fake/port"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/server"
 )
 
@@ -50,7 +51,7 @@
 	}
 	var seed string
 	for _, site := range []string{"a", "b"} {
-		http, peer, admin := freeAddr(b), freeAddr(b), freeAddr(b)
+		http, peer, admin := local.Addr(b), local.Addr(b), local.Addr(b)
 		s, err := setup.Parse(fmt.Appendf(nil, "site: %s\nhttp: %s\npeer: %s\nadmin: %s\nplatform: %s\n%s", site, http, peer, admin, platform, seed))
 		if err != nil {
 			b.Fatal(err)
@@ -70,16 +71,6 @@
 	return engine, nodes
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr(tb testing.TB) netip.AddrPort {
-	tb.Helper()
-	addr, err := port.Free()
-	if err != nil {
-		tb.Fatal(err)
-	}
-	return addr
-}
-
 // chatOnce sends a chat of 16 tokens and returns the time to its first byte.
 func chatOnce(base, id string) (time.Duration, error) {
 	body := `{"model":"chat","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"a short question about film and adhesive"}]}`
@@ -113,15 +104,10 @@
 	engine, nodes := benchFleet(b)
 	bases := []string{engine, "http://" + nodes[0].String(), "http://" + nodes[1].String()}
 	for _, base := range bases[1:] {
-		var err error
-		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-			if _, err = chatOnce(base, "w"); err == nil {
-				break
-			}
-		}
-		if err != nil {
-			b.Fatal(err)
-		}
+		await.For(b, patience, "the host serves", func() error {
+			_, err := chatOnce(base, "w")
+			return err
+		})
 	}
 	var hist [3]*hdrhistogram.Histogram
 	for i := range hist {
--- a/internal/daemon/node/start_test.go
+++ b/internal/daemon/node/start_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
 	"github.com/yuccalb/yuccalb/internal/fake/infra"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 )
 
 // TestAddressInUse guards against a process that takes over the slot or the
@@ -19,13 +20,13 @@
 	platform := infra.New(infra.Options{})
 	srv := httptest.NewServer(platform)
 	defer srv.Close()
-	peer := freeAddr(t)
+	peer := local.Addr(t)
 	ln, err := net.Listen("tcp", peer.String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	s, err := setup.Parse(fmt.Appendf(nil, "site: a\nhttp: %s\npeer: %s\nadmin: %s\nplatform: %s\n", freeAddr(t), peer, freeAddr(t), srv.URL))
+	s, err := setup.Parse(fmt.Appendf(nil, "site: a\nhttp: %s\npeer: %s\nadmin: %s\nplatform: %s\n", local.Addr(t), peer, local.Addr(t), srv.URL))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/entry/conns_test.go
+++ b/internal/edge/entry/conns_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"io"
 	"net/http"
 	"testing"
@@ -17,9 +16,9 @@
 	e := w.host("a1")
 	w.server("s1", "a1", ok)
 	conn := w.dial(e)
-	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusOK)
+	wantStatus(t, conn.Do(get("/safe/x"), nextID()), http.StatusOK)
 	e.callers.Sweep(time.Now().Add(14*time.Second), e.idleLimit())
-	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusOK)
+	wantStatus(t, conn.Do(get("/safe/x"), nextID()), http.StatusOK)
 	time.Sleep(50 * time.Millisecond)
 	e.callers.Sweep(time.Now().Add(16*time.Second), e.idleLimit())
 	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
@@ -38,12 +37,12 @@
 		return ok(x)
 	})
 	conn := w.dial(e)
-	if _, err := io.WriteString(conn, get("/safe/x").bytes(nextID())); err != nil {
+	if _, err := io.WriteString(conn, get("/safe/x").Bytes(nextID())); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(30 * time.Millisecond)
 	e.callers.Sweep(time.Now().Add(time.Hour), e.idleLimit())
-	wantStatus(t, readAnswer(bufio.NewReader(conn), http.MethodGet), http.StatusOK)
+	wantStatus(t, conn.Receive(http.MethodGet), http.StatusOK)
 }
 
 // TestCrowdedHost is the load of callers that open a connection per request and
@@ -68,12 +67,12 @@
 		w.dial(e)
 	}
 	for range 10 {
-		if a := w.do(e, get("/open/x")); a.err != nil || !a.last {
+		if a := w.do(e, get("/open/x")); a.Err != nil || !a.Last {
 			t.Fatalf("the connection stays open: %+v", a)
 		}
 	}
 	for range 40 {
-		if _, err := io.WriteString(w.dial(e), post("/order/x", "1").bytes(nextID())); err != nil {
+		if _, err := io.WriteString(w.dial(e), post("/order/x", "1").Bytes(nextID())); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
@@ -36,17 +38,17 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := post(tt.path, "line 1\r\nline 2").
-				with("X-Model", "m").with(platform.HeaderPrompt, "5c1e07a2:800,91bd:410").with("X-Odd", "  two  words ").
-				with("Connection", "keep-alive, X-Hop").with("X-Hop", "1").with("Te", "trailers").
-				with("X-Hold", "1").with("X-Pin-Ms", "9").with("X-Kv-Backup", "1.2.3.4:5").with("Kv-From", "1.2.3.4:5/6").
-				with(platform.HeaderOrg, "other").with(platform.HeaderServer, "s9").with("Yuccalb-Org", "other")
+				With("X-Model", "m").With(platform.HeaderPrompt, "5c1e07a2:800,91bd:410").With("X-Odd", "  two  words ").
+				With("Connection", "keep-alive, X-Hop").With("X-Hop", "1").With("Te", "trailers").
+				With("X-Hold", "1").With("X-Pin-Ms", "9").With("X-Kv-Backup", "1.2.3.4:5").With("Kv-From", "1.2.3.4:5/6").
+				With(platform.HeaderOrg, "other").With(platform.HeaderServer, "s9").With("Yuccalb-Org", "other")
 			wantStatus(t, w.do(tt.host, c), http.StatusOK)
 			seen := tt.srv.Seen()
 			x := seen[len(seen)-1]
 			if want := "POST " + tt.path + " HTTP/1.1"; !strings.HasPrefix(x.Raw, want+"\r\n") {
 				t.Errorf("request line of\n%s\nwant %s", x.Raw, want)
 			}
-			if string(x.Body) != c.body || x.Host != plattest.Host {
+			if string(x.Body) != c.Body || x.Host != plattest.Host {
 				t.Errorf("body %q, host %q", x.Body, x.Host)
 			}
 			for name, want := range map[string]string{
@@ -80,14 +82,14 @@
 	s := w.server("s1", "a1", ok)
 	tests := []struct {
 		name string
-		call call
+		call line.Call
 		want int
 	}{
 		{"no route", get("/none/x"), http.StatusNotFound},
 		{"prefix without its slash", get("/safe"), http.StatusNotFound},
-		{"unknown key", get("/safe/x").with(platform.HeaderKey, "key-2"), http.StatusUnauthorized},
-		{"no key", get("/safe/x").with(platform.HeaderKey, ""), http.StatusUnauthorized},
-		{"body too large", post("/safe/x", "").with("Content-Length", "99999999"), http.StatusBadRequest},
+		{"unknown key", get("/safe/x").With(platform.HeaderKey, "key-2"), http.StatusUnauthorized},
+		{"no key", get("/safe/x").With(platform.HeaderKey, ""), http.StatusUnauthorized},
+		{"body too large", post("/safe/x", "").With("Content-Length", "99999999"), http.StatusBadRequest},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) { wantStatus(t, w.do(e, tt.call), tt.want) })
@@ -95,7 +97,7 @@
 	if n := len(s.Seen()); n != 0 {
 		t.Errorf("%d requests reached the server", n)
 	}
-	wantStatus(t, w.do(e, get("/open/x").with(platform.HeaderKey, "")), http.StatusOK)
+	wantStatus(t, w.do(e, get("/open/x").With(platform.HeaderKey, "")), http.StatusOK)
 }
 
 // TestSmuggledRequest guards against a second request hidden in the body of a
@@ -104,7 +106,7 @@
 	w := newWorld(t)
 	e := w.host("a1")
 	s := w.server("s1", "a1", ok)
-	hidden := get("/safe/hidden").bytes("hidden")
+	hidden := get("/safe/hidden").Bytes("hidden")
 	for _, head := range []string{
 		"Content-Length: " + strconv.Itoa(len(hidden)) + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"Content-Length: 0\r\nContent-Length: " + strconv.Itoa(len(hidden)) + "\r\n\r\n",
@@ -112,7 +114,7 @@
 		"Content-Length : 0\r\n\r\n",
 	} {
 		conn := w.dial(e)
-		raw := strings.TrimSuffix(get("/safe/x").bytes(nextID()), "\r\n") + head + hidden
+		raw := strings.TrimSuffix(get("/safe/x").Bytes(nextID()), "\r\n") + head + hidden
 		if _, err := io.WriteString(conn, raw); err != nil {
 			t.Fatal(err)
 		}
@@ -134,7 +136,7 @@
 	e := w.start(w.settings("a1"))
 	a := w.do(e, get("/safe/x"))
 	wantStatus(t, a, http.StatusServiceUnavailable)
-	if a.header.Get("Retry-After") == "" {
+	if a.Header.Get("Retry-After") == "" {
 		t.Error("no time to return")
 	}
 	w.store.Break(nil)
@@ -150,16 +152,16 @@
 	full := w.server("s1", "a1", func(x *origin.Exchange) bool { return x.Refuse() })
 	a := w.do(e, post("/order/x", "1"))
 	wantStatus(t, a, http.StatusServiceUnavailable)
-	if a.header.Get("Retry-After") == "" || a.header.Get(platform.HeaderSeal) != "" {
-		t.Errorf("headers of the refusal: %v", a.header)
+	if a.Header.Get("Retry-After") == "" || a.Header.Get(platform.HeaderSeal) != "" {
+		t.Errorf("headers of the refusal: %v", a.Header)
 	}
 	w.server("s2", "a1", ok)
 	// The budget allows one retry for ten requests.
 	for range 30 {
 		w.do(e, post("/order/x", "1"))
 	}
-	if a := w.do(e, post("/order/x", "1")); a.status != http.StatusOK {
-		t.Errorf("status %d although a server has room (the full one got %d requests)", a.status, len(full.Seen()))
+	if a := w.do(e, post("/order/x", "1")); a.Status != http.StatusOK {
+		t.Errorf("status %d although a server has room (the full one got %d requests)", a.Status, len(full.Seen()))
 	}
 }
 
@@ -191,15 +193,15 @@
 				one := w.server("s1", "a1", script)
 				two := w.server("s2", "a1", script)
 				a := w.do(e, post(path, "1"))
-				if a.status == http.StatusOK && a.err == nil {
+				if a.Status == http.StatusOK && a.Err == nil {
 					t.Fatalf("a complete success: %+v", a)
 				}
-				switch a.status {
+				switch a.Status {
 				case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-					t.Errorf("status %d says that the request has not run", a.status)
+					t.Errorf("status %d says that the request has not run", a.Status)
 				}
-				if a.header.Get(platform.HeaderSeal) != "" && a.status != http.StatusOK {
-					t.Errorf("status %d bears a server's signature", a.status)
+				if a.Header.Get(platform.HeaderSeal) != "" && a.Status != http.StatusOK {
+					t.Errorf("status %d bears a server's signature", a.Status)
 				}
 				seen := append(one.Seen(), two.Seen()...)
 				if len(seen) != 1 {
@@ -249,7 +251,7 @@
 	w := newWorld(t)
 	e := w.host("a1")
 	long := strings.Repeat("x", 3<<20)
-	s := origin.New(freeAddr(t), func(x *origin.Exchange) bool {
+	s := origin.New(local.Addr(t), func(x *origin.Exchange) bool {
 		sent := x.Reply(http.StatusOK, "early")
 		time.Sleep(50 * time.Millisecond)
 		n, err := io.Copy(io.Discard, x.Request.Body)
@@ -285,7 +287,7 @@
 	conn := w.dial(e)
 	for range 50 {
 		id := nextID()
-		if _, err := io.WriteString(conn, post("/order/x", "1").bytes(id)); err != nil {
+		if _, err := io.WriteString(conn, post("/order/x", "1").Bytes(id)); err != nil {
 			conn = w.dial(e)
 			continue
 		}
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -13,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
@@ -25,11 +25,11 @@
 	e := w.host("a1")
 	w.server("s1", "a1", ok)
 	conn := w.dial(e)
-	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusOK)
+	wantStatus(t, conn.Do(get("/safe/x"), nextID()), http.StatusOK)
 	w.store.PutConfig(config(2, "key-2"))
 	time.Sleep(e.settings.Revoke)
-	wantStatus(t, w.exchange(conn, get("/safe/x")), http.StatusUnauthorized)
-	wantStatus(t, w.exchange(conn, get("/safe/x").with(platform.HeaderKey, "key-2")), http.StatusOK)
+	wantStatus(t, conn.Do(get("/safe/x"), nextID()), http.StatusUnauthorized)
+	wantStatus(t, conn.Do(get("/safe/x").With(platform.HeaderKey, "key-2"), nextID()), http.StatusOK)
 }
 
 // TestKeysUnconfirmed guards against a host that goes on to accept keys when it
@@ -43,7 +43,7 @@
 	time.Sleep(e.settings.Revoke)
 	a := w.do(e, get("/safe/x"))
 	wantStatus(t, a, http.StatusServiceUnavailable)
-	if a.header.Get("Retry-After") == "" {
+	if a.Header.Get("Retry-After") == "" {
 		t.Error("no time to return")
 	}
 	wantStatus(t, w.do(e, get("/open/x")), http.StatusOK)
@@ -131,7 +131,7 @@
 	w.server("s2", "a1", ok)
 	served := 0
 	for range 40 {
-		if w.do(e, post("/order/x", "1")).status == http.StatusOK {
+		if w.do(e, post("/order/x", "1")).Status == http.StatusOK {
 			served++
 		}
 	}
@@ -165,15 +165,15 @@
 	w.store.PutConfig(cfg)
 	e := w.host("a1")
 	s := w.server("s1", "a1", ok)
-	var last answer
+	var last line.Answer
 	for range 20 {
-		last = w.do(e, get("/safe/x").with(platform.HeaderTokens, "90,10"))
+		last = w.do(e, get("/safe/x").With(platform.HeaderTokens, "90,10"))
 	}
 	wantStatus(t, last, http.StatusTooManyRequests)
 	if n := len(s.Seen()); n < 10 || n > 15 {
 		t.Errorf("%d requests of 100 tokens were admitted, want the burst of 1000", n)
 	}
-	if last.header.Get("Retry-After") == "" {
+	if last.Header.Get("Retry-After") == "" {
 		t.Error("no time to return")
 	}
 }
@@ -192,7 +192,7 @@
 		return x.EndStream()
 	})
 	conn := w.dial(e)
-	if _, err := io.WriteString(conn, post("/chat/x", "1").bytes(nextID())); err != nil {
+	if _, err := io.WriteString(conn, post("/chat/x", "1").Bytes(nextID())); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -203,11 +203,11 @@
 		t.Error("the leaving host is ready")
 	}
 	late := w.do(e, post("/chat/x", "1"))
-	if late.err != nil || !late.last {
+	if late.Err != nil || !late.Last {
 		t.Errorf("request right after the signal: %+v", late)
 	}
-	a := readAnswer(bufio.NewReader(conn), http.MethodPost)
-	if a.err != nil || !strings.Contains(a.body, "part 10") {
+	a := conn.Receive(http.MethodPost)
+	if a.Err != nil || !strings.Contains(a.Body, "part 10") {
 		t.Errorf("request in progress: %+v", a)
 	}
 	if err := <-closed; err != nil {
--- a/internal/edge/entry/stream_test.go
+++ b/internal/edge/entry/stream_test.go
@@ -35,7 +35,7 @@
 		return x.EndStream()
 	})
 	conn := w.dial(e)
-	if _, err := io.WriteString(conn, post("/chat/x", "1").bytes(nextID())); err != nil {
+	if _, err := io.WriteString(conn, post("/chat/x", "1").Bytes(nextID())); err != nil {
 		t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -76,11 +76,11 @@
 			two := w.server("s2", "a1", script)
 			a := w.do(e, post("/chat/x", "1"))
 			wantStatus(t, a, http.StatusOK)
-			if a.err == nil {
-				t.Errorf("the cut stream looks complete: %q", a.body)
+			if a.Err == nil {
+				t.Errorf("the cut stream looks complete: %q", a.Body)
 			}
-			if a.body != events(1, 3) {
-				t.Errorf("got %q", a.body)
+			if a.Body != events(1, 3) {
+				t.Errorf("got %q", a.Body)
 			}
 			if n := len(one.Seen()) + len(two.Seen()); n != 1 {
 				t.Errorf("%d attempts, want 1", n)
@@ -103,12 +103,12 @@
 		}
 		return false
 	})
-	if a := w.do(e, post("/chat/x", "1")); a.err != nil || a.body != events(1, 2) {
-		t.Errorf("closed: %q, %v", a.body, a.err)
+	if a := w.do(e, post("/chat/x", "1")); a.Err != nil || a.Body != events(1, 2) {
+		t.Errorf("closed: %q, %v", a.Body, a.Err)
 	}
 	reset = true
-	if a := w.do(e, post("/chat/x", "1")); a.err == nil {
-		t.Errorf("reset: looks complete: %q", a.body)
+	if a := w.do(e, post("/chat/x", "1")); a.Err == nil {
+		t.Errorf("reset: looks complete: %q", a.Body)
 	}
 }
 
@@ -138,8 +138,8 @@
 	}
 	before := len(one.Seen()) + len(two.Seen())
 	a := w.do(e, post("/ask/x", "1"))
-	if a.status != http.StatusOK || a.err != nil || a.body != events(1, 6) {
-		t.Errorf("status %d, error %v, got %q", a.status, a.err, a.body)
+	if a.Status != http.StatusOK || a.Err != nil || a.Body != events(1, 6) {
+		t.Errorf("status %d, error %v, got %q", a.Status, a.Err, a.Body)
 	}
 	if n := len(one.Seen()) + len(two.Seen()) - before; n != 2 {
 		t.Errorf("%d attempts, want 2", n)
@@ -159,7 +159,7 @@
 	})
 	a := w.do(e, post("/chat/x", "1"))
 	wantStatus(t, a, http.StatusBadGateway)
-	if seal := a.header.Get(platform.HeaderSeal); seal != "" {
+	if seal := a.Header.Get(platform.HeaderSeal); seal != "" {
 		t.Errorf("the refusal bears the signature %q", seal)
 	}
 }
@@ -182,7 +182,7 @@
 			two := w.server("s2", "b1", script)
 			w.eventually("region b known", func() bool { return len(a.fleet.Places("desk")) == 1 })
 			conn := w.dial(a)
-			if _, err := io.WriteString(conn, post(path, "1").bytes(nextID())); err != nil {
+			if _, err := io.WriteString(conn, post(path, "1").Bytes(nextID())); err != nil {
 				t.Fatal(err)
 			}
 			w.eventually("request at the server", func() bool { return len(one.Seen())+len(two.Seen()) == 1 })
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -1,22 +1,20 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
-	"github.com/yuccalb/yuccalb/internal/fake/port"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
@@ -63,21 +61,11 @@
 	return w
 }
 
-// freeAddr returns an address that nobody listens on.
-func freeAddr(t *testing.T) netip.AddrPort {
-	t.Helper()
-	addr, err := port.Own()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 // settings returns those of a new host.
 func (w *world) settings(site string) boot.Settings {
 	return boot.Settings{
 		Host: fmt.Sprintf("host-%s-%d", site, len(w.hosts)), Site: site, Region: sites[site], Sites: sites,
-		Front: freeAddr(w.t), Ready: freeAddr(w.t), Lookup: freeAddr(w.t), Peer: freeAddr(w.t), Metrics: freeAddr(w.t),
+		Front: local.Addr(w.t), Ready: local.Addr(w.t), Lookup: local.Addr(w.t), Peer: local.Addr(w.t), Metrics: local.Addr(w.t),
 		Store: w.store.Addr(), First: true, Revoke: 3 * time.Second, Grace: 6 * time.Second, Retries: 50,
 	}
 }
@@ -110,12 +98,7 @@
 // eventually waits until ok returns true.
 func (w *world) eventually(what string, ok func() bool) {
 	w.t.Helper()
-	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	w.t.Fatalf("%s: not within %v", what, readyWait)
+	await.True(w.t, readyWait, what, ok)
 }
 
 func (w *world) waitReady(e *Entry) {
@@ -127,7 +110,7 @@
 // region know it.
 func (w *world) server(id, site string, script origin.Script) *origin.Server {
 	w.t.Helper()
-	s := origin.New(freeAddr(w.t), script)
+	s := origin.New(local.Addr(w.t), script)
 	w.t.Cleanup(s.Close)
 	w.addServer(id, site, s)
 	return s
@@ -151,56 +134,13 @@
 	}
 }
 
-// call is a request on a connection of its own.
-type call struct {
-	method, path string
-	header       http.Header
-	body         string
-}
-
-func get(path string) call { return call{method: http.MethodGet, path: path} }
+func get(path string) line.Call { return identified(line.Get(path)) }
 
-func post(path, body string) call { return call{method: http.MethodPost, path: path, body: body} }
+func post(path, body string) line.Call { return identified(line.Post(path, body)) }
 
-func (c call) with(name, value string) call {
-	h := c.header.Clone()
-	if h == nil {
-		h = make(http.Header)
-	}
-	h.Set(name, value)
-	c.header = h
-	return c
-}
-
-// bytes returns the request as it is sent; id is the identifier.
-func (c call) bytes(id string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", c.method, c.path, plattest.Host, platform.HeaderID, id)
-	h := http.Header{platform.HeaderKey: {key}, platform.HeaderDeadline: {"4000"}}
-	for name, values := range c.header {
-		h[name] = values
-	}
-	for name, values := range h {
-		for _, v := range values {
-			if v != "" {
-				fmt.Fprintf(&b, "%s: %s\r\n", name, v)
-			}
-		}
-	}
-	if c.method == http.MethodPost {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
-	}
-	return b.String() + "\r\n" + c.body
-}
-
-// answer is a response and the error that ended its body.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-	// last is set when the connection ends with the response.
-	last bool
+// identified adds what each caller states.
+func identified(c line.Call) line.Call {
+	return c.With(platform.HeaderKey, key).With(platform.HeaderDeadline, "4000")
 }
 
 var ids atomic.Uint32
@@ -208,43 +148,26 @@
 func nextID() string { return fmt.Sprintf("id-%d", ids.Add(1)) }
 
 // dial opens a connection to the front of a host.
-func (w *world) dial(e *Entry) net.Conn {
+func (w *world) dial(e *Entry) *line.Line {
 	w.t.Helper()
-	c, err := net.Dial("tcp4", e.settings.Front.String())
+	l, err := line.Dial(e.settings.Front)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { _ = c.Close() })
-	return c
+	w.t.Cleanup(func() { _ = l.Close() })
+	return l
 }
 
-// do sends a call to a host and reads the response.
-func (w *world) do(e *Entry, c call) answer {
+// do sends a call to a host on a connection of its own and reads the response.
+func (w *world) do(e *Entry, c line.Call) line.Answer {
 	w.t.Helper()
-	return w.exchange(w.dial(e), c)
-}
-
-func (w *world) exchange(conn net.Conn, c call) answer {
-	w.t.Helper()
-	if _, err := io.WriteString(conn, c.bytes(nextID())); err != nil {
-		return answer{err: err}
-	}
-	return readAnswer(bufio.NewReader(conn), c.method)
-}
-
-func readAnswer(br *bufio.Reader, method string) answer {
-	resp, err := http.ReadResponse(br, &http.Request{Method: method})
-	if err != nil {
-		return answer{err: err}
-	}
-	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, last: resp.Close}
+	return w.dial(e).Do(c, nextID())
 }
 
-func wantStatus(t *testing.T, a answer, want int) {
+func wantStatus(t *testing.T, a line.Answer, want int) {
 	t.Helper()
-	if a.status != want {
-		t.Fatalf("status %d (error %v, body %q), want %d", a.status, a.err, a.body, want)
+	if a.Status != want {
+		t.Fatalf("status %d (error %v, body %q), want %d", a.Status, a.Err, a.Body, want)
 	}
 }
 
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
@@ -42,12 +43,7 @@
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("%s: not within %v", what, patience)
+	await.True(t, patience, what, ok)
 }
 
 func (t *Tracker) knows(id string) bool {
--- /dev/null
+++ b/internal/fake/line/line.go
@@ -0,0 +1,105 @@
+// Package line sends requests as callers on the platform do, over a connection
+// of their own and byte for byte as told, for tests.
+package line
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/yuccalb/yuccalb/platform"
+	"github.com/yuccalb/yuccalb/platform/plattest"
+)
+
+// dialWait bounds the opening of a connection.
+const dialWait = time.Second
+
+// Call is a request without its identifier.
+type Call struct {
+	Method, Path string
+	Header       http.Header
+	Body         string
+}
+
+// Get returns a call without a body.
+func Get(path string) Call { return Call{Method: http.MethodGet, Path: path} }
+
+// Post returns a call with a body.
+func Post(path, body string) Call { return Call{Method: http.MethodPost, Path: path, Body: body} }
+
+// With returns the call with a header set. An empty value removes a header that
+// the call would have otherwise.
+func (c Call) With(name, value string) Call {
+	h := c.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	h.Set(name, value)
+	c.Header = h
+	return c
+}
+
+// Bytes returns the request as it is sent.
+func (c Call) Bytes(id string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", c.Method, c.Path, plattest.Host, platform.HeaderID, id)
+	for name, values := range c.Header {
+		for _, v := range values {
+			if v != "" {
+				fmt.Fprintf(&b, "%s: %s\r\n", name, v)
+			}
+		}
+	}
+	if c.Method == http.MethodPost {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.Body))
+	}
+	return b.String() + "\r\n" + c.Body
+}
+
+// Answer is a response and the error that ended it.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	Err    error
+	// Last is set when the connection ends with the response.
+	Last bool
+}
+
+// Line is a connection of a caller.
+type Line struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+// Dial opens a connection.
+func Dial(addr netip.AddrPort) (*Line, error) {
+	c, err := net.DialTimeout("tcp4", addr.String(), dialWait)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return &Line{Conn: c, br: bufio.NewReader(c)}, nil
+}
+
+// Do sends a call and reads its response.
+func (l *Line) Do(c Call, id string) Answer {
+	if _, err := io.WriteString(l, c.Bytes(id)); err != nil {
+		return Answer{Err: err}
+	}
+	return l.Receive(c.Method)
+}
+
+// Receive reads one response to a request with a method.
+func (l *Line) Receive(method string) Answer {
+	resp, err := http.ReadResponse(l.br, &http.Request{Method: method})
+	if err != nil {
+		return Answer{Err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err, Last: resp.Close}
+}
--- a/internal/fake/port/port.go
+++ b/internal/fake/port/port.go
@@ -35,10 +35,14 @@
 // that was stopped gives its ports free to those of other tests, which then hear
 // what is meant for it.
 func Own() (netip.AddrPort, error) {
+	return find(IP(), func() int { return int(handed.Add(1)) % (highest - lowest) })
+}
+
+// IP returns the IP address of the addresses that Own returns.
+func IP() netip.Addr {
 	pid := os.Getpid()
 	// Process ids have at most 22 bits.
-	ip := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
-	return find(ip, func() int { return int(handed.Add(1)) % (highest - lowest) })
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
 }
 
 // find tries ports until nothing listens on one.
--- /dev/null
+++ b/internal/fake/proc/proc.go
@@ -0,0 +1,170 @@
+// Package proc runs daemons as processes for tests: it starts them, sends them
+// signals, starts them again, and keeps what they write.
+package proc
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// logTail is how much of a log a failed test shows, in bytes.
+const logTail = 16 << 10
+
+// Build builds the command in the current folder and returns the path of the
+// program, which is placed in dir.
+func Build(dir string) (string, error) {
+	bin := filepath.Join(dir, "daemon")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return bin, nil
+}
+
+// Process is a daemon that takes its settings file as an argument. It is safe
+// for concurrent use.
+type Process struct {
+	bin, settings string
+	log           *os.File
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	err   error // of the process that ended last
+	over  bool
+	// restarting is set while the end of the process is awaited, so that it is
+	// started once however often it is told to end.
+	restarting bool
+}
+
+// New returns a process that has not been started. It is killed at the end of
+// the test, and its log is kept if the test has failed.
+func New(t testing.TB, bin, settings string) *Process {
+	t.Helper()
+	log, err := os.CreateTemp("", "daemon-*.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Process{bin: bin, settings: settings, log: log}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s %s, %s", filepath.Base(bin), settings, p.State())
+		} else {
+			_ = os.Remove(log.Name()) // a file that is left does no harm
+		}
+		_ = log.Close() // the process has ended
+	})
+	return p
+}
+
+// Start starts the process, unless the test is over.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return nil
+	}
+	cmd := exec.Command(p.bin, p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.bin, err)
+	}
+	ended := make(chan struct{})
+	p.cmd = cmd
+	p.ended = ended
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fmt.Errorf("signal %s: %w", sig, err)
+	}
+	return nil
+}
+
+// Wait waits for the end of the process and returns its error.
+func (p *Process) Wait() error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	<-ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Restart ends the process with a signal and starts it again when it has
+// ended, without waiting for that.
+func (p *Process) Restart(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may have ended
+	_ = p.cmd.Process.Signal(sig)
+	if p.restarting {
+		return
+	}
+	p.restarting = true
+	ended := p.ended
+	go func() {
+		<-ended
+		p.mu.Lock()
+		p.restarting = false
+		p.mu.Unlock()
+		_ = p.Start() // the test finds a daemon that does not serve
+	}()
+}
+
+// Log returns what the process has written since the first start.
+func (p *Process) Log() string {
+	b, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// State tells whether the process runs, and the end of its log.
+func (p *Process) State() string {
+	log := p.Log()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := "not started"
+	if p.cmd != nil {
+		state = "running"
+		select {
+		case <-p.ended:
+			state = "ended: " + p.cmd.ProcessState.String()
+		default:
+		}
+	}
+	return fmt.Sprintf("%s, end of the log %s:\n%s", state, p.log.Name(), log[max(0, len(log)-logTail):])
+}
+
+// kill ends the process for good and waits for it.
+func (p *Process) kill() {
+	p.mu.Lock()
+	p.over = true
+	if p.cmd == nil {
+		p.mu.Unlock()
+		return
+	}
+	ended := p.ended
+	_ = p.cmd.Process.Kill() // it may have ended
+	p.mu.Unlock()
+	<-ended
+}
