Believe servers that say they leave or want no requests

Cause: a server that drains says so in each answer (Server-Leaving) and one that is full may say for how long it wants nothing (503 with Retry-After). No code read either header: in TestLeavingAnswer a host sent 30 of 60 requests to a leaving server that the store still listed as ready, in TestServerRests it asked a resting server again after 300 ms.

Ruled out: marking the entry of the store's list as leaving. The entry may lapse and come back, and a new process may start under the same identifier.

Change: pick.Table keeps the processes (identifier and start) that said that they leave, also while they are not listed, and tells the other hosts of the region in its frames until the list agrees. A time to rest binds the host that was told it, at most 10 minutes; the others hear it from the server itself. A caller is told when the first server ends its rest. Times that are negative or no number count as not stated, dates count against that of the answer.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -101,6 +101,7 @@
 	Read time.Duration
 
 	server *server
+	born   int64
 	at     time.Time
 	unread int
 	memory int
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -27,6 +27,8 @@
 	probation bool
 	beats     int
 	fullUntil time.Time
+	// restUntil is when the server wants requests of this host again.
+	restUntil time.Time
 	errors    float64
 	slow      float64
 	slowAt    time.Time
@@ -60,6 +62,7 @@
 	s.probing = false
 	s.errors = 0
 	s.slow = 1
+	s.restUntil = time.Time{}
 }
 
 // total returns the load of all hosts.
@@ -100,11 +103,11 @@
 	s.allowAt = now
 }
 
-// usable reports whether a request may be sent to the server. The rate of a
+// usable reports whether a request may be sent to a server that stays. The rate of a
 // cold server is worked out only if the server is one: it takes a hash for each
 // host of the region.
 func (s *server) usable(req *Request, svc *spec.Service, warm *Warming, now time.Time) bool {
-	if s.Leaving || s.evacuated || slices.Contains(req.Exclude, s.ID) {
+	if now.Before(s.restUntil) || slices.Contains(req.Exclude, s.ID) {
 		return false
 	}
 	if s.failures >= failuresDown && (now.Before(s.downUntil) || s.probing) {
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -24,14 +24,17 @@
 	servers map[string]*server
 	order   []string // sorted, for equal decisions in equal states
 	placed  []placed
-	rng     *rand.Rand
+	// departed are processes that have said that they leave, with the time at
+	// which they were last listed.
+	departed map[Process]time.Time
+	rng      *rand.Rand
 	// arrivals are the own requests.
 	arrivals arrivals
 }
 
 // NewTable returns an empty table; rng breaks ties.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{svc: svc, servers: make(map[string]*server), rng: rng}
+	return &Table{svc: svc, servers: make(map[string]*server), departed: make(map[Process]time.Time), rng: rng}
 }
 
 // Update replaces the servers as they were listed at now.
@@ -58,6 +61,7 @@
 			delete(t.servers, id)
 		}
 	}
+	t.forget(now)
 	slices.Sort(t.order)
 }
 
@@ -87,7 +91,7 @@
 	t.send(s, req, c.unread, now)
 	return Choice{
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
-		server: s, at: now, unread: c.unread, memory: req.Prompt + req.Output,
+		server: s, born: s.Born, at: now, unread: c.unread, memory: req.Prompt + req.Output,
 	}, true
 }
 
@@ -121,7 +125,7 @@
 	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
 		s := t.servers[id]
-		if s.usable(req, &t.svc, &t.warm, now) {
+		if !t.leaving(s) && s.usable(req, &t.svc, &t.warm, now) {
 			list = append(list, s.candidate(req, &t.svc, ranks[i], now))
 		}
 	}
@@ -279,7 +283,7 @@
 	defer t.mu.Unlock()
 	seen := make(map[uint32]bool)
 	for _, s := range t.servers {
-		if s.Leaving || s.evacuated {
+		if t.leaving(s) {
 			continue
 		}
 		for p, e := range s.cache.entries {
@@ -310,7 +314,7 @@
 	var sum Summary
 	var waits []time.Duration
 	for _, s := range t.servers {
-		if s.Leaving || s.evacuated || s.failures >= failuresDown || s.limited(now) {
+		if t.leaving(s) || now.Before(s.restUntil) || s.failures >= failuresDown || s.limited(now) {
 			continue
 		}
 		sum.Servers++
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -220,6 +220,7 @@
 	s.Regions = f.reports.pass(now)
 	s.Loads = make(map[string]map[string]pick.Load)
 	s.Placed = make(map[string][]pick.Placement)
+	s.Departed = make(map[string][]pick.Process)
 	for name, svc := range *f.tables.Load() {
 		loads, placed := svc.Table.Report(now)
 		if len(loads) > 0 {
@@ -228,6 +229,9 @@
 		if len(placed) > 0 {
 			s.Placed[name] = placed
 		}
+		if departed := svc.Table.Departed(); len(departed) > 0 {
+			s.Departed[name] = departed
+		}
 	}
 	return s
 }
@@ -259,5 +263,6 @@
 	f.book.Hear(share.Report{Name: p.State.Host.Name, Run: uint64(p.State.Boot), Spent: p.State.Spent}, p.Heard)
 	for name, svc := range *f.tables.Load() {
 		svc.Table.Peer(p.State.Host.Name, p.State.Loads[name], p.State.Placed[name], p.Heard)
+		svc.Table.Depart(p.State.Departed[name], p.Heard)
 	}
 }
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -35,6 +35,9 @@
 	Loads  map[string]map[string]pick.Load `cbor:"11,keyasint,omitempty"`
 	Placed map[string][]pick.Placement     `cbor:"12,keyasint,omitempty"`
 	Spent  map[string]float64              `cbor:"13,keyasint,omitempty"`
+	// Departed are the servers by service that have said in an answer that
+	// they leave. They go to hosts of its region only.
+	Departed map[string][]pick.Process `cbor:"14,keyasint,omitempty"`
 	// Regions are reports: of its own region to hosts of others, and of others
 	// to hosts of its own.
 	Regions []Region `cbor:"15,keyasint,omitempty"`
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -161,20 +161,34 @@
 		}
 	}
 	if !usable {
-		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
+		return pick.Choice{}, false, q.noServer(svc, now)
 	}
 	if ref := q.tooLate(demand, own.First); ref != nil {
 		return pick.Choice{}, false, ref
 	}
 	c, ok := svc.Table.Pick(&q.pick, now)
 	if !ok {
-		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
+		return pick.Choice{}, false, q.noServer(svc, now)
 	}
 	q.choice = c
 	q.listed = q.s.fleet.View().Asked
 	return c, true, nil
 }
 
+// noServer refuses a request that no server of the region may get now. When
+// servers have asked for a rest, the caller should return at its end.
+func (q *request) noServer(svc *fleet.Service, now time.Time) *refusal {
+	ref := &refusal{http.StatusServiceUnavailable, reasonNoServer, retryBusy}
+	if svc == nil {
+		return ref
+	}
+	if d, ok := svc.Table.Rests(&q.pick, now); ok {
+		ref.reason = reasonRest
+		ref.retry = max(d, retryBusy)
+	}
+	return ref
+}
+
 // demand describes the request to the decisions of package admit.
 func (q *request) demand(left time.Duration) *admit.Demand {
 	return &admit.Demand{
@@ -285,6 +299,7 @@
 		return q.failed(err, c, req)
 	}
 	defer func() { _ = resp.Close() }() // it reports no errors
+	q.heed(resp)
 	if o, notRun := notRun(resp); notRun {
 		q.tally.Sends++
 		q.reason = reasonNotRun
@@ -300,6 +315,27 @@
 	return q.deliver(resp, begun)
 }
 
+// heed takes over what a server of the own region says of itself in any of its
+// answers: that it leaves, or that it wants no requests for a time.
+func (q *request) heed(resp *send.Response) {
+	svc := q.s.fleet.Service(q.service)
+	if q.place.region != "" || svc == nil {
+		return
+	}
+	now := time.Now()
+	if resp.Header.Get(platform.HeaderLeaving) == platform.Leaving {
+		svc.Table.Leaves(&q.choice, now)
+		q.s.log.Requests.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
+	}
+	if resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	if d, ok := platform.ParseRetry(resp.Header); ok {
+		svc.Table.Rest(&q.choice, d, now)
+		q.s.log.Requests.Info("server wants no requests", zap.String("id", q.id), zap.String("server", q.server), zap.Duration("for", d))
+	}
+}
+
 // notRun reports whether a response says that the request did not run.
 func notRun(resp *send.Response) (pick.Outcome, bool) {
 	switch {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -141,6 +141,7 @@
 	reasonRead       = "body not read"
 	reasonLimit      = "organisation over its limit"
 	reasonNoServer   = "no server"
+	reasonRest       = "servers want no requests"
 	reasonOverload   = "deadline can't be met"
 	reasonNotRun     = "refused by servers"
 	reasonTimeout    = "timeout"
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -162,21 +162,36 @@
 // ID returns the identifier of the request.
 func (x *Exchange) ID() string { return x.Header.Get(platform.HeaderID) }
 
-// Reply sends a complete response with the server's signature.
-func (x *Exchange) Reply(status int, body string) bool {
-	return x.Send(fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, platform.HeaderID, x.ID(), platform.HeaderSeal, x.ID(), len(body), body))
+// Reply sends a complete response with the server's signature, and with
+// further lines of the head.
+func (x *Exchange) Reply(status int, body string, lines ...string) bool {
+	return x.Send(fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, platform.HeaderID, x.ID(), platform.HeaderSeal, x.ID(), head(lines), len(body), body))
 }
 
 // Refuse says that the request did not run.
-func (x *Exchange) Refuse() bool {
-	return x.Send(fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderID, x.ID(), platform.HeaderNotRun))
+func (x *Exchange) Refuse() bool { return x.RefuseWith() }
+
+// RefuseWith says that the request did not run, with further lines of the
+// head.
+func (x *Exchange) RefuseWith(lines ...string) bool {
+	return x.Send(fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n",
+		platform.HeaderID, x.ID(), platform.HeaderNotRun, head(lines)))
+}
+
+// head returns lines of a head with their ends.
+func head(lines []string) string {
+	var b strings.Builder
+	for _, l := range lines {
+		b.WriteString(l + "\r\n")
+	}
+	return b.String()
 }
 
-// StartStream sends the header of a stream.
-func (x *Exchange) StartStream() bool {
-	return x.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		platform.HeaderID, x.ID(), platform.HeaderSeal, x.ID()))
+// StartStream sends the header of a stream, with further lines of the head.
+func (x *Exchange) StartStream(lines ...string) bool {
+	return x.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		platform.HeaderID, x.ID(), platform.HeaderSeal, x.ID(), head(lines)))
 }
 
 // Chunk sends a part of a stream.
