Refuse what a stopping host can't complete

Cause: a host that stops takes requests for three lifetimes of a look-up and completes what runs until the end of its grace time.

Change: core/length learns how long the answers of each route take. A host that stops refuses at once, with 20 ms to return, what is expected to outlast it; while nothing is known of a route, its timeout counts.

Measured: TestLongAnswersAtStop fails before (one of ten streams cut off after five of six events, Close returns an error) and passes now.

--- a/internal/edge/entry/leave_test.go
+++ b/internal/edge/entry/leave_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -144,3 +146,51 @@
 		})
 	}
 }
+
+// TestLongAnswersAtStop guards against a host that stops and takes requests
+// whose answers last longer than it does: they would be cut off. Seen on the
+// bench as LOST, Vallmo mix --seed 284111390854.
+func TestLongAnswersAtStop(t *testing.T) {
+	const took = 3 * time.Second
+	w := newWorld(t)
+	e := w.host("a1")
+	w.server("s1", "a1", func(x *origin.Exchange) bool {
+		if x.Method == http.MethodGet {
+			return ok(x)
+		}
+		x.StartStream()
+		for i := 1; i <= 6; i++ {
+			time.Sleep(took / 6)
+			x.Chunk(origin.Event(i))
+		}
+		return x.EndStream()
+	})
+	w.do(e, post("/chat/x", "1"))
+	closed := make(chan error, 1)
+	began := time.Now()
+	go func() { closed <- e.Close(context.Background()) }()
+	answers := make(chan line.Answer, 100)
+	asked := 0
+	for time.Since(began) < 3*lookupTTL {
+		conn := w.dial(e)
+		asked++
+		go func() { answers <- conn.Do(post("/chat/x", "1"), nextID()) }()
+		time.Sleep(300 * time.Millisecond)
+	}
+	served := 0
+	for range asked {
+		a := <-answers
+		switch {
+		case a.Status == http.StatusOK && a.Err == nil:
+			served++
+		case a.Status != http.StatusServiceUnavailable || a.Header.Get(platform.HeaderRetry) == "":
+			t.Errorf("status %d, error %v, body %q", a.Status, a.Err, a.Body)
+		}
+	}
+	if served < asked/2 {
+		t.Errorf("%d of %d requests served", served, asked)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/length"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
@@ -27,6 +28,9 @@
 	maxBody = 8 << 20
 	// defaultWait bounds a request whose caller and route set no timeout.
 	defaultWait = 30 * time.Second
+	// stopMargin is kept free at the end of a stop: net/http looks each 500 ms
+	// at most whether the last request has ended.
+	stopMargin = 500 * time.Millisecond
 	// bodyWait bounds the reading of a body when the configuration sets no
 	// limit.
 	bodyWait = 5 * time.Second
@@ -44,8 +48,11 @@
 	arrived    atomic.Int64
 	maxRunning int64
 	crowded    func() bool
-	// closing makes callers open their next connection elsewhere.
+	// closing makes callers open their next connection elsewhere, and ends
+	// is when requests in progress are cut off then, in Unix nanoseconds.
 	closing atomic.Bool
+	ends    atomic.Int64
+	lengths length.Book
 }
 
 // Options sets up a Relay.
@@ -93,12 +100,29 @@
 	return s.running.Load() == 0 && time.Now().UnixNano()-s.arrived.Load() > int64(d)
 }
 
-// Leave asks callers to close their connections.
-func (s *Relay) Leave() {
+// Leave asks callers to close their connections. Requests whose answers are
+// expected to last beyond end are refused from now on.
+func (s *Relay) Leave(end time.Time) {
 	s.arrived.Store(time.Now().UnixNano())
+	s.ends.Store(end.UnixNano())
 	s.closing.Store(true)
 }
 
+// outlasts refuses a request that a host that stops would cut off.
+func (s *Relay) outlasts(q *request) *refusal {
+	if !s.closing.Load() {
+		return nil
+	}
+	took, known := s.lengths.Expect(q.route.Name)
+	if left := q.left(); !known || took > left {
+		took = left
+	}
+	if time.Now().Add(took + stopMargin).Before(time.Unix(0, s.ends.Load())) {
+		return nil
+	}
+	return &refusal{http.StatusServiceUnavailable, reasonStop, retryElsewhere}
+}
+
 // ServeHTTP serves a caller's request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
@@ -132,6 +156,7 @@
 // Reasons of refusals, in logs and metrics.
 const (
 	reasonBusy       = "too many requests in progress"
+	reasonStop       = "host stops"
 	reasonNoConfig   = "no configuration"
 	reasonStale      = "keys not confirmed"
 	reasonNoRoute    = "no route"
@@ -155,6 +180,8 @@
 const (
 	retryState = time.Second
 	retryBusy  = 300 * time.Millisecond
+	// retryElsewhere is for refusals by a host whose neighbours can serve.
+	retryElsewhere = 20 * time.Millisecond
 )
 
 // admit checks a request, reads its body and takes its tokens.
@@ -173,6 +200,9 @@
 		return &refusal{http.StatusNotFound, reasonNoRoute, 0}
 	}
 	q.bound()
+	if ref := s.outlasts(q); ref != nil {
+		return ref
+	}
 	if len(q.route.Regions) > 0 {
 		s.fleet.CountHomes(q.route.Regions)
 	}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -251,6 +251,9 @@
 	}
 	log := q.s.log.Requests
 	if outcome == "served" {
+		if !q.forwarded {
+			q.s.lengths.Note(q.route.Name, took)
+		}
 		log = q.s.log.Served
 	}
 	if e := log.Check(zap.InfoLevel, "request "+outcome); e != nil {
