Bound what is read of servers, hosts and callers

Ruled out by the same tests, without a change: chunk sizes, chunk extensions, trailers, informational and other requests' responses without end; bytes behind a complete response.

Change: a head ends within 64 KiB, an event within 256 KiB, or the attempt counts as broken and its connection is closed. Bodies of requests and responses are read in steps of 16 KiB, for which room is taken before they come: together an eighth of the memory; beyond it requests are refused as not run and responses are passed on without being held. Times of the platform are bounded where they are decoded. Heads of the store and of other hosts end within 64 KiB.

--- /dev/null
+++ b/internal/edge/entry/bound_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// TestAnswersWithoutEnd guards against a host that keeps reading what is no
+// answer, into its memory or until the deadline, and against other requests
+// that suffer by it.
+func TestAnswersWithoutEnd(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, text := range map[string]string{
+		"head":   "A: " + kilobyte + "\r\n",
+		"event":  "400\r\n" + kilobyte + "\r\n",
+		"answer": kilobyte,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			e := w.host("a1")
+			ended := make(chan time.Time, 1)
+			w.server("s1", "a1", func(x *origin.Exchange) bool {
+				if x.Method == http.MethodGet {
+					return ok(x)
+				}
+				switch name {
+				case "head":
+					x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderID + ": " + x.ID() + "\r\n")
+				case "event":
+					x.StartStream()
+				}
+				for x.Send(text) {
+				}
+				ended <- time.Now()
+				return false
+			})
+			began := time.Now()
+			answer := make(chan line.Answer, 1)
+			conn := w.dial(e)
+			go func() { answer <- conn.Do(post("/chat/x", "1"), nextID()) }()
+			for range 10 {
+				wantStatus(t, w.do(e, get("/safe/x")), http.StatusOK)
+			}
+			if a := <-answer; a.Status == http.StatusOK && a.Err == nil || a.Status == http.StatusServiceUnavailable {
+				t.Errorf("status %d, error %v", a.Status, a.Err)
+			}
+			if took := (<-ended).Sub(began); took > 2*time.Second {
+				t.Errorf("the server's connection was closed after %v", took)
+			}
+		})
+	}
+}
+
+// TestBodiesWithoutRoom guards against callers that together send more than a
+// small host can hold: they are refused as not run, and all room is given back.
+func TestBodiesWithoutRoom(t *testing.T) {
+	const size = 3 << 20
+	w := newWorld(t)
+	settings := w.settings("a1")
+	settings.Memory = 80 // an eighth of it is for bodies
+	e := w.start(settings)
+	w.waitReady(e)
+	s := w.server("s1", "a1", ok)
+	call := post("/order/x", strings.Repeat("x", size))
+	var conns []*line.Line
+	var ids []string
+	for range 4 {
+		conn, id := w.dial(e), nextID()
+		text := call.Bytes(id)
+		if _, err := io.WriteString(conn, text[:len(text)-1]); err != nil {
+			t.Logf("caller of %s: %v", id, err) // was refused already
+		}
+		conns, ids = append(conns, conn), append(ids, id)
+	}
+	time.Sleep(100 * time.Millisecond) // for the host to read them
+	counts := make(map[int]int)
+	for _, conn := range conns {
+		_, _ = fmt.Fprint(conn, "x") // refused ones are closed
+		counts[conn.Receive(http.MethodPost).Status]++
+	}
+	if counts[http.StatusOK] == 0 || counts[http.StatusServiceUnavailable] == 0 {
+		t.Errorf("responses by status: %v (requests %v)", counts, ids)
+	}
+	if n := len(s.Seen()); n != counts[http.StatusOK] {
+		t.Errorf("%d requests ran, %d were answered", n, counts[http.StatusOK])
+	}
+	wantStatus(t, w.do(e, call), http.StatusOK)
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -59,7 +59,11 @@
 	summaryEvery = 5 * time.Second
 	// memoryShare of the memory limit is the target of the garbage collector.
 	memoryShare = 0.7
-	storeDial   = time.Second
+	// bodyShare of the memory may be bodies that are held at once.
+	bodyShare = 0.125
+	// defaultMemory in MB is assumed when the settings state no limit.
+	defaultMemory = 512
+	storeDial     = time.Second
 )
 
 // Entry is a running gateway host.
@@ -87,6 +91,9 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryShare))
 	}
+	if settings.Memory == 0 {
+		settings.Memory = defaultMemory
+	}
 	if settings.Files == 0 {
 		settings.Files = defaultFiles
 	}
@@ -96,7 +103,7 @@
 		return nil, err
 	}
 	metrics := stats.New()
-	transport := &http.Transport{DialContext: send.NewDialer(storeDial).DialContext, MaxIdleConnsPerHost: 4}
+	transport := &http.Transport{DialContext: send.NewDialer(storeDial).DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeader}
 	e.exchange = exchange
 	e.fleet = fleet.New(fleet.Options{
 		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer, Cores: settings.Cores},
@@ -108,6 +115,7 @@
 	files := float64(settings.Files)
 	e.relay = relay.New(relay.Options{
 		Fleet: e.fleet, Log: log, Stats: metrics, MaxRunning: int64(runningShare * files),
+		Bodies:  int64(bodyShare * float64(settings.Memory<<20)),
 		Crowded: func() bool { return float64(e.callers.Open()) > crowdedShare*files },
 	})
 	e.fleet.Start()
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -21,12 +22,17 @@
 	// maxBuffered is the largest response that is read whole before any of it
 	// is passed on, so that a torn one can be replaced.
 	maxBuffered = 256 << 10
+	// maxEvent bounds an event of a stream in bytes. Only whole events are
+	// passed on, so a longer one has to be held.
+	maxEvent = 256 << 10
 	// copyBuffer is the size of the reads of longer responses, in bytes.
 	copyBuffer = 8 << 10
 	// maxDrain bounds what is read of a refusal, to keep its connection.
 	maxDrain = 16 << 10
 )
 
+var errEvent = fmt.Errorf("event of a stream is longer than %d bytes", maxEvent)
+
 // drain reads the rest of a short response, so that its connection is kept.
 func drain(resp *send.Response) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // at worst the connection is closed
@@ -53,16 +59,12 @@
 // whole reads a response and passes it on when it is complete.
 func (q *request) whole(resp *send.Response, begun func(), success bool) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(resp, maxBuffered))
-	if err == nil && n == maxBuffered {
+	h := held{room: &q.s.bodies}
+	defer h.release()
+	err := h.read(&body, resp, maxBuffered)
+	if errors.Is(err, errTooLong) || errors.Is(err, errNoRoom) {
 		return q.long(resp, &body, begun)
 	}
-	if err == nil {
-		_, err = resp.Read(make([]byte, 1)) // sees the end
-		if errors.Is(err, io.EOF) {
-			err = nil
-		}
-	}
 	if err != nil {
 		return q.torn(err, retry.Unknown)
 	}
@@ -160,6 +162,9 @@
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
 	for {
+		if len(buf) >= maxEvent {
+			return q.torn(errEvent, q.cutResult())
+		}
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
 		}
--- /dev/null
+++ b/internal/edge/relay/fuzz_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// FuzzEvents guards against events that are passed on in parts, and against an
+// identifier that is not in the events.
+func FuzzEvents(f *testing.F) {
+	for _, s := range []string{"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\nid: 2\nda", "data: id: 3\n\n", "id:\n\n", "\n\n", "id: 1"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n := events(b)
+		if n > 0 && !bytes.HasSuffix(b[:n], []byte("\n\n")) && !bytes.HasSuffix(b[:n], []byte("\r\n\r\n")) {
+			t.Errorf("%q does not end with an event", b[:n])
+		}
+		if rest := b[n:]; bytes.Contains(rest, []byte("\n\n")) {
+			t.Errorf("a whole event is left in %q", rest)
+		}
+		if id := lastEventID(b[:n]); !strings.Contains(string(b[:n]), id) {
+			t.Errorf("event %q is not in %q", id, b[:n])
+		}
+	})
+}
+
+// FuzzPrompt guards against what a caller states of its prompt: sizes must
+// stay within those of the whole prompt, whatever the headers hold.
+func FuzzPrompt(f *testing.F) {
+	f.Add("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	f.Add("", ",,,:")
+	f.Add("-1,5", "a:-7,b:9")
+	f.Add("99999999999999999999,1", "a:99999999999999999999,b:1")
+	f.Add("10,1", "a:9223372036854775807,b:9223372036854775807,c:1")
+	f.Fuzz(func(t *testing.T, tokens, parts string) {
+		q := &request{r: &http.Request{Header: http.Header{}}}
+		q.r.Header.Set(platform.HeaderTokens, tokens)
+		q.r.Header.Set(platform.HeaderPrompt, parts)
+		q.parsePrompt()
+		p := q.pick
+		if p.Prompt < 0 || p.Output < 0 || p.Shared < 0 || p.Shared > p.Prompt {
+			t.Errorf("%q and %q: prompt %d, shared %d, output %d", tokens, parts, p.Prompt, p.Shared, p.Output)
+		}
+	})
+}
+
+// FuzzFromPeer guards against a panic on what another host states of a
+// request, and against a request without a service or an end.
+func FuzzFromPeer(f *testing.F) {
+	f.Add("chat", "stream resumable", "1000", "3", "800")
+	f.Add("chat", "?", "x", "", "")
+	now := time.Now()
+	f.Fuzz(func(t *testing.T, service, route, millis, urgency, goal string) {
+		h := http.Header{}
+		for name, v := range map[string]string{
+			platform.HeaderID: "1", headerService: service, headerRoute: route, headerUntil: millis, headerUrgency: urgency, headerGoal: goal,
+		} {
+			h.Set(name, v)
+		}
+		q := &request{id: "1", arrived: now, r: &http.Request{Header: h}}
+		if err := q.fromPeer(); err == nil && (q.service == "" || !q.until.After(now) || q.route.Goal < 0) {
+			t.Errorf("service %q, until %v", q.service, q.until)
+		}
+	})
+}
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/platform"
 )
 
 // Flags of a route between hosts.
@@ -43,22 +43,21 @@
 	if q.service == "" || q.id == "" {
 		return errors.New("service or identifier is missing")
 	}
-	ms, err := strconv.ParseInt(h.Get(headerUntil), 10, 64)
-	if err != nil {
-		return fmt.Errorf("header %s: %w", headerUntil, err)
+	left, ok := platform.ParseMillis(h.Get(headerUntil))
+	if !ok {
+		return fmt.Errorf("header %s: %q is no time", headerUntil, h.Get(headerUntil))
 	}
-	q.until = q.arrived.Add(time.Duration(ms) * time.Millisecond)
+	q.until = q.arrived.Add(left)
+	var err error
 	if q.urgency, err = strconv.Atoi(h.Get(headerUrgency)); err != nil {
 		return fmt.Errorf("header %s: %w", headerUrgency, err)
 	}
 	q.orgName = h.Get(headerOrg)
 	q.route = &spec.Route{Attempts: 1}
 	if goal := h.Get(headerGoal); goal != "" {
-		ms, err := strconv.ParseInt(goal, 10, 64)
-		if err != nil {
-			return fmt.Errorf("header %s: %w", headerGoal, err)
+		if q.route.Goal, ok = platform.ParseMillis(goal); !ok {
+			return fmt.Errorf("header %s: %q is no time", headerGoal, goal)
 		}
-		q.route.Goal = time.Duration(ms) * time.Millisecond
 	}
 	for _, flag := range strings.Fields(h.Get(headerRoute)) {
 		switch flag {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -53,6 +53,7 @@
 	closing atomic.Bool
 	ends    atomic.Int64
 	lengths length.Book
+	bodies  room
 }
 
 // Options sets up a Relay.
@@ -62,6 +63,9 @@
 	Stats *stats.Metrics
 	// MaxRunning bounds the requests in progress.
 	MaxRunning int64
+	// Bodies bounds the bytes of requests' and responses' bodies that are held
+	// at once.
+	Bodies int64
 	// Crowded reports whether connections of callers should end with their
 	// responses.
 	Crowded func() bool
@@ -71,6 +75,7 @@
 func New(opts Options) *Relay {
 	return &Relay{
 		fleet: opts.Fleet, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, crowded: opts.Crowded,
+		bodies:  room{limit: opts.Bodies},
 		servers: send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 }
@@ -134,6 +139,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := s.newRequest(w, r)
+	defer q.held.release()
 	if s.running.Load() > s.maxRunning {
 		q.refuse(&refusal{http.StatusServiceUnavailable, reasonBusy, retryState})
 		return
@@ -163,6 +169,7 @@
 	reasonNoKey      = "unknown key"
 	reasonBad        = "bad request"
 	reasonBody       = "body too large"
+	reasonMemory     = "no memory for bodies"
 	reasonRead       = "body not read"
 	reasonLimit      = "organisation over its limit"
 	reasonNoServer   = "no server"
@@ -268,6 +275,7 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	q := s.newRequest(w, r)
+	defer q.held.release()
 	if err := q.fromPeer(); err != nil {
 		s.log.Error("request of another host not understood", zap.String("id", q.id), zap.Error(err))
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -1,9 +1,8 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -50,6 +49,7 @@
 	rev     int64
 	keyAge  time.Duration
 	body    []byte
+	held    held // for the body
 	pick    pick.Request
 	tokens  bool
 	// forwarded is set when another host sent the request.
@@ -74,7 +74,7 @@
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	q := &request{s: s, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
+	q := &request{s: s, held: held{room: &s.bodies}, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
 	q.pick.Connected = s.servers.Connected
 	return q
 }
@@ -91,8 +91,8 @@
 	if q.route.Timeout > 0 {
 		wait = q.route.Timeout
 	}
-	if ms, err := strconv.ParseFloat(q.r.Header.Get(platform.HeaderDeadline), 64); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	if d, ok := platform.ParseMillis(q.r.Header.Get(platform.HeaderDeadline)); ok {
+		wait = min(wait, d)
 	}
 	q.until = q.arrived.Add(wait)
 }
@@ -117,37 +117,25 @@
 	if err := control.SetReadDeadline(time.Now().Add(max(limits.HeaderTimeout, bodyWait))); err != nil {
 		q.s.log.Debug("no deadline for the body", zap.String("id", q.id), zap.Error(err))
 	}
-	body, err := q.readAll(limit)
+	var body bytes.Buffer
+	err := q.held.read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, reasonBody, 0}
+	case errors.Is(err, errNoRoom):
+		q.w.Header().Set("Connection", "close") // the rest is not read
+		return &refusal{http.StatusServiceUnavailable, reasonMemory, retryState}
 	case err != nil:
 		return &refusal{http.StatusRequestTimeout, reasonRead, 0}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		q.s.log.Debug("deadline of the body not lifted", zap.String("id", q.id), zap.Error(err))
 	}
-	q.body = body
+	q.body = body.Bytes()
 	return nil
 }
 
-func (q *request) readAll(limit int64) ([]byte, error) {
-	r := http.MaxBytesReader(q.w, q.r.Body, limit)
-	if n := q.r.ContentLength; n > 0 {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r, body); err != nil {
-			return nil, fmt.Errorf("read body: %w", err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(r)
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	return body, nil
-}
-
 // parsePrompt reads what the caller states of its prompt. What it states
 // wrongly counts as not stated: it is a hint for routing, and the server
 // checks it.
--- /dev/null
+++ b/internal/edge/relay/room_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// TestHeldRead guards against bodies that are cut, that exceed their limit, or
+// whose room is not given back.
+func TestHeldRead(t *testing.T) {
+	broken := errors.New("broken")
+	for _, c := range []struct {
+		name        string
+		r           io.Reader
+		limit, room int64
+		want        error
+		length      int
+	}{
+		{"empty", strings.NewReader(""), 10, 1 << 20, nil, 0},
+		{"at the limit", strings.NewReader("0123456789"), 10, 1 << 20, nil, 10},
+		{"beyond the limit", strings.NewReader("0123456789a"), 10, 1 << 20, errTooLong, 11},
+		{"byte by byte", iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 40_000))), 1 << 20, 1 << 20, nil, 40_000},
+		{"no room", strings.NewReader(strings.Repeat("x", 40_000)), 1 << 20, 2 * holdStep, errNoRoom, 2 * holdStep},
+		{"broken", io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(broken)), 10, 1 << 20, broken, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := &room{limit: c.room}
+			h := held{room: m}
+			var b bytes.Buffer
+			if err := h.read(&b, c.r, c.limit); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if b.Len() != c.length {
+				t.Errorf("read %d bytes, want %d", b.Len(), c.length)
+			}
+			if m.used.Load() < int64(b.Len()) && c.want != errTooLong {
+				t.Errorf("%d bytes are accounted for, %d are held", m.used.Load(), b.Len())
+			}
+			h.release()
+			if n := m.used.Load(); n != 0 {
+				t.Errorf("%d bytes were not given back", n)
+			}
+		})
+	}
+}
+
+// TestHeldReadAhead guards against memory for bytes that were declared and did
+// not come: some dozens of callers would take all that a small host has.
+func TestHeldReadAhead(t *testing.T) {
+	const readers = 100
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range readers {
+		h := held{room: &room{limit: 1 << 30}}
+		var b bytes.Buffer
+		_ = h.read(&b, iotest.ErrReader(io.ErrUnexpectedEOF), 4<<20) // the error is not the point
+	}
+	runtime.ReadMemStats(&after)
+	if n := (after.TotalAlloc - before.TotalAlloc) / readers; n > 2*holdStep {
+		t.Errorf("%d bytes allocated for a body of which nothing came", n)
+	}
+}
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -34,6 +34,7 @@
 var (
 	errClosed = errors.New("client is closed")
 	errStray  = errors.New("response belongs to another request")
+	errHead   = fmt.Errorf("head of a response is longer than %d bytes", maxHead)
 )
 
 // Request is one request to one server.
@@ -232,7 +233,7 @@
 func readResponse(cn *conn, req *Request) (*http.Response, error) {
 	asked := &http.Request{Method: req.Method}
 	for range maxStrays {
-		resp, err := http.ReadResponse(cn.br, asked)
+		resp, err := cn.readHead(asked)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -15,6 +15,8 @@
 
 const (
 	readBuffer = 4 << 10
+	// maxHead bounds the head of a response in bytes.
+	maxHead = 64 << 10
 	// idleMargin is how long before a server's idle timeout a connection is
 	// no longer used.
 	idleMargin = 500 * time.Millisecond
@@ -31,10 +33,38 @@
 	// until is when the connection must no longer be used.
 	until time.Time
 	idle  time.Duration
+	// inHead is set while a head is read, of which left bytes may still come.
+	inHead bool
+	left   int
 }
 
 func newConn(c net.Conn, addr netip.AddrPort) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr, idle: defaultIdle}
+	cn := &conn{Conn: c, addr: addr, idle: defaultIdle}
+	cn.br = bufio.NewReaderSize(cn, readBuffer)
+	return cn
+}
+
+// Read reads from the connection. A head that does not end within maxHead
+// bytes is an error.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.left <= 0 {
+		return 0, errHead
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// readHead reads the head of a response to a request.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.inHead = true
+	c.left = maxHead
+	resp, err := http.ReadResponse(c.br, req)
+	c.inHead = false
+	return resp, err
 }
 
 // note takes the idle timeout that a response states.
--- /dev/null
+++ b/internal/edge/send/fuzz_test.go
@@ -0,0 +1,48 @@
+package send
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+)
+
+// script is a connection from which given bytes can be read.
+type script struct {
+	net.Conn
+	io.Reader
+}
+
+// Read reads the given bytes.
+func (s script) Read(p []byte) (int, error) { return s.Reader.Read(p) }
+
+// FuzzReadResponse guards against a response that is taken for another
+// request's, a head beyond its limit, and a panic on bytes that are no response.
+func FuzzReadResponse(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+		"HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\nuntil the end",
+		"no response\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		cn := newConn(script{Reader: bytes.NewReader(b)}, netip.AddrPort{})
+		resp, err := readResponse(cn, &Request{Method: http.MethodGet, ID: "1", IDHeader: idHeader})
+		if err != nil {
+			return
+		}
+		if got := resp.Header.Get(idHeader); got != "1" {
+			t.Errorf("the response to request %q is taken", got)
+		}
+		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(b)) {
+			t.Errorf("a body of %d bytes from %d bytes", n, len(b))
+		}
+	})
+}
