Place prompts by the tree of their parts; learn reading rate and held places

Cause: only the first part of a prompt's prefix decided on its server. The reading rate (54,600 tokens a second) and the time for which a request takes a place (700 ms) were those of one deployment.

Change: a request names each shared part with all before it; a server's cache is a tree of parts of which the least recently used leaf yields. Other regions are told the parts used last. The reading rate moves with each first byte towards their median, the time for a place towards its mean, each from a prior. The penalty for placing a prefix elsewhere is a part of its reading time.

A test of admit named the old reading rate as its own now.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -29,30 +29,22 @@
 	// Goal is the route's for the first byte, 0 for none, and Left the time
 	// until the request's end.
 	Goal, Left time.Duration
-	// Prompt and Shared are the tokens to read and those of a shared prefix,
-	// which is worth to be looked for in caches if Prefixed is set.
+	// Prompt and Shared are the tokens to read and those of its parts that
+	// other requests share.
 	Prompt, Shared int
-	Prefixed       bool
+	// Pace is that of the service's servers.
+	Pace pick.Pace
 	// Bytes is the length of the body.
 	Bytes int
 }
 
 // Far rates another region. Wait is its expected time to the first byte of a
-// short request, and cached is set when one of its servers should hold the
-// shared prefix.
-func (d *Demand) Far(wait time.Duration, cached bool) Estimate {
-	e := Estimate{First: wait + hopDelay + pick.ReadTime(d.Prompt)}
-	e.Score = e.First + time.Duration(d.Bytes)*byteDelay
-	if !d.Prefixed {
-		return e
-	}
-	shared := pick.ReadTime(d.Shared)
-	if cached {
-		e.First -= shared
-		e.Score -= shared
-		return e
-	}
-	e.Score += time.Duration((pick.MissWeight - 1) * float64(shared))
+// short request, and cached are the shared tokens that one of its servers
+// should hold.
+func (d *Demand) Far(wait time.Duration, cached int) Estimate {
+	e := Estimate{First: wait + hopDelay + d.Pace.ReadTime(d.Prompt-cached)}
+	missed := d.Pace.ReadTime(d.Shared - cached)
+	e.Score = e.First + time.Duration(d.Bytes)*byteDelay + time.Duration((pick.MissWeight-1)*float64(missed))
 	return e
 }
 
@@ -68,7 +60,7 @@
 func (d *Demand) Late(first time.Duration) (retry time.Duration, late bool) {
 	bound := d.Left
 	if d.Goal > 0 {
-		bound = min(bound, time.Duration(patienceGoals*float64(d.Goal))+pick.ReadTime(d.Prompt))
+		bound = min(bound, time.Duration(patienceGoals*float64(d.Goal))+d.Pace.ReadTime(d.Prompt))
 	}
 	if first <= bound {
 		return 0, false
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -9,11 +9,14 @@
 
 const ms = time.Millisecond
 
+// pace is that of the engines.
+var pace = pick.Pace{Read: 54_600}
+
 // longPrompt is a request with a long shared prefix.
-var longPrompt = Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 17_000, Shared: 13_300, Prefixed: true, Bytes: 5000}
+var longPrompt = Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 17_000, Shared: 13_300, Bytes: 5000, Pace: pace}
 
 // question is a short request.
-var question = Demand{Goal: 800 * ms, Left: 5 * time.Second, Prompt: 383, Bytes: 400}
+var question = Demand{Goal: 800 * ms, Left: 5 * time.Second, Prompt: 383, Bytes: 400, Pace: pace}
 
 // TestPeak is the load of regions that have their peaks in turn. It guards
 // against requests that wait in a queue while another region idles, that cross
@@ -24,19 +27,19 @@
 		demand Demand
 		own    time.Duration // score of the own region
 		wait   time.Duration // in the other one
-		cached bool          // there
+		cached int           // tokens there
 		usable bool
 		want   bool
 	}{
-		{"both idle", question, 10 * ms, 0, false, true, false},
-		{"own queue shorter than the way", question, 100 * ms, 0, false, true, false},
-		{"own queue longer than the way", question, 200 * ms, 0, false, true, true},
-		{"both at their peak", question, 200 * ms, 200 * ms, false, true, false},
-		{"no server", question, 0, 900 * ms, false, false, true},
-		{"prefix cached here", longPrompt, pick.ReadTime(3700), 0, false, true, false},
-		{"prefix cached here, long queue", longPrompt, 2 * time.Second, 0, false, true, true},
-		{"prefix cached there only", longPrompt, 3 * pick.ReadTime(17_000), 0, true, true, true},
-		{"prefix cached nowhere", longPrompt, 3 * pick.ReadTime(17_000), 0, false, true, false},
+		{"both idle", question, 10 * ms, 0, 0, true, false},
+		{"own queue shorter than the way", question, 100 * ms, 0, 0, true, false},
+		{"own queue longer than the way", question, 200 * ms, 0, 0, true, true},
+		{"both at their peak", question, 200 * ms, 200 * ms, 0, true, false},
+		{"no server", question, 0, 900 * ms, 0, false, true},
+		{"prefix cached here", longPrompt, pace.ReadTime(3700), 0, 0, true, false},
+		{"prefix cached here, long queue", longPrompt, 2 * time.Second, 0, 0, true, true},
+		{"prefix cached there only", longPrompt, 3 * pace.ReadTime(17_000), 0, 13_300, true, true},
+		{"prefix cached nowhere", longPrompt, 3 * pace.ReadTime(17_000), 0, 0, true, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -61,9 +64,9 @@
 		{"in time", question, 700 * ms, false},
 		{"a little late", question, 1100 * ms, false},
 		{"far too late", question, 1400 * ms, true},
-		{"after the end", Demand{Left: 100 * ms}, 200 * ms, true},
-		{"no goal", Demand{Left: 5 * time.Second}, 4 * time.Second, false},
-		{"large prompt", Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 100_000}, pick.ReadTime(100_000) + time.Second, false},
+		{"after the end", Demand{Left: 100 * ms, Pace: pace}, 200 * ms, true},
+		{"no goal", Demand{Left: 5 * time.Second, Pace: pace}, 4 * time.Second, false},
+		{"large prompt", Demand{Goal: time.Second, Left: 8 * time.Second, Prompt: 100_000, Pace: pace}, pace.ReadTime(100_000) + time.Second, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/pick/leave_test.go
+++ b/internal/core/pick/leave_test.go
@@ -23,15 +23,15 @@
 	}
 	wantNone("after the answer", now)
 	list := entries(1)
-	tab.Update(tab.svc, nil, nil, settled("h0"), now)
-	tab.Update(tab.svc, list, nil, settled("h0"), now.Add(keepDeparted/2))
+	tab.Update(tab.model.Service, nil, nil, settled("h0"), now)
+	tab.Update(tab.model.Service, list, nil, settled("h0"), now.Add(keepDeparted/2))
 	wantNone("after its entry came back", now.Add(keepDeparted/2))
 	if got := tab.Departed(); len(got) != 1 {
 		t.Errorf("reported to other hosts: %v", got)
 	}
 	list[0].Born++
 	now = now.Add(keepDeparted)
-	tab.Update(tab.svc, list, nil, settled("h0"), now)
+	tab.Update(tab.model.Service, list, nil, settled("h0"), now)
 	tab.Depart([]Process{{ID: list[0].ID, Born: list[0].Born - 1}}, now)
 	mustPick(t, tab, &Request{}, now)
 	if got := tab.Departed(); len(got) != 0 {
@@ -81,7 +81,7 @@
 		mustPick(t, tab, &Request{}, now.Add(c.want))
 		list := entries(1)
 		list[0].Born++
-		tab.Update(tab.svc, list, nil, settled("h0"), now)
+		tab.Update(tab.model.Service, list, nil, settled("h0"), now)
 		tab.Rest(&choice, c.asked, now)
 		mustPick(t, tab, &Request{}, now)
 	}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -15,15 +15,12 @@
 
 // Model of a server, used until its responses have been measured.
 const (
-	// engineHeld and plainHeld are how long a request takes a place of a
-	// model engine and of a plain service.
-	engineHeld = 700 * time.Millisecond
-	plainHeld  = 50 * time.Millisecond
 	// batchDelay is what each request in the batch adds to a first byte.
 	batchDelay = 500 * time.Microsecond
-	// rankDelay keeps the hosts of a region from placing a new prefix on
-	// several servers at once: it is added per rank of a rendezvous hash.
-	rankDelay = 100 * time.Millisecond
+	// rankWeight keeps the hosts of a region from placing a new prefix on
+	// several servers at once: per rank of a rendezvous hash, this part of the
+	// time to read the prefix is added.
+	rankWeight = 0.4
 	// dialDelay is added for a server that a connection has to be opened to.
 	// Hosts then keep to servers of their own while these are equally good.
 	dialDelay = 3 * time.Millisecond
@@ -36,17 +33,17 @@
 	placedFor = 60 * time.Second
 )
 
-// ReadRate is how fast a server reads a prompt, in tokens per second.
-const ReadRate = 54_600.0
-
 // MissWeight counts the time to read a prefix again more than once, since it
 // also delays the other requests of the server.
 const MissWeight = 3.0
 
-// PrefixTokens is the shortest shared prefix that is worth routing by:
-// shorter ones are read in less time than a detour takes.
+// PrefixTokens is the shortest prefix that is worth routing by: shorter ones
+// are read in less time than a detour takes.
 const PrefixTokens = 1000
 
+// MaxParts bounds the parts of a prompt that are told apart.
+const MaxParts = 8
+
 // Rules for servers that fail.
 const (
 	firstBackoff = 250 * time.Millisecond
@@ -75,10 +72,9 @@
 
 // Request is what the choice depends on.
 type Request struct {
-	// Prefix identifies the first shared part of the prompt, 0 if there is
-	// none; Shared is its length in tokens.
-	Prefix uint64
-	Shared int
+	// Parts are the parts at the start of the prompt that other requests
+	// share.
+	Parts []Part
 	// Prompt and Output are all tokens to read and at most to write.
 	Prompt, Output int
 	// Exclude lists servers that failed this request.
@@ -139,11 +135,13 @@
 
 // Placement is a prefix that was sent to a server.
 type Placement struct {
-	Server string
-	Prefix uint64
-	Tokens int
+	Server string `cbor:"1,keyasint"`
+	Parts  []Part `cbor:"2,keyasint"`
 }
 
+// prefix returns the key of the whole prefix.
+func (p *Placement) prefix() uint64 { return p.Parts[len(p.Parts)-1].Key }
+
 // placed is a Placement with its time, kept for reports to peers.
 type placed struct {
 	Placement
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -151,18 +151,15 @@
 
 // cost rates the server under a load for a request; rank is that of the server
 // for the prefix.
-func (s *server) cost(l Load, req *Request, svc *spec.Service, rank int, now time.Time) cost {
+func (s *server) cost(l Load, req *Request, m *model, rank int, now time.Time) cost {
 	slow := s.slowness(now)
-	hit := 0
-	if req.Prefix != 0 && s.cache.holds(req.Prefix, now) {
-		hit = req.Shared
-	}
+	hit := s.cache.hit(req.Parts, now)
 	c := cost{unread: max(req.Prompt-hit, 0)}
-	c.time = scale(ReadTime(l.Unread+c.unread)+time.Duration(l.Running)*batchDelay, slow)
-	c.time += s.queue(l, svc)
+	c.time = scale(m.ReadTime(l.Unread+c.unread)+time.Duration(l.Running)*batchDelay, slow)
+	c.time += s.queue(l, m)
 	c.score = c.time + time.Duration(s.errors*float64(errorDelay))
-	if req.Prefix != 0 && hit == 0 {
-		c.score += scale(ReadTime(req.Shared), (MissWeight-1)*slow) + time.Duration(rank)*rankDelay
+	if missed := m.ReadTime(req.Shared() - hit); missed > 0 {
+		c.score += scale(missed, (MissWeight-1)*slow+float64(rank)*rankWeight)
 	}
 	if req.Connected != nil && !req.Connected(s.Addr) {
 		c.score += dialDelay
@@ -170,54 +167,47 @@
 	if now.Before(s.fullUntil) {
 		c.score += fullDelay
 	}
-	if slots := s.slots(svc); slots > 0 && l.Running >= slots {
+	if slots := s.slots(m); slots > 0 && l.Running >= slots {
 		c.score += fullDelay
 	}
 	return c
 }
 
 // candidate rates the server for a request.
-func (s *server) candidate(req *Request, svc *spec.Service, rank int, now time.Time) candidate {
+func (s *server) candidate(req *Request, m *model, rank int, now time.Time) candidate {
 	l := s.total()
-	c := candidate{server: s, load: l, cost: s.cost(l, req, svc, rank, now), slope: batchDelay + ReadTime(req.Prompt)}
-	slots := s.slots(svc)
+	c := candidate{server: s, load: l, cost: s.cost(l, req, m, rank, now), slope: batchDelay + m.ReadTime(req.Prompt)}
+	slots := s.slots(m)
 	if slots == 0 {
 		c.free = math.Inf(1)
 		return c
 	}
 	c.free = float64(max(slots-l.Running, 0))
 	if l.Running >= slots {
-		c.slope += held(svc) / time.Duration(slots)
+		c.slope += m.Held / time.Duration(slots)
 	}
 	return c
 }
 
-// held returns how long a request takes a place.
-func held(svc *spec.Service) time.Duration {
-	if svc.Engine {
-		return engineHeld
-	}
-	return plainHeld
-}
-
 // slots returns the number of requests that the server works on at once.
-func (s *server) slots(svc *spec.Service) int { return max(s.Slots, svc.Slots) }
+func (s *server) slots(m *model) int { return max(s.Slots, m.Slots) }
 
 // queue returns the expected wait for a place in the batch and in the memory.
-func (s *server) queue(l Load, svc *spec.Service) time.Duration {
+func (s *server) queue(l Load, m *model) time.Duration {
 	var d time.Duration
-	if slots := s.slots(svc); slots > 0 && l.Running >= slots {
-		d += held(svc) * time.Duration(l.Running-slots+1) / time.Duration(slots)
+	if slots := s.slots(m); slots > 0 && l.Running >= slots {
+		d += m.Held * time.Duration(l.Running-slots+1) / time.Duration(slots)
 	}
-	if over := float64(l.Memory) - memoryShare*float64(svc.Cache); svc.Cache > 0 && over > 0 {
-		d += 2 * ReadTime(int(over))
+	if over := float64(l.Memory) - memoryShare*float64(m.Cache); m.Cache > 0 && over > 0 {
+		d += 2 * m.ReadTime(int(over))
 	}
 	return d
 }
 
-// ReadTime returns how long a server reads tokens of prompts.
-func ReadTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / ReadRate * float64(time.Second))
+// model is what is known of all servers of a service.
+type model struct {
+	spec.Service
+	Pace
 }
 
 // scale multiplies a duration.
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -19,7 +19,7 @@
 // Table holds the servers of one service in the own region.
 type Table struct {
 	mu      sync.Mutex
-	svc     spec.Service
+	model   model
 	warm    Warming
 	servers map[string]*server
 	order   []string // sorted, for equal decisions in equal states
@@ -34,14 +34,14 @@
 
 // NewTable returns an empty table; rng breaks ties.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{svc: svc, servers: make(map[string]*server), departed: make(map[Process]time.Time), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), departed: make(map[Process]time.Time), rng: rng}
 }
 
 // Update replaces the servers as they were listed at now.
 func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, warm Warming, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.svc = svc
+	t.model.Service = svc
 	t.warm = warm
 	seen := make(map[string]bool, len(list))
 	t.order = t.order[:0]
@@ -90,7 +90,7 @@
 	s, c := best.server, best.cost
 	t.send(s, req, c.unread, now)
 	return Choice{
-		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, Read: ReadTime(c.unread),
+		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, Read: t.model.ReadTime(c.unread),
 		server: s, born: s.Born, at: now, unread: c.unread, memory: req.Prompt + req.Output,
 	}, true
 }
@@ -99,7 +99,7 @@
 // server that holds it, as those of other hosts do.
 func (t *Table) choose(req *Request, list []candidate) candidate {
 	unseen := t.unseen()
-	if req.Prefix != 0 || unseen < leastUnseen {
+	if len(req.Parts) > 0 || unseen < leastUnseen {
 		return bestOf(list, t.rng)
 	}
 	return fill(list, unseen, t.rng)
@@ -121,12 +121,12 @@
 
 // candidates returns the servers that may get a request.
 func (t *Table) candidates(req *Request, now time.Time) []candidate {
-	ranks := t.ranks(req.Prefix)
+	ranks := t.ranks(req.Prefix())
 	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
 		s := t.servers[id]
-		if !t.leaving(s) && s.usable(req, &t.svc, &t.warm, now) {
-			list = append(list, s.candidate(req, &t.svc, ranks[i], now))
+		if !t.leaving(s) && s.usable(req, &t.model.Service, &t.warm, now) {
+			list = append(list, s.candidate(req, &t.model, ranks[i], now))
 		}
 	}
 	return list
@@ -170,15 +170,14 @@
 	if s.failures >= failuresDown {
 		s.probing = true
 	}
-	if req.Prefix == 0 {
+	if len(req.Parts) == 0 {
 		return
 	}
-	p := Placement{Server: s.ID, Prefix: req.Prefix, Tokens: req.Shared}
-	s.cache.put(p.Prefix, p.Tokens, t.cacheLimit(), now)
-	t.placed = append(t.placed, placed{p, now})
+	s.cache.put(req.Parts, t.cacheLimit(), now)
+	t.placed = append(t.placed, placed{Placement{Server: s.ID, Parts: req.Parts}, now})
 }
 
-func (t *Table) cacheLimit() int { return int(cacheShare * float64(t.svc.Cache)) }
+func (t *Table) cacheLimit() int { return int(cacheShare * float64(t.model.Cache)) }
 
 // Begun records the first byte of a response.
 func (t *Table) Begun(c *Choice, now time.Time) {
@@ -191,6 +190,16 @@
 	s := c.server
 	s.own.Unread -= c.unread
 	s.measure(now.Sub(c.at), c.Expected, now)
+	if c.Load.Unread == 0 && c.unread >= readLeast && !s.limited(now) {
+		t.model.read(now.Sub(c.at), c.Expected)
+	}
+}
+
+// Pace returns how fast the servers work.
+func (t *Table) Pace() Pace {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.model.Pace
 }
 
 // Done records the end of a request.
@@ -208,6 +217,9 @@
 	case Served:
 		s.failures = 0
 		s.errors *= 1 - errorWeight
+		if c.Load.Running < s.slots(&t.model) {
+			t.model.held(now.Sub(c.at))
+		}
 	case Failed:
 		s.failures = 0
 		s.errors = s.errors*(1-errorWeight) + errorWeight
@@ -249,8 +261,8 @@
 		s.peers[host] = l
 	}
 	for _, p := range placements {
-		if s := t.servers[p.Server]; s != nil {
-			s.cache.put(p.Prefix, p.Tokens, t.cacheLimit(), now)
+		if s := t.servers[p.Server]; s != nil && len(p.Parts) <= MaxParts {
+			s.cache.put(p.Parts, t.cacheLimit(), now)
 		}
 	}
 }
@@ -267,35 +279,45 @@
 		}
 	}
 	t.placed = slices.DeleteFunc(t.placed, func(p placed) bool { return now.Sub(p.at) > placedReport })
+	type copied struct {
+		server string
+		prefix uint64
+	}
+	told := make(map[copied]bool)
 	list := make([]Placement, 0, len(t.placed))
 	for _, p := range t.placed {
-		list = append(list, p.Placement)
+		if c := (copied{p.Server, p.prefix()}); !told[c] {
+			told[c] = true
+			list = append(list, p.Placement)
+		}
 	}
 	return loads, list
 }
 
-// maxHeld bounds the prefixes that a region tells the others of.
+// maxHeld bounds the parts that a region tells the others of.
 const maxHeld = 256
 
-// Held returns short forms of the prefixes that servers are expected to cache.
+// Held returns short forms of the parts that servers are expected to cache,
+// those used last if there are too many.
 func (t *Table) Held(now time.Time) []uint32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := make(map[uint32]bool)
+	last := make(map[uint32]time.Time)
 	for _, s := range t.servers {
 		if t.leaving(s) {
 			continue
 		}
-		for p, e := range s.cache.entries {
-			if len(seen) < maxHeld && now.Sub(e.used) < placedFor {
-				seen[Short(p)] = true
+		for key, e := range s.cache.entries {
+			if k := Short(key); now.Sub(e.used) < placedFor && e.used.After(last[k]) {
+				last[k] = e.used
 			}
 		}
 	}
-	return slices.Collect(maps.Keys(seen))
+	list := slices.SortedFunc(maps.Keys(last), func(a, b uint32) int { return last[b].Compare(last[a]) })
+	return list[:min(len(list), maxHeld)]
 }
 
-// Short returns the short form of a prefix in reports.
+// Short returns the short form of a part's key in reports.
 func Short(prefix uint64) uint32 { return uint32(prefix >> 32) }
 
 // Summary is the state of a service in a region.
@@ -318,7 +340,7 @@
 			continue
 		}
 		sum.Servers++
-		waits = append(waits, s.cost(s.total(), &Request{}, &t.svc, 0, now).time)
+		waits = append(waits, s.cost(s.total(), &Request{}, &t.model, 0, now).time)
 	}
 	if sum.Servers > 0 {
 		sum.Wait = lowerMean(waits)
--- a/internal/core/pick/table_test.go
+++ b/internal/core/pick/table_test.go
@@ -41,7 +41,7 @@
 }
 
 func long(prefix uint64) *Request {
-	return &Request{Prefix: prefix, Shared: 13_300, Prompt: 17_000, Output: 120}
+	return &Request{Parts: []Part{{Key: prefix, Tokens: 13_300}}, Prompt: 17_000, Output: 120}
 }
 
 func mustPick(t *testing.T, tab *Table, req *Request, now time.Time) Choice {
@@ -120,7 +120,7 @@
 // host has placed already.
 func TestPlacementsOfPeers(t *testing.T) {
 	tab := newTable(5)
-	tab.Peer("h1", nil, []Placement{{Server: "s3", Prefix: 7, Tokens: 13_300}}, epoch)
+	tab.Peer("h1", nil, []Placement{{Server: "s3", Parts: long(7).Parts}}, epoch)
 	if c := mustPick(t, tab, long(7), epoch); c.ID != "s3" {
 		t.Errorf("request went to %s, the prefix is at s3", c.ID)
 	}
--- a/internal/edge/fleet/place.go
+++ b/internal/edge/fleet/place.go
@@ -15,12 +15,20 @@
 	// Hosts must not be changed.
 	Hosts []steer.Host
 	pick.Summary
-	held []uint32
+	held map[uint32]bool
 }
 
-// Holds reports whether a server of the region is expected to cache a prefix.
-func (p *Place) Holds(prefix uint64) bool {
-	return slices.Contains(p.held, pick.Short(prefix))
+// Cached returns how many tokens of parts the servers of the region are
+// expected to cache.
+func (p *Place) Cached(parts []pick.Part) int {
+	n := 0
+	for _, part := range parts {
+		if !p.held[pick.Short(part.Key)] {
+			break
+		}
+		n += part.Tokens
+	}
+	return n
 }
 
 // Places returns the other regions with usable servers of a service and hosts
@@ -33,7 +41,7 @@
 			continue
 		}
 		if len(r.hosts) > 0 {
-			places = append(places, Place{Region: r.Name, Hosts: r.hosts, Summary: sum, held: r.Held[service]})
+			places = append(places, Place{Region: r.Name, Hosts: r.hosts, Summary: sum, held: r.held[service]})
 		}
 	}
 	slices.SortFunc(places, func(a, b Place) int { return strings.Compare(a.Region, b.Region) })
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -35,6 +35,8 @@
 	made time.Time
 	// hosts are the members that stay, by their address for other hosts.
 	hosts []steer.Host
+	// held are the parts of prompts that its servers cache, by service.
+	held map[string]map[uint32]bool
 }
 
 // staying returns the members that do not leave.
@@ -76,7 +78,14 @@
 	if old := s.last[r.Name]; old != nil && !made.After(old.made) {
 		return false
 	}
-	n := &report{Region: r, made: made}
+	n := &report{Region: r, made: made, held: make(map[string]map[uint32]bool)}
+	for service, keys := range r.Held {
+		set := make(map[uint32]bool, len(keys))
+		for _, k := range keys {
+			set[k] = true
+		}
+		n.held[service] = set
+	}
 	for _, h := range n.staying() {
 		n.hosts = append(n.hosts, steer.Host{Addr: h.Peer, Weight: h.Cores})
 	}
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -49,8 +49,8 @@
 	// Age is the time since it was summed up.
 	Age     time.Duration `cbor:"2,keyasint"`
 	Members []Member      `cbor:"3,keyasint"`
-	// Services is the state of the services, Held the prefixes that their
-	// servers cache.
+	// Services is the state of the services, Held the parts of prompts that
+	// their servers cache.
 	Services map[string]pick.Summary `cbor:"4,keyasint,omitempty"`
 	Held     map[string][]uint32     `cbor:"5,keyasint,omitempty"`
 	// Spent is what the members have admitted by organisation. Run changes
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -153,7 +153,7 @@
 	if svc != nil && q.allows(q.s.fleet.Home()) {
 		own.Score, own.First, usable = svc.Table.Expect(&q.pick, now)
 	}
-	demand := q.demand(left)
+	demand := q.demand(svc, left)
 	if !q.forwarded {
 		if p, far, ok := q.other(demand); ok && admit.Leaves(own, usable, far) {
 			q.place = p
@@ -190,11 +190,15 @@
 }
 
 // demand describes the request to the decisions of package admit.
-func (q *request) demand(left time.Duration) *admit.Demand {
-	return &admit.Demand{
-		Goal: q.route.Goal, Left: left, Prompt: q.pick.Prompt, Shared: q.pick.Shared,
-		Prefixed: q.pick.Prefix != 0, Bytes: len(q.body),
+func (q *request) demand(svc *fleet.Service, left time.Duration) *admit.Demand {
+	d := &admit.Demand{
+		Goal: q.route.Goal, Left: left, Prompt: q.pick.Prompt, Shared: q.pick.Shared(),
+		Bytes: len(q.body), Pace: pick.NewPace(true),
 	}
+	if svc != nil {
+		d.Pace = svc.Table.Pace()
+	}
+	return d
 }
 
 // tooLate refuses a request whose first byte is expected too late.
@@ -216,7 +220,7 @@
 		if !q.allows(p.Region) {
 			continue
 		}
-		e := d.Far(p.Wait, p.Holds(q.pick.Prefix))
+		e := d.Far(p.Wait, p.Cached(q.pick.Parts))
 		if best.addr.IsValid() && e.Score >= least.Score {
 			continue
 		}
--- a/internal/edge/relay/fuzz_test.go
+++ b/internal/edge/relay/fuzz_test.go
@@ -44,8 +44,8 @@
 		q.r.Header.Set(platform.HeaderPrompt, parts)
 		q.parsePrompt()
 		p := q.pick
-		if p.Prompt < 0 || p.Output < 0 || p.Shared < 0 || p.Shared > p.Prompt {
-			t.Errorf("%q and %q: prompt %d, shared %d, output %d", tokens, parts, p.Prompt, p.Shared, p.Output)
+		if p.Prompt < 0 || p.Output < 0 || p.Shared() < 0 || p.Shared() > p.Prompt {
+			t.Errorf("%q and %q: prompt %d, shared %d, output %d", tokens, parts, p.Prompt, p.Shared(), p.Output)
 		}
 	})
 }
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -150,24 +150,43 @@
 			q.pick.Output = output
 		}
 	}
-	first, rest, shared := strings.Cut(q.r.Header.Get(platform.HeaderPrompt), ",")
-	if !shared || rest == "" {
-		return
+	q.pick.Parts = sharedParts(q.r.Header.Get(platform.HeaderPrompt), q.pick.Prompt)
+}
+
+// sharedParts returns the parts of a prompt but the last, which belongs to the
+// request or its session, if they are worth routing by.
+func sharedParts(text string, prompt int) []pick.Part {
+	var parts []pick.Part
+	shared := 0
+	key := uint64(0)
+	for len(parts) < pick.MaxParts {
+		part, rest, more := strings.Cut(text, ",")
+		if !more {
+			break
+		}
+		text = rest
+		id, size, ok := strings.Cut(strings.TrimSpace(part), ":")
+		n, err := strconv.Atoi(size)
+		if !ok || err != nil || n < 0 || n > prompt-shared {
+			break
+		}
+		d := xxhash.NewWithSeed(key)
+		_, _ = d.WriteString(id) // it returns no errors
+		key = d.Sum64() | 1      // 0 stands for no prefix
+		shared += n
+		parts = append(parts, pick.Part{Key: key, Tokens: n})
 	}
-	id, size, ok := strings.Cut(first, ":")
-	n, err := strconv.Atoi(size)
-	if !ok || err != nil || n < pick.PrefixTokens {
-		return
+	if shared < pick.PrefixTokens {
+		return nil
 	}
-	q.pick.Prefix = xxhash.Sum64String(id) | 1 // 0 stands for no prefix
-	q.pick.Shared = min(n, q.pick.Prompt)
+	return parts
 }
 
 // hash spreads requests over the targets of a route; requests with the same
 // prefix go to the same one.
 func (q *request) hash() uint64 {
-	if q.pick.Prefix != 0 {
-		return q.pick.Prefix
+	if prefix := q.pick.Prefix(); prefix != 0 {
+		return prefix
 	}
 	return xxhash.Sum64String(q.id)
 }
@@ -268,7 +287,7 @@
 func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge),
-		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared),
+		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()),
 		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
