Rate what a request means for the streams of its server

Only the time to the first byte decided on a server.

Change: the score counts the time for which streams stand still while a prompt is read, the streams that get a late event by it, and for a request's own stream the share of time in which that happened on the server lately. A server that reads a long prompt already is the cheapest place for the next one, so kinds of requests part as far as the load allows.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -101,7 +101,8 @@
 	at     time.Time
 	unread int
 	memory int
-	begun  bool
+	output int
+	begun  time.Time // zero before the first byte
 }
 
 // Outcome is what became of a request.
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -27,6 +27,9 @@
 	probation bool
 	beats     int
 	fullUntil time.Time
+	// reading is the share of time in which prompts are read for so long that
+	// events of streams come late.
+	reading share
 	// restUntil is when the server wants requests of this host again.
 	restUntil time.Time
 	errors    float64
@@ -74,6 +77,9 @@
 	return l
 }
 
+// reads records how much is to be read from now on.
+func (s *server) reads(m *model, now time.Time) { s.reading.set(m.late(s.total().Unread), now) }
+
 // slowness returns how many times longer than expected the server takes.
 func (s *server) slowness(now time.Time) float64 {
 	if s.slow == 1 {
@@ -161,6 +167,7 @@
 	if missed := m.ReadTime(req.Shared() - hit); missed > 0 {
 		c.score += scale(missed, (MissWeight-1)*slow+float64(rank)*rankWeight)
 	}
+	c.score += m.stall(l, req, c.unread, s.reading.get(now))
 	if req.Connected != nil && !req.Connected(s.Addr) {
 		c.score += dialDelay
 	}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -91,7 +91,7 @@
 	t.send(s, req, c.unread, now)
 	return Choice{
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, Read: t.model.ReadTime(c.unread),
-		server: s, born: s.Born, at: now, unread: c.unread, memory: req.Prompt + req.Output,
+		server: s, born: s.Born, at: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
 	}, true
 }
 
@@ -164,6 +164,7 @@
 
 func (t *Table) send(s *server, req *Request, unread int, now time.Time) {
 	s.own.add(Load{Running: 1, Unread: unread, Memory: req.Prompt + req.Output})
+	s.reads(&t.model, now)
 	if s.limited(now) {
 		s.allow--
 	}
@@ -183,12 +184,13 @@
 func (t *Table) Begun(c *Choice, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.begun {
+	if !c.begun.IsZero() {
 		return
 	}
-	c.begun = true
+	c.begun = now
 	s := c.server
 	s.own.Unread -= c.unread
+	s.reads(&t.model, now)
 	s.measure(now.Sub(c.at), c.Expected, now)
 	if c.Load.Unread == 0 && c.unread >= readLeast && !s.limited(now) {
 		t.model.read(now.Sub(c.at), c.Expected)
@@ -208,10 +210,11 @@
 	defer t.mu.Unlock()
 	s := c.server
 	l := Load{Running: -1, Memory: -c.memory}
-	if !c.begun {
+	if c.begun.IsZero() {
 		l.Unread = -c.unread
 	}
 	s.own.add(l)
+	s.reads(&t.model, now)
 	s.probing = false
 	switch o {
 	case Served:
@@ -220,6 +223,9 @@
 		if c.Load.Running < s.slots(&t.model) {
 			t.model.held(now.Sub(c.at))
 		}
+		if t.model.Engine && !c.begun.IsZero() {
+			t.model.token(now.Sub(c.begun), c.output)
+		}
 	case Failed:
 		s.failures = 0
 		s.errors = s.errors*(1-errorWeight) + errorWeight
@@ -256,9 +262,10 @@
 		l, ok := loads[id]
 		if !ok {
 			delete(s.peers, host)
-			continue
+		} else {
+			s.peers[host] = l
 		}
-		s.peers[host] = l
+		s.reads(&t.model, now)
 	}
 	for _, p := range placements {
 		if s := t.servers[p.Server]; s != nil && len(p.Parts) <= MaxParts {
