--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -54,7 +54,7 @@
 	ends    atomic.Int64
 	// late is when callers that still come have old answers of a look-up, in
 	// Unix nanoseconds.
-	late atomic.Int64
+	late    atomic.Int64
 	lengths length.Book
 	bodies  room
 }
