Forward on connections that are open

Ruled out: a queue at the counters (expected wait 0 to 1 ms, at most 84 ms) and forwarding for load: routes and organisations with homes elsewhere.

Change: a host to which a connection is open is preferred.

TestOpenConnections.

--- a/internal/core/steer/sample.go
+++ b/internal/core/steer/sample.go
@@ -43,3 +43,17 @@
 	}
 	return addrs
 }
+
+// Prefer returns the hosts that meet a condition, or all if none does.
+func Prefer(hosts []Host, meets func(netip.AddrPort) bool) []Host {
+	var preferred []Host
+	for _, h := range hosts {
+		if meets(h.Addr) {
+			preferred = append(preferred, h)
+		}
+	}
+	if len(preferred) == 0 {
+		return hosts
+	}
+	return preferred
+}
--- a/internal/core/steer/steer_test.go
+++ b/internal/core/steer/steer_test.go
@@ -126,3 +126,26 @@
 		t.Errorf("%d of two hosts", len(addrs))
 	}
 }
+
+// TestOpenConnections is the load of a host that now and then forwards a request
+// to a region of many hosts. It guards against a connection opened for each of
+// them, which takes as long as the request itself.
+func TestOpenConnections(t *testing.T) {
+	var hosts []Host
+	for i := range 28 {
+		hosts = append(hosts, Host{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Weight: 1})
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	idle := make(map[netip.AddrPort]bool)
+	opened := 0
+	for range 100 {
+		h := Sample(Prefer(hosts, func(a netip.AddrPort) bool { return idle[a] }), 1, rng)[0]
+		if !idle[h] {
+			opened++
+		}
+		idle[h] = true
+	}
+	if opened > 1 {
+		t.Errorf("%d connections were opened for 100 requests, one after the other", opened)
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -234,7 +234,9 @@
 	return best, least, best.addr.IsValid()
 }
 
-// untried returns one of the hosts that this request was not sent to before.
+// untried returns one of the hosts that this request was not sent to before, if
+// possible one to which a connection is open: opening one to another region
+// takes as long as the request itself.
 func (q *request) untried(hosts []steer.Host) (netip.AddrPort, bool) {
 	if len(q.tried) > 0 {
 		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.tried, h.Addr) })
@@ -242,6 +244,7 @@
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, false
 	}
+	hosts = steer.Prefer(hosts, q.s.peers.Connected)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return steer.Sample(hosts, 1, rng)[0], true
 }
