Log once that a server leaves or wants no requests

Cause: each answer of a leaving server wrote a line, sampled among those of requests, and explain did not show it.

Change: both are changes of what a host believes, logged when they are news and shown by explain.

--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -23,11 +23,15 @@
 // process returns the process that an entry stands for.
 func (s *server) process() Process { return Process{ID: s.ID, Born: s.Born} }
 
-// Leaves records that the server of a choice has said that it leaves.
-func (t *Table) Leaves(c *Choice, now time.Time) {
+// Leaves records that the server of a choice has said that it leaves, and
+// reports whether that is news.
+func (t *Table) Leaves(c *Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.departed[Process{ID: c.ID, Born: c.born}] = now
+	p := Process{ID: c.ID, Born: c.born}
+	_, known := t.departed[p]
+	t.departed[p] = now
+	return !known
 }
 
 // Depart records processes that other hosts know to leave.
@@ -79,16 +83,19 @@
 }
 
 // Rest records that the server of a choice wants no requests of this host for
-// a time.
-func (t *Table) Rest(c *Choice, d time.Duration, now time.Time) {
+// a time, and reports whether it rests only since now.
+func (t *Table) Rest(c *Choice, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.server.Born != c.born {
-		return // another process has taken its place
+	s := c.server
+	if s.Born != c.born {
+		return false // another process has taken its place
 	}
-	if until := now.Add(min(d, maxRest)); until.After(c.server.restUntil) {
-		c.server.restUntil = until
+	rested := now.Before(s.restUntil)
+	if until := now.Add(min(d, maxRest)); until.After(s.restUntil) {
+		s.restUntil = until
 	}
+	return !rested
 }
 
 // Rests returns how long it takes until the first of the resting servers may
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -27,6 +27,9 @@
 	"store back":             "store",
 	"server":                 "server",
 	"server gone":            "server",
+	"server leaves":          "server",
+
+	"server wants no requests": "server",
 }
 
 // parts are the parts of the state in the order in which they are shown.
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -330,16 +330,14 @@
 		return
 	}
 	now := time.Now()
-	if resp.Header.Get(platform.HeaderLeaving) == platform.Leaving {
-		svc.Table.Leaves(&q.choice, now)
-		q.s.log.Requests.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
+	if resp.Header.Get(platform.HeaderLeaving) == platform.Leaving && svc.Table.Leaves(&q.choice, now) {
+		q.s.log.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 	}
 	if resp.Status != http.StatusServiceUnavailable {
 		return
 	}
-	if d, ok := platform.ParseRetry(resp.Header); ok {
-		svc.Table.Rest(&q.choice, d, now)
-		q.s.log.Requests.Info("server wants no requests", zap.String("id", q.id), zap.String("server", q.server), zap.Duration("for", d))
+	if d, ok := platform.ParseRetry(resp.Header); ok && svc.Table.Rest(&q.choice, d, now) {
+		q.s.log.Info("server wants no requests", zap.String("id", q.id), zap.String("server", q.server), zap.Duration("for", d))
 	}
 }
 
