--- a/internal/core/pick/plant_test.go
+++ b/internal/core/pick/engines_test.go
@@ -20,9 +20,9 @@
 	parts func(rng *rand.Rand) []Part
 }
 
-// plant is a region: hosts that choose among the same engines and report to
+// simulation is a region: hosts that choose among the same engines and report to
 // each other at intervals.
-type plant struct {
+type simulation struct {
 	tables  []*Table
 	engines []*batch.Engine
 	index   map[string]*batch.Engine
@@ -38,16 +38,16 @@
 }
 
 const (
-	plantTick    = 5 * time.Millisecond
-	plantReports = 250 * time.Millisecond
+	simTick    = 5 * time.Millisecond
+	simReports = 250 * time.Millisecond
 	// patience is the expected time to a first token beyond which a request is
 	// refused.
 	patience = 1500 * time.Millisecond
 )
 
-// newPlant returns a region of hosts and of engines of a shape.
-func newPlant(hosts, engines int, cfg batch.Config) *plant {
-	p := &plant{index: make(map[string]*batch.Engine), rng: rand.New(rand.NewPCG(5, 6))}
+// newSimulation returns a region of hosts and of engines of a shape.
+func newSimulation(hosts, engines int, cfg batch.Config) *simulation {
+	p := &simulation{index: make(map[string]*batch.Engine), rng: rand.New(rand.NewPCG(5, 6))}
 	svc := spec.Service{Name: "chat", Engine: true, Slots: cfg.Slots, Cache: cfg.Memory}
 	list := entries(engines)
 	for i := range list {
@@ -61,25 +61,25 @@
 	}
 	for i := range hosts {
 		tab := NewTable(svc, rand.New(rand.NewPCG(uint64(i), 1)))
-		tab.Update(svc, list, nil, Warming{Self: names[i], Hosts: names, Settled: true, Reports: plantReports}, epoch)
+		tab.Update(svc, list, nil, Warming{Self: names[i], Hosts: names, Settled: true, Reports: simReports}, epoch)
 		p.tables = append(p.tables, tab)
 	}
 	return p
 }
 
 // run plays a load for d and returns its requests.
-func (p *plant) run(load []kind, d time.Duration) []*open {
+func (p *simulation) run(load []kind, d time.Duration) []*open {
 	var all []*open
 	index := make(map[*batch.Run]*open)
-	for now := time.Duration(0); now < d; now += plantTick {
+	for now := time.Duration(0); now < d; now += simTick {
 		at := epoch.Add(now)
 		for _, e := range p.engines {
 			for _, r := range e.Advance(now) {
 				p.changed(index[r])
 			}
 		}
-		if now%plantReports == 0 {
-			p.report(at)
+		if now%simReports == 0 {
+			exchange(p.tables, at)
 		}
 		for i, k := range load {
 			for range p.arrivals(k.rate) {
@@ -98,7 +98,7 @@
 }
 
 // changed tells a host of its request's first token or end.
-func (p *plant) changed(o *open) {
+func (p *simulation) changed(o *open) {
 	if o.Ended() {
 		o.table.Begun(&o.choice, epoch.Add(o.First))
 		o.table.Done(&o.choice, Served, epoch.Add(o.End))
@@ -108,21 +108,21 @@
 }
 
 // arrivals draws the number of requests in a tick.
-func (p *plant) arrivals(rate float64) int {
+func (p *simulation) arrivals(rate float64) int {
 	n := 0
-	for x := p.rng.ExpFloat64(); x < rate*plantTick.Seconds(); x += p.rng.ExpFloat64() {
+	for x := p.rng.ExpFloat64(); x < rate*simTick.Seconds(); x += p.rng.ExpFloat64() {
 		n++
 	}
 	return n
 }
 
 // draw returns a length with a mean and a long tail.
-func (p *plant) draw(mean float64) int {
+func (p *simulation) draw(mean float64) int {
 	return max(1, int(mean*math.Exp(0.8*p.rng.NormFloat64()-0.32)))
 }
 
 // send lets one of the hosts choose. A request that is refused has no choice.
-func (p *plant) send(k kind, at time.Time) *open {
+func (p *simulation) send(k kind, at time.Time) *open {
 	run := &batch.Run{Prompt: p.draw(k.prompt), Output: p.draw(k.output)}
 	req := &Request{Output: int(k.output)}
 	if k.parts != nil {
@@ -141,17 +141,6 @@
 	return o
 }
 
-func (p *plant) report(at time.Time) {
-	for i, from := range p.tables {
-		loads, placed := from.Report(at)
-		for j, to := range p.tables {
-			if i != j {
-				to.Peer(fmt.Sprint("h", i), loads, placed, at)
-			}
-		}
-	}
-}
-
 // portion returns the part of the requests of a kind that meet a condition,
 // leaving out those that came in the first or last seconds.
 func portion(all []*open, kind int, d time.Duration, meets func(*open) bool) float64 {
@@ -198,7 +187,7 @@
 func TestLongAnswersBesideLongPrompts(t *testing.T) {
 	const d = 25 * time.Second
 	cfg := batch.Config{Slots: 64, Memory: 250_000, Step: 7 * time.Millisecond, Read: 40_000, Attend: time.Millisecond, Chunk: 2048, Event: 4}
-	p := newPlant(4, 8, cfg)
+	p := newSimulation(4, 8, cfg)
 	all := p.run([]kind{
 		{rate: 36, prompt: 800, output: 290},
 		{rate: 13, prompt: 3000, output: 50, parts: tree},
@@ -227,7 +216,7 @@
 func TestPrefixTree(t *testing.T) {
 	const d = 25 * time.Second
 	cfg := batch.Config{Slots: 64, Memory: 250_000, Step: 7 * time.Millisecond, Read: 40_000, Chunk: 2048, Event: 4}
-	p := newPlant(4, 8, cfg)
+	p := newSimulation(4, 8, cfg)
 	all := p.run([]kind{{rate: 35, prompt: 2500, output: 50, parts: tree}}, d)
 	again := mean(all, 0, d, func(o *open) float64 { return float64(o.Again) / 6000 })
 	used := make(map[string]int)
@@ -259,7 +248,7 @@
 		{"fast reader", batch.Config{Slots: 128, Memory: 900_000, Step: 3 * time.Millisecond, Read: 300_000, Chunk: 8192, Event: 8}, kind{rate: 60, prompt: 12_000, output: 400}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := newPlant(2, 6, c.cfg)
+			p := newSimulation(2, 6, c.cfg)
 			all := p.run([]kind{c.load}, d)
 			ratio := mean(all, 0, d, func(o *open) float64 {
 				return math.Log(float64(o.First-o.Arrived) / float64(o.choice.Expected))
--- a/internal/core/pick/fill_test.go
+++ b/internal/core/pick/fill_test.go
@@ -48,7 +48,7 @@
 		}
 		if at.Sub(last) >= r.reports {
 			last = at
-			r.report(at)
+			exchange(r.tables, at)
 		}
 		tab := r.tables[rng.IntN(len(r.tables))]
 		c, ok := tab.Pick(&Request{Prompt: 383, Output: 50}, at)
@@ -65,10 +65,11 @@
 	return wait / time.Duration(n)
 }
 
-func (r *region) report(at time.Time) {
-	for i, from := range r.tables {
+// exchange lets each host tell the others of its requests.
+func exchange(tables []*Table, at time.Time) {
+	for i, from := range tables {
 		loads, placed := from.Report(at)
-		for j, to := range r.tables {
+		for j, to := range tables {
 			if i != j {
 				to.Peer(fmt.Sprint("h", i), loads, placed, at)
 			}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -79,7 +79,7 @@
 	mirror   http.Handler
 
 	callers     *conns
-	door        *door // of front
+	listener    *listener // of front
 	front, peer *http.Server
 	aux         []*http.Server
 	stop        chan struct{}
@@ -183,8 +183,8 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		if tcp, ok := l.(*net.TCPListener); ok && srv == e.front {
-			e.door = newDoor(tcp)
-			l = e.door
+			e.listener = newListener(tcp)
+			l = e.listener
 		}
 		e.done.Go(func() {
 			if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -316,7 +316,7 @@
 // its response. net/http's Shutdown would close those whose request it reads
 // afterwards without a response.
 func (e *Entry) drain(ctx context.Context) {
-	if err := e.door.Shut(); err != nil {
+	if err := e.listener.Drain(); err != nil {
 		e.log.Warn("listener not closed", zap.Error(err))
 	}
 	t := time.NewTicker(quietTick)
--- a/internal/edge/entry/leave_test.go
+++ b/internal/edge/entry/leave_test.go
@@ -166,12 +166,7 @@
 		if x.Method == http.MethodGet {
 			return ok(x)
 		}
-		x.StartStream()
-		for i := 1; i <= 6; i++ {
-			time.Sleep(time.Duration(took.Load()) / 6)
-			x.Chunk(origin.Event(i))
-		}
-		return x.EndStream()
+		return slowly(6, time.Duration(took.Load())/6)(x)
 	})
 	w.do(e, post("/chat/x", "1"))
 	took.Store(int64(since))
--- a/internal/edge/entry/lessons_test.go
+++ b/internal/edge/entry/lessons_test.go
@@ -66,14 +66,7 @@
 func TestSlowStream(t *testing.T) {
 	w := newWorld(t)
 	e := w.host("a1")
-	w.server("s1", "a1", func(x *origin.Exchange) bool {
-		x.StartStream()
-		for i := 1; i <= 3; i++ {
-			time.Sleep(1200 * time.Millisecond)
-			x.Chunk(origin.Event(i))
-		}
-		return x.EndStream()
-	})
+	w.server("s1", "a1", slowly(3, 1200*time.Millisecond))
 	if a := w.do(e, post("/chat/x", "1")); a.Status != http.StatusOK || a.Err != nil || a.Body != origin.Events(1, 3) {
 		t.Errorf("status %d, error %v, body %q", a.Status, a.Err, a.Body)
 	}
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -172,14 +172,7 @@
 func TestPlannedStop(t *testing.T) {
 	w := newWorld(t)
 	e := w.host("a1")
-	w.server("s1", "a1", func(x *origin.Exchange) bool {
-		x.StartStream()
-		for i := 1; i <= 10; i++ {
-			time.Sleep(200 * time.Millisecond)
-			x.Chunk(origin.Event(i))
-		}
-		return x.EndStream()
-	})
+	w.server("s1", "a1", slowly(10, 200*time.Millisecond))
 	conn := w.dial(e)
 	if _, err := io.WriteString(conn, post("/chat/x", "1").Bytes(nextID())); err != nil {
 		t.Fatal(err)
--- a/internal/edge/entry/world_test.go
+++ b/internal/edge/entry/world_test.go
@@ -172,3 +172,15 @@
 
 // ok is the script of a server that serves.
 func ok(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") }
+
+// slowly returns the script of a server that sends n events, each after a time.
+func slowly(n int, every time.Duration) origin.Script {
+	return func(x *origin.Exchange) bool {
+		x.StartStream()
+		for i := 1; i <= n; i++ {
+			time.Sleep(every)
+			x.Chunk(origin.Event(i))
+		}
+		return x.EndStream()
+	}
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -71,8 +71,8 @@
 	reports reports
 	leaving atomic.Bool
 	ready   atomic.Bool
-	// met is set once another host of the region was heard, or had time to.
-	met atomic.Bool
+	// joined is set once another host of the region was heard, or had time to.
+	joined atomic.Bool
 
 	tables atomic.Pointer[map[string]*Service]
 	seeds  atomic.Pointer[[]netip.AddrPort]
@@ -97,7 +97,7 @@
 func New(opts Options, e *gossip.Exchange) *Fleet {
 	f := &Fleet{opts: opts, gossip: e, boot: e.Boot(), started: time.Now(), book: share.NewBook(opts.First)}
 	f.tables.Store(&map[string]*Service{})
-	f.met.Store(opts.First)
+	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
 	f.tracker = track.New(track.Options{
 		Store: opts.Store, Mirror: opts.Mirror, Self: opts.Self, Log: opts.Log,
@@ -156,7 +156,7 @@
 func (f *Fleet) Ready() bool {
 	v := f.View()
 	proved, fresh := f.KeyAge()
-	ready := !f.Leaving() && v.Snapshot != nil && v.Listed() && f.met.Load() && fresh
+	ready := !f.Leaving() && v.Snapshot != nil && v.Listed() && f.joined.Load() && fresh
 	if f.ready.Swap(ready) != ready {
 		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Int64("config", v.Item.Rev), zap.Duration("proof_age", proved), zap.Bool("listed", v.Listed()))
 	}
@@ -168,7 +168,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.View()
-	if v.Snapshot == nil || !v.Listed() || !f.met.Load() {
+	if v.Snapshot == nil || !v.Listed() || !f.joined.Load() {
 		return
 	}
 	now := time.Now()
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -65,7 +65,7 @@
 // admitted since they last did.
 func (f *Fleet) Round(urgent bool) gossip.Round {
 	if time.Since(f.started) > meetTime {
-		f.meet()
+		f.join()
 	}
 	f.settle()
 	f.refresh()
@@ -83,10 +83,10 @@
 	return r
 }
 
-// meet lets the host serve. A host that starts beside others waits until it has
+// join lets the host serve. A host that starts beside others waits until it has
 // heard of one which servers leave: these may still be listed as if they stayed.
-func (f *Fleet) meet() {
-	if !f.met.Swap(true) {
+func (f *Fleet) join() {
+	if !f.joined.Swap(true) {
 		f.Changed()
 	}
 }
@@ -272,7 +272,7 @@
 		return
 	}
 	if f.View().Listed() {
-		f.meet() // before the tables take over what this host says
+		f.join() // before the tables take over what this host says
 	}
 	f.book.Hear(share.Report{Name: p.State.Host.Name, Run: uint64(p.State.Boot), Spent: p.State.Spent}, p.Heard)
 	for name, svc := range *f.tables.Load() {
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -59,10 +59,10 @@
 // whole reads a response and passes it on when it is complete.
 func (q *request) whole(resp *send.Response, begun func(), success bool) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
-	h := held{room: &q.s.bodies}
-	defer h.release()
-	err := h.read(&body, resp, maxBuffered)
-	if errors.Is(err, errTooLong) || errors.Is(err, errNoRoom) {
+	v := reservation{limit: &q.s.bodies}
+	defer v.release()
+	err := v.read(&body, resp, maxBuffered)
+	if errors.Is(err, errTooLong) || errors.Is(err, errNoMemory) {
 		return q.long(resp, &body, begun)
 	}
 	if err != nil {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -56,7 +56,7 @@
 	// Unix nanoseconds.
 	late    atomic.Int64
 	lengths length.Book
-	bodies  room
+	bodies  byteLimit
 }
 
 // Options sets up a Relay.
@@ -78,7 +78,7 @@
 func New(opts Options) *Relay {
 	return &Relay{
 		fleet: opts.Fleet, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, crowded: opts.Crowded,
-		bodies:  room{limit: opts.Bodies},
+		bodies:  byteLimit{max: opts.Bodies},
 		servers: send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 }
@@ -145,7 +145,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := s.newRequest(w, r)
-	defer q.held.release()
+	defer q.reserved.release()
 	if s.running.Load() > s.maxRunning {
 		q.refuse(&refusal{http.StatusServiceUnavailable, reasonBusy, retryState})
 		return
@@ -281,7 +281,7 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	q := s.newRequest(w, r)
-	defer q.held.release()
+	defer q.reserved.release()
 	if err := q.fromPeer(); err != nil {
 		s.log.Error("request of another host not understood", zap.String("id", q.id), zap.Error(err))
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -42,16 +42,16 @@
 	id      string
 	arrived time.Time
 	// until is when the caller, or the route, gives up.
-	until   time.Time
-	route   *spec.Route
-	org     *spec.Org
-	service string
-	rev     int64
-	keyAge  time.Duration
-	body    []byte
-	held    held // for the body
-	pick    pick.Request
-	tokens  bool
+	until    time.Time
+	route    *spec.Route
+	org      *spec.Org
+	service  string
+	rev      int64
+	keyAge   time.Duration
+	body     []byte
+	reserved reservation // for the body
+	pick     pick.Request
+	tokens   bool
 	// forwarded is set when another host sent the request.
 	forwarded bool
 	urgency   int
@@ -74,7 +74,7 @@
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	q := &request{s: s, held: held{room: &s.bodies}, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
+	q := &request{s: s, reserved: reservation{limit: &s.bodies}, w: w, r: r, id: r.Header.Get(platform.HeaderID), arrived: time.Now(), lastID: r.Header.Get(platform.HeaderResume)}
 	q.pick.Connected = s.servers.Connected
 	return q
 }
@@ -118,12 +118,12 @@
 		q.s.log.Debug("no deadline for the body", zap.String("id", q.id), zap.Error(err))
 	}
 	var body bytes.Buffer
-	err := q.held.read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
+	err := q.reserved.read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, reasonBody, 0}
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoMemory):
 		q.w.Header().Set("Connection", "close") // the rest is not read
 		return &refusal{http.StatusServiceUnavailable, reasonMemory, retryState}
 	case err != nil:
--- a/internal/edge/relay/room_test.go
+++ b/internal/edge/relay/reserve_test.go
@@ -10,29 +10,29 @@
 	"testing/iotest"
 )
 
-// TestHeldRead guards against bodies that are cut, that exceed their limit, or
+// TestReservedRead guards against bodies that are cut, that exceed their limit, or
 // whose room is not given back.
-func TestHeldRead(t *testing.T) {
+func TestReservedRead(t *testing.T) {
 	broken := errors.New("broken")
 	for _, c := range []struct {
-		name        string
-		r           io.Reader
-		limit, room int64
-		want        error
-		length      int
+		name         string
+		r            io.Reader
+		most, memory int64
+		want         error
+		length       int
 	}{
 		{"empty", strings.NewReader(""), 10, 1 << 20, nil, 0},
 		{"at the limit", strings.NewReader("0123456789"), 10, 1 << 20, nil, 10},
 		{"beyond the limit", strings.NewReader("0123456789a"), 10, 1 << 20, errTooLong, 11},
 		{"byte by byte", iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 40_000))), 1 << 20, 1 << 20, nil, 40_000},
-		{"no room", strings.NewReader(strings.Repeat("x", 40_000)), 1 << 20, 2 * holdStep, errNoRoom, 2 * holdStep},
+		{"no memory", strings.NewReader(strings.Repeat("x", 40_000)), 1 << 20, 2 * reserveStep, errNoMemory, 2 * reserveStep},
 		{"broken", io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(broken)), 10, 1 << 20, broken, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := &room{limit: c.room}
-			h := held{room: m}
+			m := &byteLimit{max: c.memory}
+			v := reservation{limit: m}
 			var b bytes.Buffer
-			if err := h.read(&b, c.r, c.limit); !errors.Is(err, c.want) {
+			if err := v.read(&b, c.r, c.most); !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
 			}
 			if b.Len() != c.length {
@@ -41,7 +41,7 @@
 			if m.used.Load() < int64(b.Len()) && c.want != errTooLong {
 				t.Errorf("%d bytes are accounted for, %d are held", m.used.Load(), b.Len())
 			}
-			h.release()
+			v.release()
 			if n := m.used.Load(); n != 0 {
 				t.Errorf("%d bytes were not given back", n)
 			}
@@ -49,19 +49,19 @@
 	}
 }
 
-// TestHeldReadAhead guards against memory for bytes that were declared and did
+// TestReadAhead guards against memory for bytes that were declared and did
 // not come: some dozens of callers would take all that a small host has.
-func TestHeldReadAhead(t *testing.T) {
+func TestReadAhead(t *testing.T) {
 	const readers = 100
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range readers {
-		h := held{room: &room{limit: 1 << 30}}
+		v := reservation{limit: &byteLimit{max: 1 << 30}}
 		var b bytes.Buffer
-		_ = h.read(&b, iotest.ErrReader(io.ErrUnexpectedEOF), 4<<20) // the error is not the point
+		_ = v.read(&b, iotest.ErrReader(io.ErrUnexpectedEOF), 4<<20) // the error is not the point
 	}
 	runtime.ReadMemStats(&after)
-	if n := (after.TotalAlloc - before.TotalAlloc) / readers; n > 2*holdStep {
+	if n := (after.TotalAlloc - before.TotalAlloc) / readers; n > 2*reserveStep {
 		t.Errorf("%d bytes allocated for a body of which nothing came", n)
 	}
 }
