--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -109,9 +109,9 @@
 	s.allowAt = now
 }
 
-// usable reports whether a request may be sent to a server that stays. The rate of a
-// cold server is worked out only if the server is one: it takes a hash for each
-// host of the region.
+// usable reports whether a request may be sent to a server that stays. The rate
+// of a cold server is worked out only if the server is one: it takes a hash for
+// each host of the region.
 func (s *server) usable(req *Request, svc *spec.Service, warm *Warming, now time.Time) bool {
 	if now.Before(s.restUntil) || slices.Contains(req.Exclude, s.ID) {
 		return false
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -76,7 +76,8 @@
 
 	tables atomic.Pointer[map[string]*Service]
 	seeds  atomic.Pointer[[]netip.AddrPort]
-	mu     sync.Mutex // guards changes of tables
+	mu     sync.Mutex // guards changes of tables and listed
+	listed time.Time  // of the first list of entries
 
 	// rank is that of this host in its region.
 	rank atomic.Int64
@@ -168,10 +169,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.View()
-	if v.Snapshot == nil || !v.Listed() || !f.joined.Load() {
+	if v.Snapshot == nil || !v.Listed() {
 		return
 	}
 	now := time.Now()
+	if f.listed.IsZero() {
+		f.listed = now
+	}
+	if !f.joined.Load() {
+		return
+	}
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
 	names := f.nearNames(v, now)
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -64,7 +64,7 @@
 // Round implements gossip.Source. Other regions should hear soon when much was
 // admitted since they last did.
 func (f *Fleet) Round(urgent bool) gossip.Round {
-	if time.Since(f.started) > meetTime {
+	if f.waited() {
 		f.join()
 	}
 	f.settle()
@@ -91,6 +91,14 @@
 	}
 }
 
+// waited reports whether the other hosts had time to be heard since they and the
+// servers are known.
+func (f *Fleet) waited() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.listed.IsZero() && time.Since(f.listed) > meetTime
+}
+
 // settle updates the tables once the hosts of the region have been listed.
 func (f *Fleet) settle() {
 	f.rounds.Lock()
