Say which address is taken instead of panicking

A host whose front address is taken closes itself before it has a listener for callers; drain used that one and the process panicked.

Ruled out: a listener made before the others; addresses are bound in any order.

Change: drain returns when there is no listener. A comment of pace.go is wrapped.

Measured: TestAddressTaken panics before and passes now, with TestIdleHostStopsSoon.

--- a/internal/core/pick/pace.go
+++ b/internal/core/pick/pace.go
@@ -12,8 +12,9 @@
 
 const (
 	// readStep is by how much one response moves the expected reading rate,
-	// the first ones move it further; the rate settles where as many responses come sooner as later, so that
-	// single servers that lie or fail do not move it far.
+	// the first ones move it further. The rate settles where as many responses
+	// come sooner as later, so that single servers that lie or fail do not move
+	// it far.
 	readStep = 0.03
 	// readRange bounds the reading rate, as a factor of the prior.
 	readRange = 32.0
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -316,6 +316,9 @@
 // its response. net/http's Shutdown would close those whose request it reads
 // afterwards without a response.
 func (e *Entry) drain(ctx context.Context) {
+	if e.listener == nil {
+		return // the address was taken
+	}
 	if err := e.listener.Drain(); err != nil {
 		e.log.Warn("listener not closed", zap.Error(err))
 	}
--- a/internal/edge/entry/lessons_test.go
+++ b/internal/edge/entry/lessons_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
@@ -217,3 +218,21 @@
 		})
 	}
 }
+
+// TestAddressTaken guards against a process that panics instead of telling
+// which address it can't listen on.
+func TestAddressTaken(t *testing.T) {
+	w := newWorld(t)
+	for range 8 { // addresses are bound in any order
+		s := w.settings("a1")
+		taken, err := net.Listen("tcp4", s.Front.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		out := logs.NewWriter(io.Discard)
+		if _, err := Start(s, logs.New(out, s.Host, true)); err == nil || !strings.Contains(err.Error(), s.Front.String()) {
+			t.Errorf("error %v does not name %s", err, s.Front)
+		}
+		_, _ = out.Close(), taken.Close() // nothing is left to lose
+	}
+}
