Follow a store that comes back from a copy

Cause: the users' store may come back from a copy some seconds old. It then gives its revisions and lease identifiers out again and names a new era in the header Store-Era, which nothing read. Everything compared revisions, so a host ignored all reads until the store's counter had passed the old one: no later version came into force and the proof of the keys ran out on all hosts of all regions at once. A revision given out again counted as confirmation, servers that had ended were taken back, and a stop could end another host's lease.

Ruled out: comparing the operator's number only (a revision orders entries as well, and within an era it is the store's own order); taking the copy at once (a key withdrawn since would work again).

Change: core/eras orders revisions by era, versions of two eras by the operator's number, and says what to believe of servers soon after a restore. platform hands the era of every answer up and refuses answers of an earlier one. Hosts tell each other the era and its age. A read proves nothing for 2 s after the return. A version that the store lacks is read from other hosts, also of other regions. Leases end with their era, and a stop removes the host's entry by its revision instead of ending its lease.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -41,6 +41,10 @@
 	soakRevoke  = 3 * time.Second
 	// slack is added to bounds in time for a busy machine.
 	slack = time.Second
+	// maxCopyAge is the greatest age of a copy that the store goes back to, and
+	// rewriteTime that within which what was lost is written again.
+	maxCopyAge  = 4 * time.Second
+	rewriteTime = time.Second
 	// servedWait bounds the wait until a host serves, answerWait that for an
 	// answer.
 	servedWait = 20 * time.Second
@@ -81,6 +85,13 @@
 	toStore  []*proxy.Proxy
 	toHost   []*proxy.Proxy
 
+	// beats counts the heartbeats of all servers.
+	beats atomic.Int64
+	// copied is what the store may go back to, taken at copiedAt.
+	copied   *plattest.Copy
+	copiedAt time.Time
+	restores int
+
 	mu        sync.Mutex
 	runs      map[string]int    // by identifier
 	sent      map[string]string // method and path of each request, by identifier
@@ -140,7 +151,7 @@
 func (s *soak) serverID(i int) string { return fmt.Sprintf("s%d-%s", i, s.name) }
 
 func (s *soak) register(i int) {
-	s.store.PutServer(s.serverID(i), "desk", soakSite(i), s.toServer[i].Addr(), "ready")
+	s.store.PutBeat(s.serverID(i), "desk", soakSite(i), s.toServer[i].Addr(), "ready", s.beats.Add(1))
 }
 
 // currentKey is the key that is in force.
@@ -156,6 +167,12 @@
 	defer s.mu.Unlock()
 	old := fmt.Sprint("key-", s.key)
 	s.key++
+	s.putConfig()
+	s.withdrawn[old] = time.Now()
+}
+
+// putConfig writes the version in force.
+func (s *soak) putConfig() {
 	s.store.PutConfig(plattest.Config{
 		Version: s.key, Keys: []string{fmt.Sprint("key-", s.key)}, Org: "workshop", Rate: 1e9, Burst: 1e9, Services: []string{"desk"},
 		Routes: []plattest.Route{
@@ -165,9 +182,30 @@
 			{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 3000},
 		},
 	})
-	s.withdrawn[old] = time.Now()
 }
 
+// restore lets the store go back to its last copy. The operator and the servers
+// write again what they wrote.
+func (s *soak) restore() {
+	if s.copied == nil || time.Since(s.copiedAt) > maxCopyAge {
+		return
+	}
+	s.restores++
+	s.store.Restore(s.copied)
+	s.copied = nil
+	time.AfterFunc(s.within(rewriteTime), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.putConfig()
+	})
+	for i := range soakServers {
+		time.AfterFunc(s.within(rewriteTime), func() { s.register(i) })
+	}
+}
+
+// within returns a random time below d.
+func (s *soak) within(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
 // script answers requests and counts those that ran.
 func (s *soak) script(f *atomic.Int32, server string) origin.Script {
 	return func(x *origin.Exchange) bool {
@@ -261,7 +299,7 @@
 	close(stop)
 	callers.Wait()
 	s.waitServed()
-	s.t.Logf("%d requests served", s.served)
+	s.t.Logf("%d requests served, %d restores of the store", s.served, s.restores)
 }
 
 // waitServed waits until each host serves.
@@ -365,7 +403,10 @@
 	host := s.rng.IntN(len(s.hosts))
 	h := s.hosts[host]
 	i := s.rng.IntN(soakServers)
-	switch s.rng.IntN(12) {
+	if s.copied == nil || s.rng.IntN(4) == 0 {
+		s.copied, s.copiedAt = s.store.Copy(), time.Now()
+	}
+	switch s.rng.IntN(14) {
 	case 0:
 		_ = h.Signal(syscall.SIGSTOP) // it may have ended, here and below
 	case 1:
@@ -388,6 +429,8 @@
 	case 8:
 		s.store.RemoveServer(s.serverID(i))
 		time.AfterFunc(time.Second, func() { s.register(i) })
+	case 9:
+		s.restore()
 	default:
 		// Faults of connections are more frequent, and several last at once.
 		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -124,4 +124,7 @@
 	Peer  netip.AddrPort `cbor:"4,keyasint"`
 	// Cores is the processor time that the host may take, 0 if not told.
 	Cores float64 `cbor:"5,keyasint,omitempty"`
+	// Settled is the era of the store of which the host had known for long
+	// enough to believe its entries when it registered.
+	Settled int64 `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -155,6 +155,7 @@
 	})
 	m.Gauge("yuccalb_caller_connections", "Open connections of callers.", func() float64 { return float64(e.callers.Open()) })
 	m.Gauge("yuccalb_inflight_requests", "Requests being served.", func() float64 { return float64(e.relay.Running()) })
+	m.Counter("yuccalb_store_restores_total", "Times that the store came back from a copy.", func() float64 { return float64(e.fleet.Restores()) })
 	m.Counter("yuccalb_connections_opened_total", "Connections opened to backend servers.", func() float64 { return float64(e.relay.Opened()) })
 	m.Counter("yuccalb_log_lines_dropped_total", "Log lines dropped because the buffer was full.", func() float64 { return float64(e.log.Dropped()) })
 	m.Counter("yuccalb_log_lines_sampled_total", "Log lines about requests left out by sampling.", func() float64 { return float64(e.log.Sampled()) })
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -101,7 +101,7 @@
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
 	f.tracker = track.New(track.Options{
-		Store: opts.Store, Mirror: opts.Mirror, Self: opts.Self, Log: opts.Log,
+		Store: opts.Store, Mirror: opts.Mirror, Self: opts.Self, First: opts.First, Log: opts.Log,
 		Changed: f.Changed, Rank: f.Rank, Sources: f.sources, Count: opts.Count,
 	})
 	return f
@@ -125,6 +125,10 @@
 // View returns what is known of the store.
 func (f *Fleet) View() *track.View { return f.tracker.View() }
 
+// Restores returns how often the store came back from a copy while this process
+// ran.
+func (f *Fleet) Restores() int64 { return f.tracker.Restores() }
+
 // Book returns the accounts of organisations.
 func (f *Fleet) Book() *share.Book { return f.book }
 
@@ -159,7 +163,7 @@
 	proved, fresh := f.KeyAge()
 	ready := !f.Leaving() && v.Snapshot != nil && v.Listed() && f.joined.Load() && fresh
 	if f.ready.Swap(ready) != ready {
-		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Int64("config", v.Item.Rev), zap.Duration("proof_age", proved), zap.Bool("listed", v.Listed()))
+		f.opts.Log.Info("readiness", zap.Bool("ready", ready), zap.Bool("leaving", f.Leaving()), zap.Stringer("config", v.Item.Rev), zap.Duration("proof_age", proved), zap.Bool("listed", v.Listed()))
 	}
 	return ready
 }
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -76,7 +76,7 @@
 	if e == nil {
 		return
 	}
-	fields := []zap.Field{zap.String("caller", caller), zap.String("region", region), zap.Int64("config", f.View().Item.Rev)}
+	fields := []zap.Field{zap.String("caller", caller), zap.String("region", region), zap.Stringer("config", f.View().Item.Rev)}
 	for _, r := range regions {
 		switch r.Name {
 		case region:
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
@@ -46,19 +47,23 @@
 	f.rank.Store(int64(spread.Rank(f.opts.Self.Name, spread.Order(hosts))))
 }
 
-// sources returns the hosts of the own region and what they know of the store.
+// sources returns the hosts that were heard of lately and what they know of the
+// store.
 func (f *Fleet) sources() []track.Source {
-	near, _ := f.heard(time.Now())
-	list := make([]track.Source, 0, len(near))
+	near, far := f.heard(time.Now())
+	list := make([]track.Source, 0, len(near)+len(far))
 	for _, p := range near {
 		list = append(list, track.Source{Addr: p.Addr(), Known: known(p)})
 	}
+	for _, p := range far {
+		list = append(list, track.Source{Addr: p.Addr(), Far: true, Known: known(p)})
+	}
 	return list
 }
 
 func known(p gossip.Peer) track.Known {
 	s := p.State
-	return track.Known{Config: s.Config, Proof: p.Proof, Digest: s.Digest, List: s.List, Listed: p.Listed}
+	return track.Known{Era: eras.Era{Number: s.Era, Since: p.Era}, Config: s.Config, Proof: p.Proof, Digest: s.Digest, List: s.List, Listed: p.Listed}
 }
 
 // Round implements gossip.Source. Other regions should hear soon when much was
@@ -230,6 +235,7 @@
 	s := gossip.State{
 		Host: f.opts.Self, Boot: f.boot, Leaving: f.Leaving(), Ready: f.Ready(),
 		Config: k.Config, Proof: age(at, k.Proof), Digest: k.Digest, List: k.List, Listed: age(at, k.Listed),
+		Era: k.Era.Number, EraAge: k.Era.Age(at),
 	}
 	if !near {
 		s.Regions = f.ownReport(now)
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -25,6 +25,7 @@
 	}
 	errs := []error{
 		amount("cores", s.Host.Cores), age("proof", s.Proof), age("list", s.Listed),
+		count("era", int(s.Era)), age("era", s.EraAge),
 	}
 	for _, loads := range s.Loads {
 		for id, l := range loads {
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -195,6 +195,7 @@
 	if err := cbor.Unmarshal(f.State, &p.State); err != nil {
 		return fmt.Errorf("decode state: %w", err)
 	}
+	p.Era = arrived - p.State.EraAge
 	if err := p.State.check(); err != nil {
 		return fmt.Errorf("state of host %s: %w", p.State.Host.Name, err)
 	}
--- a/internal/edge/gossip/gossip_test.go
+++ b/internal/edge/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
 )
@@ -51,7 +52,7 @@
 // proof of the wrong time.
 func TestExchange(t *testing.T) {
 	a, b := listen(t, 1), listen(t, 2)
-	ha := &host{state: State{Host: named("a"), Boot: 1, Config: 7, Proof: 40 * time.Millisecond}, heard: make(chan Peer, 1)}
+	ha := &host{state: State{Host: named("a"), Boot: 1, Config: eras.Version{Number: 7}, Proof: 40 * time.Millisecond}, heard: make(chan Peer, 1)}
 	hb := &host{state: State{Host: named("b"), Boot: 2}, heard: make(chan Peer, 1)}
 	ha.targets = []netip.AddrPort{b.addr()}
 	hb.targets = []netip.AddrPort{a.addr()}
@@ -94,7 +95,7 @@
 			h := &host{heard: make(chan Peer, 1)}
 			e.src = h
 			defer e.conn.Close()
-			state, err := cbor.Marshal(State{Host: named("b"), Boot: 9, Config: 7, Proof: time.Millisecond})
+			state, err := cbor.Marshal(State{Host: named("b"), Boot: 9, Config: eras.Version{Number: 7}, Proof: time.Millisecond})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 )
@@ -20,15 +21,18 @@
 	// Leaving hosts stop soon. Ready hosts can take callers.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 	Ready   bool `cbor:"4,keyasint,omitempty"`
-	// Config is the revision of the configuration in force, and Proof the
+	// Config is the version of the configuration in force, and Proof the
 	// time since it was known to be the newest.
-	Config int64         `cbor:"5,keyasint"`
+	Config eras.Version  `cbor:"5,keyasint"`
 	Proof  time.Duration `cbor:"6,keyasint"`
 	// Digest is that of the entries of the store, List the revision at which
 	// they were read, Listed the time since they were known to be current.
 	Digest uint64        `cbor:"7,keyasint"`
-	List   int64         `cbor:"8,keyasint"`
+	List   eras.Revision `cbor:"8,keyasint"`
 	Listed time.Duration `cbor:"9,keyasint"`
+	// Era is the store's, and EraAge the time since it is known.
+	Era    int64         `cbor:"10,keyasint,omitempty"`
+	EraAge time.Duration `cbor:"16,keyasint,omitempty"`
 	// Loads are the host's own requests by service and server, Placed the
 	// prefixes that it placed lately, Spent what it has admitted since its
 	// start by organisation. They go to hosts of its region only.
@@ -90,6 +94,9 @@
 	// the peer's configuration and entries were current, 0 if that can't be
 	// told.
 	Proof, Listed time.Duration
+	// Era is when the peer knew of the era of the store at the latest, on the
+	// same clock.
+	Era time.Duration
 }
 
 // Addr returns the address of the peer for other hosts.
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 	"github.com/yuccalb/yuccalb/platform"
@@ -32,14 +33,14 @@
 
 // config is the configuration as it was read.
 type config struct {
-	Rev   int64  `cbor:"1,keyasint"`
-	Value []byte `cbor:"2,keyasint"`
+	Rev   eras.Revision `cbor:"1,keyasint"`
+	Value []byte        `cbor:"2,keyasint"`
 }
 
 // entries is one read of the entries. Times are told as ages, since hosts have
 // different clocks.
 type entries struct {
-	List      int64         `cbor:"1,keyasint"`
+	List      eras.Revision `cbor:"1,keyasint"`
 	Asked     time.Duration `cbor:"2,keyasint"`
 	Answered  time.Duration `cbor:"3,keyasint"`
 	Servers   []spec.Server `cbor:"4,keyasint"`
@@ -47,7 +48,8 @@
 	Evacuated []string      `cbor:"6,keyasint"`
 	Lapsed    []spec.Server `cbor:"7,keyasint,omitempty"`
 	// Left is how long lapsed servers are kept.
-	Left time.Duration `cbor:"8,keyasint,omitempty"`
+	Left    time.Duration `cbor:"8,keyasint,omitempty"`
+	Doubted []spec.Server `cbor:"9,keyasint,omitempty"`
 }
 
 // Reader is what a host has read.
@@ -84,7 +86,7 @@
 	return entries{
 		List: l.List, Asked: now.Sub(l.Asked), Answered: now.Sub(l.Answered),
 		Servers: l.Servers, Hosts: l.Hosts, Evacuated: l.Evacuated,
-		Lapsed: l.Lapsed, Left: max(l.Until.Sub(now), 0),
+		Lapsed: l.Lapsed, Left: max(l.Until.Sub(now), 0), Doubted: l.Doubted,
 	}
 }
 
@@ -119,6 +121,7 @@
 		Asked:    now.Add(-m.Asked),
 		Answered: now.Add(-m.Answered),
 		Lapsed:   m.Lapsed,
+		Doubted:  m.Doubted,
 	}
 	if len(m.Lapsed) > 0 {
 		l.Until = now.Add(m.Left)
--- a/internal/edge/mirror/mirror_test.go
+++ b/internal/edge/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 	"github.com/yuccalb/yuccalb/internal/fake/local"
@@ -29,15 +30,16 @@
 	addr := netip.MustParseAddrPort("10.0.0.1:80")
 	want := &host{track.View{
 		Snapshot: spec.NewSnapshot(spec.Config{}),
-		Item:     platform.Item{Key: platform.ConfigKey, Value: []byte("{}"), Rev: 7},
+		Item:     platform.Item{Key: platform.ConfigKey, Value: []byte("{}"), Rev: eras.Revision{Era: 1, Count: 7}},
 		Listing: &track.Listing{
 			Entries: platform.Entries{
 				Servers:   []spec.Server{{ID: "s1", Service: "desk", Addr: addr, Site: "a1", Slots: 3, Warm: time.Second, Born: 5, Seq: 6}},
 				Hosts:     []spec.Host{{Name: "h1", Site: "a1", Front: addr, Peer: addr}},
 				Evacuated: []string{"b1"},
 			},
-			List: 9, Asked: now.Add(-time.Second), Answered: now.Add(-900 * time.Millisecond),
+			List: eras.Revision{Era: 1, Count: 9}, Asked: now.Add(-time.Second), Answered: now.Add(-900 * time.Millisecond),
 			Lapsed: []spec.Server{{ID: "s2", Service: "desk", Addr: addr}}, Until: now.Add(time.Second),
+			Doubted: []spec.Server{{ID: "s3", Service: "desk", Addr: addr}},
 		},
 	}}
 	c := NewClient(http.DefaultTransport)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
@@ -46,7 +47,7 @@
 	route    *spec.Route
 	org      *spec.Org
 	service  string
-	rev      int64
+	rev      eras.Revision
 	keyAge   time.Duration
 	body     []byte
 	reserved reservation // for the body
@@ -286,7 +287,7 @@
 // decision returns the inputs that decided on the request.
 func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
-		zap.String("id", q.id), zap.String("service", q.service), zap.Int64("config", q.rev), zap.Duration("key_age", q.keyAge),
+		zap.String("id", q.id), zap.String("service", q.service), zap.Stringer("config", q.rev), zap.Duration("key_age", q.keyAge),
 		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()),
 		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -35,9 +35,9 @@
 // hasNewerEntries reports whether entries were read later and are wanted: while
 // a server's state is unsure or lapsed entries are kept, unchanged ones tell
 // something as well.
-func (t *Tracker) hasNewerEntries(k Known) bool {
+func (t *Tracker) hasNewerEntries(k Source) bool {
 	v := t.View()
-	return k.List > v.List && (k.Digest != v.Digest || t.refresh.Load() || len(v.Lapsed) > 0)
+	return !k.Far && k.List.After(v.List) && (k.Digest != v.Digest || t.refresh.Load() || v.unsure())
 }
 
 func (t *Tracker) entriesDue() bool {
@@ -46,7 +46,7 @@
 	switch {
 	case !v.Listed(), t.wantedList.due(v.List, t.late()):
 		return true
-	case (t.refresh.Load() || len(v.Lapsed) > 0) && age > refreshAge+t.late():
+	case (t.refresh.Load() || v.unsure()) && age > refreshAge+t.late():
 		return true
 	}
 	return age > entriesAge+t.late()
@@ -69,20 +69,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := &Listing{Entries: e, List: rev, Asked: asked, Answered: time.Now()}
+	t.noteSettled(l)
+	t.believe(l)
 	t.keepLapsed(l)
 	t.list(l, sent)
 }
 
 // keepLapsed adds to a listing the servers whose entries lapsed in an outage of
-// the store and may be back soon. If the former listing was known to be current
-// during the outage, other hosts could reach the store, and nothing lapsed.
+// the store, or were lost when it went back to a copy, and may be back soon. If
+// the former listing was known to be current during the outage, other hosts
+// could reach the store, and nothing lapsed.
 func (t *Tracker) keepLapsed(l *Listing) {
 	began, ended := t.outage.returned()
 	old := t.View()
 	switch {
 	case !old.Listed():
-	case ended && t.listed.At() < began:
-		l.Lapsed = without(old.Servers, l.Servers)
+	case ended && t.listed.At() < began, l.List.Era != old.List.Era:
+		l.Lapsed = without(old.Usable(), l.Servers)
 		l.Until = l.Answered.Add(returning)
 	case l.Answered.Before(old.Until):
 		l.Lapsed = without(old.Lapsed, l.Servers)
--- a/internal/edge/track/mirror.go
+++ b/internal/edge/track/mirror.go
@@ -25,9 +25,11 @@
 	Entries(ctx context.Context, host netip.AddrPort) (*Listing, error)
 }
 
-// Source is another host of the region and what it knows.
+// Source is another host and what it knows.
 type Source struct {
 	Addr netip.AddrPort
+	// Far is set for a host of another region.
+	Far bool
 	Known
 }
 
@@ -48,7 +50,7 @@
 		return err
 	}
 	proved := src.Proof
-	if it.Rev != src.Config {
+	if it.Rev != src.Config.Rev {
 		proved = 0 // it was told of another revision
 	}
 	t.apply(it, proved, src.Addr.String())
@@ -66,9 +68,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.List <= t.View().List {
+	if !l.List.After(t.View().List) {
 		return nil // this host has read the store meanwhile
 	}
+	t.compare(l)
 	t.list(l, src.Listed)
 	return nil
 }
@@ -87,12 +90,12 @@
 type picker struct{ avoid map[netip.AddrPort]time.Time }
 
 // pick returns one of the sources for which ok holds.
-func (p *picker) pick(list []Source, ok func(Known) bool) (Source, bool) {
+func (p *picker) pick(list []Source, ok func(Source) bool) (Source, bool) {
 	now := time.Now()
 	var found Source
 	n := 0
 	for _, s := range list {
-		if !ok(s.Known) || now.Before(p.avoid[s.Addr]) {
+		if !ok(s) || now.Before(p.avoid[s.Addr]) {
 			continue
 		}
 		n++
@@ -115,26 +118,28 @@
 	p.avoid[s.Addr] = time.Now().Add(avoidTime)
 }
 
-// wish is a revision that another host knows and this one does not.
-type wish struct {
+// wish is something newer that another host knows and this one does not.
+type wish[T interface{ After(T) bool }] struct {
 	mu    sync.Mutex
-	rev   int64
+	what  T
 	since time.Time
 }
 
-// raise notes a revision beyond the one that is known.
-func (w *wish) raise(rev, known int64) {
+// raise notes something newer than what is known.
+func (w *wish[T]) raise(what, known T) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.rev <= known {
+	if !w.what.After(known) {
 		w.since = time.Now()
 	}
-	w.rev = max(w.rev, rev)
+	if what.After(w.what) {
+		w.what = what
+	}
 }
 
 // due reports whether the wish has stood for a time.
-func (w *wish) due(known int64, after time.Duration) bool {
+func (w *wish[T]) due(known T, after time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.rev > known && time.Since(w.since) >= after
+	return w.what.After(known) && time.Since(w.since) >= after
 }
--- a/internal/edge/track/mirror_test.go
+++ b/internal/edge/track/mirror_test.go
@@ -129,7 +129,7 @@
 	time.Sleep(3 * time.Second)
 	s.Break(nil)
 	list := tr.View().List
-	eventually(t, "read after the outage", func() bool { return tr.View().List > list })
+	eventually(t, "read after the outage", func() bool { return tr.View().List.After(list) })
 	for range 10 {
 		if !tr.knows("s1") {
 			t.Fatal("a server was dropped before it could register again")
--- a/internal/edge/track/outage.go
+++ b/internal/edge/track/outage.go
@@ -62,9 +62,10 @@
 
 // answered records the outcome of a call of the store.
 func (t *Tracker) answered(call string, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
 		err = nil
 	}
+	t.heedEra(err)
 	if t.opts.Count != nil {
 		t.opts.Count(call, err)
 	}
--- /dev/null
+++ b/internal/edge/track/restore_test.go
@@ -0,0 +1,182 @@
+package track
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/eras"
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/platform/plattest"
+)
+
+// fill makes the store's revision grow.
+func fill(s *plattest.Store, n int) {
+	for range n {
+		s.Put("other/key", nil)
+	}
+}
+
+// TestRestoredConfig guards against a host that goes back to an older
+// configuration with the store, that does not take the next one because its
+// revision is lower, or that takes a revision given out again for the one in
+// force: a key withdrawn by it would go on to work.
+func TestRestoredConfig(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	old := s.Copy()
+	fill(s, 50)
+	s.PutConfig(plattest.Config{Version: 2})
+	tr := start(t, s, 0)
+	version := func() int64 {
+		if snap := tr.View().Snapshot; snap != nil {
+			return snap.Version
+		}
+		return 0
+	}
+	eventually(t, "version 2", func() bool { return version() == 2 })
+	s.Restore(old)
+	for range 10 {
+		if v := version(); v != 2 {
+			t.Fatalf("version %d in force after the store went back", v)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.PutConfig(plattest.Config{Version: 2})
+	s.PutConfig(plattest.Config{Version: 3})
+	began := time.Now()
+	eventually(t, "version 3 at a lower revision", func() bool { return version() == 3 })
+	if d := time.Since(began); d > 2*time.Second {
+		t.Errorf("version 3 was noticed after %v", d)
+	}
+	time.Sleep(eras.Rewritten + configAge)
+	if age, known := tr.ProofAge(); !known || age > 2*configAge {
+		t.Errorf("age of the proof %v, %v", age, known)
+	}
+}
+
+// TestProofAfterRestore guards against a proof from a store that may lack the
+// newest configuration, and against keys that stop working because the operator
+// writes nothing.
+func TestProofAfterRestore(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	tr := start(t, s, 0)
+	eventually(t, "configuration", func() bool { return tr.View().Snapshot != nil })
+	eventually(t, "proof", func() bool { _, known := tr.ProofAge(); return known })
+	copied := s.Copy()
+	time.Sleep(200 * time.Millisecond)
+	at := tr.proof.At()
+	s.Restore(copied)
+	eventually(t, "new era", func() bool { return tr.View().List.Era == 1 })
+	time.Sleep(eras.Rewritten / 2)
+	if raised := tr.proof.At() - at; raised > time.Second {
+		t.Errorf("a read %v after the last one before the restore counts as proof", raised)
+	}
+	eventually(t, "proof from the new era", func() bool { return tr.proof.At() > at+eras.Rewritten })
+}
+
+// TestRestoredServers guards against requests to servers that the copy lists
+// although they have left, and against dropping those that it lacks.
+func TestRestoredServers(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	s.PutServer("ended", "desk", "a1", addr, "ready")
+	s.PutServer("leaves", "desk", "a1", addr, "ready")
+	s.PutServer("stays", "desk", "a1", addr, "ready")
+	old := s.Copy()
+	fill(s, 50)
+	s.RemoveServer("ended")
+	s.PutBeat("leaves", "desk", "a1", addr, "draining", 2)
+	s.PutServer("new", "desk", "a1", addr, "ready")
+	s.Evacuate("b1")
+	tr := start(t, s, 0)
+	eventually(t, "servers", func() bool { return tr.knows("new") && tr.knows("stays") })
+	s.Restore(old)
+	eventually(t, "new era", func() bool { return tr.View().List.Era == 1 })
+	for range 10 {
+		v := tr.View()
+		switch {
+		case tr.knows("ended"):
+			t.Fatal("a server that has ended was taken back")
+		case !tr.leaves("leaves"):
+			t.Fatal("a server that leaves counts as staying")
+		case !tr.knows("new") || !tr.knows("stays"):
+			t.Fatal("a server was dropped before it could register again")
+		case !slices.Contains(v.Evacuated, "b1"):
+			t.Fatal("an evacuation was forgotten")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.PutServer("new", "desk", "a1", addr, "ready")
+	s.PutBeat("ended", "desk", "a1", addr, "ready", 2) // it lives after all
+	eventually(t, "ended is back", func() bool { return tr.knows("ended") })
+	time.Sleep(eras.Settled)
+	if !tr.knows("new") || slices.Contains(tr.View().Evacuated, "b1") {
+		t.Error("the store's entries are not in force once they have settled")
+	}
+}
+
+func (t *Tracker) leaves(id string) bool {
+	return slices.ContainsFunc(t.View().Usable(), func(s spec.Server) bool { return s.ID == id && s.Leaving })
+}
+
+// TestRestoredLease guards against a host that renews or ends the lease of
+// another one, which has got its number since the store went back.
+func TestRestoredLease(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	old := s.Copy()
+	one := startHost(t, s, "h1", 0)
+	listed := func(name string) bool {
+		return slices.ContainsFunc(one.View().Hosts, func(h spec.Host) bool { return h.Name == name })
+	}
+	eventually(t, "entry of h1", func() bool { return listed("h1") })
+	s.Restore(old)
+	two := startHost(t, s, "h2", 0) // gets the number of h1's lease
+	eventually(t, "both entries", func() bool { return listed("h1") && listed("h2") })
+	two.Close()
+	eventually(t, "h2 gone", func() bool { return !listed("h2") })
+	if !listed("h1") {
+		t.Error("the entry of h1 went with that of h2")
+	}
+}
+
+// TestCloseAfterRestore guards against a host that stops before it has heard of
+// a restore and takes another host's entry with it.
+func TestCloseAfterRestore(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	old := s.Copy()
+	one := startHost(t, s, "h1", 0)
+	eventually(t, "entry of h1", func() bool { return len(one.View().Hosts) == 1 })
+	s.Restore(old)
+	s.PutUnder("yuccalb/hosts/h2", one.entry.lease.ID)
+	one.Close()
+	if !s.Has("yuccalb/hosts/h2") {
+		t.Error("the entry of h2 is gone")
+	}
+}
+
+// TestTwoRestores guards against a host that confuses the states of a store
+// that went back twice within a second, the second time during an outage.
+func TestTwoRestores(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	old := s.Copy()
+	fill(s, 50)
+	s.PutConfig(plattest.Config{Version: 5})
+	tr := start(t, s, 0)
+	eventually(t, "version 5", func() bool { return tr.View().Snapshot != nil && tr.View().Snapshot.Version == 5 })
+	again := s.Copy()
+	s.Restore(old)
+	time.Sleep(300 * time.Millisecond)
+	s.Break(func(*http.Request) int { return http.StatusServiceUnavailable })
+	s.Restore(again)
+	time.Sleep(300 * time.Millisecond)
+	s.Break(nil)
+	eventually(t, "second era", func() bool { return tr.View().List.Era == 2 })
+	s.PutConfig(plattest.Config{Version: 6})
+	eventually(t, "version 6", func() bool { return tr.View().Snapshot.Version == 6 })
+}
--- a/internal/edge/track/track.go
+++ b/internal/edge/track/track.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
 	"github.com/yuccalb/yuccalb/platform"
@@ -27,8 +28,12 @@
 	maxRank  = 8
 	// refreshAge replaces entriesAge after a server has failed.
 	refreshAge = 400 * time.Millisecond
-	// failedWait is the pause after a call that failed.
+	// failedWait is the pause after a call that failed, and the least time
+	// between reads of the configuration.
 	failedWait = 300 * time.Millisecond
+	// farWait is how long a version that the store has not shown is looked for
+	// there before hosts of other regions are asked for it.
+	farWait = 300 * time.Millisecond
 	// callTimeout bounds a call of the store.
 	callTimeout = 1500 * time.Millisecond
 	// lease is the time to live of the host's own entry, renewed each keep.
@@ -48,12 +53,14 @@
 
 // Store is the platform's store.
 type Store interface {
+	// Era is the newest that any answer has named.
+	Era() int64
 	Get(ctx context.Context, key string) (platform.Item, error)
-	Entries(ctx context.Context) (platform.Entries, int64, error)
-	Grant(ctx context.Context, ttl time.Duration) (int64, error)
-	Keep(ctx context.Context, lease int64) error
-	End(ctx context.Context, lease int64) error
-	Put(ctx context.Context, key string, value []byte, lease int64) error
+	Entries(ctx context.Context) (platform.Entries, eras.Revision, error)
+	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
+	Keep(ctx context.Context, l platform.Lease) error
+	Put(ctx context.Context, key string, value []byte, l platform.Lease) (eras.Revision, error)
+	Remove(ctx context.Context, key string, rev eras.Revision) error
 }
 
 // Counter counts calls of the store by name and outcome.
@@ -63,6 +70,8 @@
 type Options struct {
 	Store Store
 	Self  spec.Host
+	// First is set when the whole system starts with this host.
+	First bool
 	Log   *zap.Logger
 	// Mirror reads from other hosts what they have read. It may be nil.
 	Mirror Mirror
@@ -82,24 +91,31 @@
 	proof Proof
 	// listed is when the entries in force were last known to be current.
 	listed Proof
-	// wanted is the newest revision of the configuration heard of, and
+	// wanted is the newest version of the configuration heard of, and
 	// wantedList the newest revision of the store at which entries differed.
-	wanted     wish
-	wantedList wish
+	wanted     wish[eras.Version]
+	wantedList wish[eras.Revision]
 	refresh    atomic.Bool
+	era        era
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	mu     sync.Mutex // guards changes of view
+	// passed is the revision of the last configuration that was read and not
+	// put into force.
+	passed eras.Revision
+	// read is when the store was last asked for the configuration.
+	read time.Time
 
-	lease  int64 // of the host's own entry
+	entry  entry
 	outage outage
 }
 
 // New returns a tracker that knows nothing yet.
 func New(opts Options) *Tracker {
 	t := &Tracker{opts: opts}
+	t.era.changed = make(chan struct{}, 1)
 	t.view.Store(&View{Listing: &Listing{}})
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
@@ -134,40 +150,44 @@
 
 // Known is what a host knows of the store. Times are on its own clock.
 type Known struct {
-	// Config is the revision of the configuration in force, and Proof the
+	// Era is the store's.
+	Era eras.Era
+	// Config is the version of the configuration in force, and Proof the
 	// time at which it was known to be the newest.
-	Config int64
+	Config eras.Version
 	Proof  time.Duration
 	// Digest is that of the entries, List the revision of the store at which
 	// they were read, and Listed the time at which they were known to be
 	// current.
 	Digest uint64
-	List   int64
+	List   eras.Revision
 	Listed time.Duration
 }
 
 // Known returns what the host knows, to tell the others.
 func (t *Tracker) Known() Known {
 	v := t.View()
-	return Known{Config: v.Item.Rev, Proof: t.proof.At(), Digest: v.Digest, List: v.List, Listed: t.listed.At()}
+	return Known{Era: t.era.get(), Config: v.Version(), Proof: t.proof.At(), Digest: v.Digest, List: v.List, Listed: t.listed.At()}
 }
 
 // Heard takes what a peer knows, with times on the own clock; a zero time
 // stands for an unknown one.
 func (t *Tracker) Heard(k Known) {
+	t.enter(k.Era, "host")
 	v := t.View()
-	switch {
-	case k.Config > v.Item.Rev:
-		t.wanted.raise(k.Config, v.Item.Rev)
-	case k.Config == v.Item.Rev && v.Snapshot != nil && k.Proof > 0:
+	if k.Config.Same(v.Version()) && v.Snapshot != nil && k.Proof > 0 {
 		t.proof.Raise(k.Proof)
 	}
+	if k.Config.After(v.Version()) {
+		t.wanted.raise(k.Config, v.Version())
+	}
 	switch {
-	case k.List < v.List || !v.Listed():
+	case v.List.After(k.List) || !v.Listed():
 	case k.Digest != v.Digest:
 		t.wantedList.raise(k.List, v.List)
-	case k.Listed > 0 && len(v.Lapsed) == 0:
-		// While lapsed entries are kept, only an own read can drop them.
+	case k.Listed > 0 && !v.unsure():
+		// While lapsed or doubted entries are kept, only an own read can drop
+		// them.
 		t.listed.Raise(k.Listed)
 	}
 }
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
 	"github.com/yuccalb/yuccalb/internal/fake/await"
@@ -22,10 +23,16 @@
 var addr = netip.MustParseAddrPort("127.0.0.1:1")
 
 func start(t *testing.T, store *plattest.Store, rank int) *Tracker {
+	t.Helper()
+	return startHost(t, store, "h0", rank)
+}
+
+// startHost starts a tracker of a named host.
+func startHost(t *testing.T, store *plattest.Store, name string, rank int) *Tracker {
 	t.Helper()
 	tr := New(Options{
 		Store: platform.NewStore(store.Addr(), nil),
-		Self:  spec.Host{Name: "h0", Site: "a1", Front: addr, Peer: addr},
+		Self:  spec.Host{Name: name, Site: "a1", Front: addr, Peer: addr},
 		Log:   zap.NewNop(), Changed: func() {}, Rank: func() int { return rank },
 	})
 	tr.Start()
@@ -87,7 +94,7 @@
 	}
 	s.RemoveServer("s1")
 	k := tr.Known()
-	k.List += 1000
+	k.List.Count += 1000
 	k.Digest++
 	tr.Heard(k)
 	began := time.Now()
@@ -141,7 +148,7 @@
 	s.RemoveServer("s2")
 	s.Break(nil)
 	list := tr.View().List
-	eventually(t, "read after the outage", func() bool { return tr.View().List > list })
+	eventually(t, "read after the outage", func() bool { return tr.View().List.After(list) })
 	s.RemoveServer("s1")
 	confirm := func() {
 		k := tr.Known()
@@ -197,8 +204,8 @@
 	t.Parallel()
 	tr := New(Options{Log: zap.NewNop(), Changed: func() {}})
 	value := func(version int) []byte { return plattest.Config{Version: version}.JSON() }
-	tr.apply(platform.Item{Value: value(5), Rev: 20}, 5, "store")
-	tr.apply(platform.Item{Value: value(4), Rev: 19}, 9, "store")
+	tr.apply(platform.Item{Value: value(5), Rev: eras.Revision{Count: 20}}, 5, "store")
+	tr.apply(platform.Item{Value: value(4), Rev: eras.Revision{Count: 19}}, 9, "store")
 	if v := tr.View(); v.Snapshot.Version != 5 || tr.proof.At() != 5 {
 		t.Errorf("version %d, proof %v after an older answer", v.Snapshot.Version, tr.proof.At())
 	}
@@ -209,13 +216,13 @@
 func TestHeardProof(t *testing.T) {
 	t.Parallel()
 	tr := New(Options{Log: zap.NewNop(), Changed: func() {}})
-	tr.apply(platform.Item{Value: plattest.Config{Version: 5}.JSON(), Rev: 20}, 5, "store")
-	tr.Heard(Known{Config: 19, Proof: 50})
-	tr.Heard(Known{Config: 21, Proof: 60})
+	tr.apply(platform.Item{Value: plattest.Config{Version: 5}.JSON(), Rev: eras.Revision{Count: 20}}, 5, "store")
+	tr.Heard(Known{Config: eras.Version{Number: 4, Rev: eras.Revision{Count: 19}}, Proof: 50})
+	tr.Heard(Known{Config: eras.Version{Number: 6, Rev: eras.Revision{Count: 21}}, Proof: 60})
 	if at := tr.proof.At(); at != 5 {
 		t.Errorf("proof %v from peers with other configurations", at)
 	}
-	tr.Heard(Known{Config: 20, Proof: 70})
+	tr.Heard(Known{Config: eras.Version{Number: 5, Rev: eras.Revision{Count: 20}}, Proof: 70})
 	if at := tr.proof.At(); at != 70 {
 		t.Errorf("proof %v, want that of the peer", at)
 	}
--- a/internal/edge/track/view.go
+++ b/internal/edge/track/view.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -27,15 +28,20 @@
 // Listed reports whether the entries were read.
 func (v *View) Listed() bool { return !v.Answered.IsZero() }
 
-// Usable returns the servers that are registered and those that should be back
-// soon.
-func (v *View) Usable() []spec.Server { return slices.Concat(v.Servers, v.Lapsed) }
+// Version returns that of the configuration in force, the zero value while none
+// is known.
+func (v *View) Version() eras.Version {
+	if v.Snapshot == nil {
+		return eras.Version{}
+	}
+	return eras.Version{Number: v.Snapshot.Version, Rev: v.Item.Rev}
+}
 
 // Listing is one read of the entries, by this host or another.
 type Listing struct {
 	platform.Entries
 	// List is the revision of the store.
-	List int64
+	List eras.Revision
 	// Asked and Answered are the times of the read: what the entries say of
 	// remaining times holds from the latter on at the latest.
 	Asked, Answered time.Time
@@ -43,8 +49,19 @@
 	// an outage of the store. They are kept until they should be back.
 	Lapsed []spec.Server
 	Until  time.Time
+	// Doubted are servers that the store lists since it came back from a copy
+	// and that may have ended.
+	Doubted []spec.Server
 }
 
+// Usable returns the servers that are registered and those that should be back
+// soon.
+func (l *Listing) Usable() []spec.Server { return slices.Concat(l.Servers, l.Lapsed) }
+
+// unsure reports whether a further read of the entries will tell more although
+// they don't change.
+func (l *Listing) unsure() bool { return len(l.Lapsed) > 0 || len(l.Doubted) > 0 }
+
 // Proof is the latest time, on the clock of package clock, at which the
 // configuration in force was known to be the newest. It only moves forward.
 type Proof struct{ at atomic.Int64 }
