Tell in the log what decided on a refusal

Change: a 429 tells organisation, cost, what is left, rate and burst, and the number of hosts out of contact; a 503 for time the bound, the goal and what the own region was expected to need. Each line tells the organisation and the tokens to write. share.Take returns a Verdict instead of a pair.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -54,15 +54,20 @@
 	return !usable || own.Score > far.Score
 }
 
+// Bound returns the expected time to a first byte beyond which a request is
+// refused. The time to read its prompt does not count against a request, or
+// large prompts would never be served.
+func (d *Demand) Bound() time.Duration {
+	if d.Goal <= 0 {
+		return d.Left
+	}
+	return min(d.Left, time.Duration(patienceGoals*float64(d.Goal))+d.Pace.ReadTime(d.Prompt))
+}
+
 // Late reports whether the first byte is expected too late, and when the
-// caller should come back if so. The time to read its prompt does not count
-// against a request, or large prompts would never be served.
+// caller should come back if so.
 func (d *Demand) Late(first time.Duration) (retry time.Duration, late bool) {
-	bound := d.Left
-	if d.Goal > 0 {
-		bound = min(bound, time.Duration(patienceGoals*float64(d.Goal))+d.Pace.ReadTime(d.Prompt))
-	}
-	if first <= bound {
+	if first <= d.Bound() {
 		return 0, false
 	}
 	return first - d.Goal/2, true
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -103,24 +103,48 @@
 	return &Book{fresh: fresh, accounts: make(map[string]*account), peers: make(map[string]*peer)}
 }
 
-// Take admits a request of an organisation if its limit allows, or returns
-// the time after which it is likely to.
-func (b *Book) Take(org string, limit Limit, cost float64, now time.Time) (time.Duration, bool) {
+// Verdict is the answer to a request of an organisation and what decided it.
+type Verdict struct {
+	Admitted bool
+	// Wait is the time after which a request that was not admitted is likely
+	// to be.
+	Wait time.Duration
+	// Level is what the organisation had left.
+	Level float64
+	// Lost is the number of hosts that are out of contact.
+	Lost int
+}
+
+// Take admits a request of an organisation if its limit allows.
+func (b *Book) Take(org string, limit Limit, cost float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
-		return 0, true
+		return Verdict{Admitted: true}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(org, limit, now)
 	b.advance(a, now)
-	level := a.level
-	if need := min(cost, limit.Burst); level < need {
-		wait := time.Duration((need - level) / limit.Rate * float64(time.Second))
-		return min(wait, maxRetry), false
+	v := Verdict{Level: a.level, Lost: b.lost(now)}
+	if need := min(cost, limit.Burst); a.level < need {
+		wait := time.Duration((need - a.level) / limit.Rate * float64(time.Second))
+		v.Wait = min(wait, maxRetry)
+		return v
 	}
+	v.Admitted = true
 	a.level -= cost
 	a.own += cost
-	return 0, true
+	return v
+}
+
+// lost returns the number of hosts that are out of contact.
+func (b *Book) lost(now time.Time) int {
+	n := 0
+	for _, p := range b.peers {
+		if now.Sub(p.heard) > lostAfter {
+			n += max(p.hosts, 1)
+		}
+	}
+	return n
 }
 
 // Refund gives back what Take took for a request that did not run. An
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -48,7 +48,7 @@
 			due[i] += demand / float64(len(f.books)) * step.Seconds()
 			for due[i] >= size {
 				due[i] -= size
-				if _, ok := b.Take(org, limit, size, now); ok {
+				if b.Take(org, limit, size, now).Admitted {
 					admitted[n] += size
 				}
 			}
@@ -240,15 +240,15 @@
 func TestRetryTime(t *testing.T) {
 	b := NewBook(true)
 	limit := Limit{Rate: 100, Burst: 100}
-	if _, ok := b.Take(org, limit, 100, epoch); !ok {
+	if !b.Take(org, limit, 100, epoch).Admitted {
 		t.Fatal("the first burst was rejected")
 	}
-	wait, ok := b.Take(org, limit, 50, epoch)
-	if ok {
+	v := b.Take(org, limit, 50, epoch)
+	if v.Admitted {
 		t.Fatal("admitted beyond the burst")
 	}
-	if _, ok := b.Take(org, limit, 50, epoch.Add(wait)); !ok {
-		t.Errorf("rejected again after the stated %v", wait)
+	if !b.Take(org, limit, 50, epoch.Add(v.Wait)).Admitted {
+		t.Errorf("rejected again after the stated %v", v.Wait)
 	}
 }
 
@@ -256,7 +256,7 @@
 func TestUnlimited(t *testing.T) {
 	b := NewBook(false)
 	for range 100 {
-		if _, ok := b.Take(org, Limit{}, 1e9, epoch); !ok {
+		if !b.Take(org, Limit{}, 1e9, epoch).Admitted {
 			t.Fatal("rejected without a limit")
 		}
 	}
@@ -270,7 +270,7 @@
 	b.Take(org, limit, 1, epoch)
 	b.Hear(Report{Name: "h1", Run: 1, Spent: map[string]float64{org: 500}}, epoch)
 	b.Hear(Report{Name: "h1", Run: 2, Spent: map[string]float64{org: 400}}, epoch.Add(time.Second))
-	if _, ok := b.Take(org, limit, 900, epoch.Add(time.Second)); ok {
+	if b.Take(org, limit, 900, epoch.Add(time.Second)).Admitted {
 		t.Error("the 400 tokens that the restarted host admitted are not counted")
 	}
 }
@@ -284,7 +284,7 @@
 	for step := range 100 {
 		at := time.Duration(step) * 100 * time.Millisecond
 		for _, b := range f.books {
-			if _, ok := b.Take(org, limit, 400, epoch.Add(at)); !ok {
+			if !b.Take(org, limit, 400, epoch.Add(at)).Admitted {
 				t.Fatalf("rejected after %v although nothing has run", at)
 			}
 			b.Refund(org, 400)
@@ -301,7 +301,7 @@
 	limit := Limit{Rate: 1000, Burst: 1000}
 	tried := 0
 	for range 50 {
-		if _, ok := b.Take(org, limit, 100, epoch); ok {
+		if b.Take(org, limit, 100, epoch).Admitted {
 			tried++
 			if tried > 6 {
 				b.Refund(org, 100)
@@ -329,7 +329,7 @@
 			b.Take(org, limit, 1, at)
 		}
 	}
-	if wait, ok := b.Take(org, limit, 10, at); !ok {
-		t.Errorf("rejected for %v although nobody has admitted anything for 2 s", wait)
+	if v := b.Take(org, limit, 10, at); !v.Admitted {
+		t.Errorf("rejected for %v although nobody has admitted anything for 2 s", v.Wait)
 	}
 }
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -153,6 +153,7 @@
 	if svc != nil && q.allows(q.s.fleet.Home()) {
 		own.Score, own.First, usable = svc.Table.Expect(&q.pick, now)
 	}
+	q.own = own.First
 	demand := q.demand(svc, left)
 	if !q.forwarded {
 		if p, far, ok := q.other(demand); ok && admit.Leaves(own, usable, far) {
@@ -208,6 +209,7 @@
 	if !late {
 		return nil
 	}
+	q.inputs = append(q.inputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("own_expected", q.own))
 	return &refusal{http.StatusServiceUnavailable, reasonOverload, max(wait, retryBusy)}
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -257,9 +257,11 @@
 	}
 	limit := share.Limit{Rate: q.org.Rate, Burst: q.org.Burst}
 	cost := q.cost()
-	wait, ok := s.fleet.Book().Take(q.org.Name, limit, cost, time.Now())
-	if !ok {
-		return &refusal{http.StatusTooManyRequests, reasonLimit, max(wait, retryBusy)}
+	v := s.fleet.Book().Take(q.org.Name, limit, cost, time.Now())
+	if !v.Admitted {
+		q.inputs = append(q.inputs, zap.Float64("cost", cost), zap.Float64("left_of_limit", v.Level),
+			zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst), zap.Int("lost_hosts", v.Lost))
+		return &refusal{http.StatusTooManyRequests, reasonLimit, max(v.Wait, retryBusy)}
 	}
 	q.taken = cost
 	return nil
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -68,10 +68,13 @@
 	attempted time.Time
 	lastID    string // of the last event passed on
 	expected  time.Duration
+	own       time.Duration // expected of the own region
 	place     place
 	server    string
 	choice    pick.Choice // of the last attempt in the own region
 	listed    time.Time   // when the entries that decided were read
+	// inputs are what decided on a refusal, for its log line.
+	inputs []zap.Field
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
@@ -288,7 +291,7 @@
 func (q *request) decision() []zap.Field {
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Stringer("config", q.rev), zap.Duration("key_age", q.keyAge),
-		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()),
+		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()), zap.Int("output", q.pick.Output),
 		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.place.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
@@ -308,5 +311,8 @@
 	if q.route != nil {
 		fields = append(fields, zap.String("route", q.route.Name))
 	}
-	return fields
+	if org := q.organisation(); org != "" {
+		fields = append(fields, zap.String("org", org))
+	}
+	return append(fields, q.inputs...)
 }
