--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// tick is the step of the played time, and Reports the interval at which
+	// tick is the step of the played time, and reports the interval at which
 	// the hosts tell each other of their requests.
 	tick    = 5 * time.Millisecond
-	Reports = 250 * time.Millisecond
+	reports = 250 * time.Millisecond
 	// deadline is that of all requests.
 	deadline = 15 * time.Second
 	// warm and last are left out of the figures at the begin and the end.
@@ -90,7 +90,7 @@
 	}
 	for i, name := range names {
 		h := &host{name: name, table: pick.NewTable(svc, rand.New(rand.NewPCG(uint64(i), 1)))}
-		h.table.Update(svc, list, nil, pick.Warming{Self: name, Hosts: names, Settled: true, Reports: Reports}, p.epoch)
+		h.table.Update(svc, list, nil, pick.Warming{Self: name, Hosts: names, Settled: true, Reports: reports}, p.epoch)
 		p.hosts = append(p.hosts, h)
 	}
 	return p
@@ -109,7 +109,7 @@
 				p.changed(index[r])
 			}
 		}
-		if now%Reports == 0 {
+		if now%reports == 0 {
 			p.exchange(now)
 		}
 		for i, k := range load {
