Show in logs and metrics which limits servers name

The project's own metrics were not collected at all: the collector keeps the first 4,000 bytes of the page, and the metrics of the Go runtime sort before them.

Change: the header is read, strictly, into a state per server process. The choice of a server does not use the limit yet.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -96,6 +96,10 @@
 	Cached bool
 	// PrefillTime is the expected prefill time of the tokens that are not cached.
 	PrefillTime time.Duration
+	// Limited is set if the server has named a limit, and Limit is this limit in
+	// requests per second over all hosts.
+	Limited bool
+	Limit   float64
 
 	server *server
 	born   int64
@@ -107,6 +111,9 @@
 	firstByte time.Time
 }
 
+// process returns the process of the server to which the request is sent.
+func (c *Choice) process() Process { return Process{ID: c.ID, Born: c.born} }
+
 // Outcome is the outcome of a request that was sent to a server.
 type Outcome int
 
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -28,13 +28,15 @@
 	// leavingProcesses are processes that have announced that they leave, with the
 	// time at which they were last listed.
 	leavingProcesses map[Process]time.Time
-	rng              *rand.Rand
-	arrivals         arrivals
+	// limits are those that processes have named.
+	limits   map[Process]namedLimit
+	rng      *rand.Rand
+	arrivals arrivals
 }
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -63,6 +65,7 @@
 		}
 	}
 	t.expireLeaving(now)
+	t.expireLimits(now)
 	slices.Sort(t.order)
 }
 
@@ -90,7 +93,9 @@
 	best := t.choose(req, list)
 	s, c := best.server, best.cost
 	t.recordSent(s, req, c.unread, now)
+	limit, limited := t.limit(s.process())
 	return Choice{
+		Limited: limited, Limit: limit,
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, PrefillTime: t.model.PrefillTime(c.unread),
 		server: s, born: s.Born, sent: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
 	}, true
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -147,6 +147,14 @@
 		age, _ := e.fleet.KeyAge()
 		return age.Seconds()
 	})
+	m.Gauge("yuccalb_limited_servers", "Servers of the region that name a limit.", func() float64 {
+		n, _ := e.fleet.LimitedServers()
+		return float64(n)
+	})
+	m.Gauge("yuccalb_limited_rate", "Sum of the limits that servers of the region name, in requests per second over all hosts.", func() float64 {
+		_, rate := e.fleet.LimitedServers()
+		return rate
+	})
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
 		n := 0
 		for _, p := range e.exchange.Peers() {
--- a/internal/edge/entry/state_test.go
+++ b/internal/edge/entry/state_test.go
@@ -279,21 +279,13 @@
 		return x.Reply(http.StatusOK, "served")
 	})
 	wantStatus(t, cl.do(e, get("/safe/x")), http.StatusOK)
-	resp, err := http.Get("http://" + e.settings.Metrics.String() + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	page := metricsPage(t, e, "/metrics")
 	for _, line := range []string{
 		`yuccalb_first_byte_part_seconds_bucket{part="retry",service="desk",le="0.2"} 1`,
 		`yuccalb_first_byte_part_seconds_bucket{part="queue",service="desk",le="0.2"} 0`,
 		`yuccalb_first_byte_part_seconds_count{part="read",service="desk"} 1`,
 	} {
-		if !strings.Contains(string(body), line) {
+		if !strings.Contains(page, line) {
 			t.Errorf("the metrics do not contain %s", line)
 		}
 	}
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -32,6 +32,8 @@
 	"server leaves":          "server",
 
 	"server wants no requests": "server",
+	"server limits requests":   "server",
+	"server ended its limit":   "server",
 }
 
 // parts lists the parts of the state in the order of output.
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -144,6 +144,17 @@
 // Service returns the state of a service, or nil if it is unknown.
 func (f *Fleet) Service(name string) *Service { return (*f.tables.Load())[name] }
 
+// LimitedServers returns the number of servers of the region that name a limit, and the
+// sum of their limits in requests per second over all hosts.
+func (f *Fleet) LimitedServers() (servers int, rate float64) {
+	for _, svc := range *f.tables.Load() {
+		n, r := svc.Table.LimitedServers()
+		servers += n
+		rate += r
+	}
+	return servers, rate
+}
+
 // Region returns the region of a data centre.
 func (f *Fleet) Region(site string) string { return f.opts.Sites[site] }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -268,6 +268,9 @@
 		svc.Table.Done(&c, pick.Aborted, time.Now())
 		return retry.NotRun
 	}
+	if c.Limited {
+		q.s.stats.LimitedSend(q.service)
+	}
 	onFirstByte := func() { svc.Table.FirstByte(&c, time.Now()) }
 	res, outcome := q.exchange(q.s.servers, q.outgoing(q.serverHeader(c.ID), q.dest), onFirstByte)
 	svc.Table.Done(&c, outcome, time.Now())
@@ -337,13 +340,14 @@
 // it requests a pause.
 func (q *request) recordServerState(resp *send.Response) {
 	svc := q.s.fleet.Service(q.service)
-	if q.dest.region != "" || svc == nil {
-		return
+	if q.dest.region != "" || svc == nil || resp.Status == http.StatusMisdirectedRequest {
+		return // the response is not from the chosen server
 	}
 	now := time.Now()
 	if resp.Header.Get(platform.HeaderLeaving) == platform.Leaving && svc.Table.MarkLeaving(&q.choice, now) {
 		q.s.log.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 	}
+	q.recordLimit(svc, resp, now)
 	if resp.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -352,6 +356,23 @@
 	}
 }
 
+// recordLimit records the limit that a response of a server names, or that it names
+// none any more. Only a success shows the end of a limit: a failure may come from a
+// part of the server that does not know it.
+func (q *request) recordLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
+	rate, named, err := platform.ParseServerLimit(resp.Header)
+	switch {
+	case err != nil:
+		q.s.log.Requests.Warn("limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+	case named:
+		if svc.Table.NameLimit(&q.choice, rate, now) {
+			q.s.log.Info("server limits requests", zap.String("id", q.id), zap.String("server", q.server), zap.Float64("limit", rate), zap.Int("status", resp.Status))
+		}
+	case success(resp) && svc.Table.EndLimit(&q.choice, now):
+		q.s.log.Info("server ended its limit", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
+	}
+}
+
 // notRun reports whether a response says that the request did not run.
 func notRun(resp *send.Response) (pick.Outcome, bool) {
 	switch {
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -41,26 +41,28 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // an error closes the connection
 }
 
+// success reports whether the status of a response is one of success.
+func success(resp *send.Response) bool { return resp.Status >= 200 && resp.Status < 300 }
+
 // deliver forwards the response of a server.
 func (q *request) deliver(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
-	success := resp.Status >= 200 && resp.Status < 300
-	if success && resp.Header.Get(platform.HeaderSignature) == "" {
+	if success(resp) && resp.Header.Get(platform.HeaderSignature) == "" {
 		q.reason = reasonConnBroken
 		q.s.log.Requests.Warn("success without a signature", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 		return retry.Unknown, pick.Broken
 	}
-	if success && q.route.Stream {
+	if success(resp) && q.route.Stream {
 		return q.stream(resp, onFirstByte)
 	}
 	if q.headerWritten {
 		q.reason = reasonTruncated
 		return retry.Truncated, pick.Failed
 	}
-	return q.relayBuffered(resp, onFirstByte, success)
+	return q.relayBuffered(resp, onFirstByte)
 }
 
 // relayBuffered reads a response and forwards it once it is complete.
-func (q *request) relayBuffered(resp *send.Response, onFirstByte func(), success bool) (retry.Result, pick.Outcome) {
+func (q *request) relayBuffered(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
 	v := reservation{limit: &q.s.bodyMemory}
 	defer v.release()
@@ -91,7 +93,7 @@
 		q.s.log.Debug("response not written to caller", zap.String("id", q.id), zap.Error(err))
 	}
 	name := "served"
-	if !success {
+	if !success(resp) {
 		name = "failed"
 		q.reason = "server error"
 	}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -311,6 +311,9 @@
 	if !q.firstByte.IsZero() {
 		fields = append(fields, zap.Duration("first", q.firstByte.Sub(q.arrived)), zap.Duration("retried_for", q.lastAttempt.Sub(q.arrived)), zap.Duration("read", q.choice.PrefillTime))
 	}
+	if q.choice.Limited {
+		fields = append(fields, zap.Float64("limit", q.choice.Limit))
+	}
 	if q.lastEvent != "" {
 		fields = append(fields, zap.String("last_event", q.lastEvent))
 	}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -15,21 +15,30 @@
 // durationBuckets are the upper bounds of the buckets of all histograms, in seconds.
 var durationBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.4, 2, 3, 5, 10}
 
+// StatePath is the path of a page with the gateway's counters and gauges only. A
+// collector that keeps only the start of a page gets the decisions there, and not
+// the metrics of the Go runtime, which sort before them.
+const StatePath = "/metrics/state"
+
 // Metrics holds the metrics of a host. It is safe for concurrent use.
 type Metrics struct {
-	registry       *prometheus.Registry
+	// state holds the gateway's counters and gauges, times its histograms and
+	// process the metrics of the Go runtime and the process.
+	state, times, process *prometheus.Registry
+
 	requests       *prometheus.CounterVec
 	firstByte      *prometheus.HistogramVec
 	firstByteParts *prometheus.HistogramVec
 	response       *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
+	limitedSends   *prometheus.CounterVec
 	store          *prometheus.CounterVec
 }
 
-// New returns metrics with their own registry.
+// New returns metrics with their own registries.
 func New() *Metrics {
 	m := &Metrics{
-		registry: prometheus.NewRegistry(),
+		state: prometheus.NewRegistry(), times: prometheus.NewRegistry(), process: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_requests_total", Help: "Finished requests by service, outcome and reason.",
 		}, []string{"service", "outcome", "reason"}),
@@ -45,23 +54,27 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_attempts_total", Help: "Requests sent, by service, place (local or the region) and outcome.",
 		}, []string{"service", "place", "outcome"}),
+		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
+		}, []string{"service"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByte, m.firstByteParts, m.response, m.attempts, m.store,
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.store)
+	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
+	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
 // Gauge registers a gauge whose value is read when metrics are collected.
 func (m *Metrics) Gauge(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	m.state.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
 // Counter registers a counter whose value is read when metrics are collected.
 func (m *Metrics) Counter(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+	m.state.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
 }
 
 // Request records a finished request and its duration.
@@ -95,6 +108,9 @@
 	m.attempts.WithLabelValues(service, place, outcome).Inc()
 }
 
+// LimitedSend records a request that was sent to a server that named a limit.
+func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
+
 // Store records a call to the platform's store.
 func (m *Metrics) Store(call string, err error) {
 	outcome := "ok"
@@ -104,7 +120,12 @@
 	m.store.WithLabelValues(call, outcome).Inc()
 }
 
-// Handler serves the metrics in the Prometheus text format.
+// Handler serves the metrics in the Prometheus text format: those of StatePath there,
+// and all of them on all other paths.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+	all := prometheus.Gatherers{m.state, m.times, m.process}
+	mux := http.NewServeMux()
+	mux.Handle(StatePath, promhttp.HandlerFor(m.state, promhttp.HandlerOpts{}))
+	mux.Handle("/", promhttp.HandlerFor(all, promhttp.HandlerOpts{}))
+	return mux
 }
