--- a/internal/edge/entry/limit_test.go
+++ b/internal/edge/entry/limit_test.go
@@ -3,10 +3,15 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -53,3 +58,95 @@
 		}
 	}
 }
+
+// Rule for a server that names a limit: from learnTime after the first response with
+// it, no limitWindow holds more requests than limitExcess times what the limit allows,
+// and limitSlack more.
+const (
+	learnTime   = 500 * time.Millisecond
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
+// maxArrivals returns the most requests that a server received within limitWindow, from
+// learnTime after the first one on.
+func maxArrivals(s *origin.Server) int {
+	seen := s.Seen()
+	var times []time.Time
+	for _, x := range seen {
+		if x.Arrived.Sub(seen[0].Arrived) >= learnTime {
+			times = append(times, x.Arrived)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// load sends calls to hosts, each host from a caller of its own, until the end of d.
+func (cl *cluster) load(d time.Duration, pause time.Duration, hosts []*Entry, calls ...line.Call) {
+	cl.t.Helper()
+	end := time.Now().Add(d)
+	var callers sync.WaitGroup
+	for _, e := range hosts {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				conn, err := line.Dial(e.settings.Front)
+				if err != nil {
+					cl.t.Error(err)
+					return
+				}
+				conn.Do(calls[n%len(calls)], nextID())
+				_ = conn.Close() // the response has been read
+				time.Sleep(pause)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// TestServerLimitOverAllHosts guards against hosts that together send a server more
+// requests than the limit that it names for all of them, on any path: first attempts,
+// retries, resumed streams and requests forwarded from another region. It also guards
+// against a server that gets no requests because it has named a limit.
+func TestServerLimitOverAllHosts(t *testing.T) {
+	const rate = 2
+	cl := newCluster(t)
+	hosts := []*Entry{cl.host("a1"), cl.host("a1"), cl.host("a1"), cl.host("b1")}
+	limited := cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		if strings.HasPrefix(x.URL.Path, "/ask/") {
+			return x.StartStream(limitHeader("2.0")) && x.Chunk(origin.Events(1, 5)) && x.EndStream()
+		}
+		return x.Reply(http.StatusOK, "served", limitHeader("2.0"))
+	})
+	var n atomic.Int64
+	cl.server("s2", "a1", func(x *origin.Exchange) bool {
+		switch broken := n.Add(1)%3 == 0; {
+		case strings.HasPrefix(x.URL.Path, "/ask/"):
+			x.StartStream()
+			x.Chunk(origin.Events(1, 2))
+			if broken {
+				return x.Reset()
+			}
+			return x.Chunk(origin.Events(3, 5)) && x.EndStream()
+		case broken:
+			return x.Reply(http.StatusInternalServerError, "failed")
+		}
+		return x.Reply(http.StatusOK, "served")
+	})
+	cl.eventually("state report of region a", func() bool { return len(hosts[3].fleet.RemoteRegions("desk")) == 1 })
+	cl.load(6*time.Second, 10*time.Millisecond, hosts, get("/safe/x"), post("/ask/x", "1"), post("/order/x", "1"))
+	if got, want := maxArrivals(limited), int(limitExcess*rate*limitWindow.Seconds()+limitSlack); got > want {
+		t.Errorf("the server that takes %d requests a second got %d within %v, want at most %d", rate, got, limitWindow, want)
+	}
+	if got := len(limited.Seen()); got < 6 {
+		t.Errorf("the server that takes %d requests a second got %d in 6 s", rate, got)
+	}
+}
