Divide the limit that a server names among the hosts of its region

Only cold servers had such a limit, from the configuration, in code of its own.

Change: core/pick knows allowances, the part of a server's limits that falls to one host, as rate and burst over one token bucket. Cold servers, probation and named limits all give one, and the least counts. A limit of r a second is divided among r+2 hosts that a rendezvous hash chooses, so that the buckets of all together stay within 1.5 x 4 s x r + 5, whatever the number of hosts. Hosts report limits and their ends in their frames, with the age of the response; own observations only, since reports that are passed on would seem newer each time. Only a success whose request was sent after the last naming response ends a limit. A limit belongs to a process, survives a missing entry, and is forgotten after a minute without a response. Below 0.5 a second a server still gets that. Refusals name the time until a host accepts a request again.

--- a/internal/core/pick/fill.go
+++ b/internal/core/pick/fill.go
@@ -45,7 +45,7 @@
 // unreported returns the number of requests that the other hosts are expected to have
 // sent since their last reports, on the assumption that each gets as many as this one.
 func (t *Table) unreported() float64 {
-	return t.arrivals.rate * float64(max(len(t.warmupHosts.Hosts)-1, 0)) * t.warmupHosts.ReportInterval.Seconds()
+	return t.arrivals.rate * float64(max(len(t.hosts.Hosts)-1, 0)) * t.hosts.ReportInterval.Seconds()
 }
 
 // waterFill chooses a candidate at random, with the probabilities by which all hosts
--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -99,21 +99,45 @@
 	return !paused
 }
 
-// ShortestPause returns the time until the first of the paused servers accepts
-// requests again, or false when none is paused. Excluded and leaving servers do not
-// count.
-func (t *Table) ShortestPause(req *Request, now time.Time) (time.Duration, bool) {
+// Wait is the time until a server accepts a request that it does not accept now.
+type Wait struct {
+	For time.Duration
+	// Limited is set if the server's allowance is used up, and unset if the server
+	// has requested a pause.
+	Limited bool
+}
+
+// ShortestWait returns the wait for the first of the servers that accept no request
+// because of a pause or an allowance, or false if there is none. Excluded and leaving
+// servers do not count.
+func (t *Table) ShortestWait(req *Request, now time.Time) (Wait, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	shortest := time.Duration(-1)
+	var shortest Wait
+	found := false
 	for _, s := range t.servers {
-		d := s.pausedUntil.Sub(now)
-		if d <= 0 || t.leaving(s) || slices.Contains(req.Exclude, s.ID) {
+		if t.leaving(s) || slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
-		if shortest < 0 || d < shortest {
-			shortest = d
+		if w := t.wait(s, now); w.For > 0 && (!found || w.For < shortest.For) {
+			shortest = w
+			found = true
 		}
 	}
-	return shortest, shortest >= 0
+	return shortest, found
+}
+
+// wait returns the wait for a server, which is zero if neither a pause nor an
+// allowance keeps a request from it.
+func (t *Table) wait(s *server, now time.Time) Wait {
+	w := Wait{For: max(s.pausedUntil.Sub(now), 0)}
+	a, limited := t.allowance(s, now)
+	if !limited {
+		return w
+	}
+	s.refill(a, now)
+	if d := a.refillTime(s.level); d > w.For {
+		w = Wait{For: d, Limited: true}
+	}
+	return w
 }
--- a/internal/core/pick/limit.go
+++ b/internal/core/pick/limit.go
@@ -6,25 +6,49 @@
 // and its end after the response that showed it.
 const limitTTL = time.Minute
 
-// namedLimit is what the last response of a server process stated about its limit.
+// ServerLimit is what a response of a server process stated about its limit, as hosts
+// of a region report it to each other.
+type ServerLimit struct {
+	Process Process `cbor:"1,keyasint"`
+	// Rate is the limit in requests per second over all hosts. It does not apply if
+	// Ended is set: the response named no limit, but an earlier one did.
+	Rate  float64 `cbor:"2,keyasint,omitempty"`
+	Ended bool    `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the response arrived.
+	Age time.Duration `cbor:"4,keyasint"`
+}
+
+// namedLimit is the newest statement about the limit of a server process.
 type namedLimit struct {
-	// rate is the limit in requests per second over all hosts. It does not apply if
-	// ended is set: the response named no limit, but an earlier one did.
 	rate  float64
 	ended bool
-	// at is when the response arrived.
-	at time.Time
+	// at is when the response arrived at this host or, unless local is set, at the
+	// one that reported it.
+	at    time.Time
+	local bool
 }
 
 // NameLimit records that the server of a choice has named a limit, in requests per
-// second over all hosts, and reports whether it differs from the last one.
-func (t *Table) NameLimit(c *Choice, rate float64, now time.Time) bool {
+// second over all hosts. It returns the part that falls to this host, and whether the
+// limit differs from the last one.
+func (t *Table) NameLimit(c *Choice, limit float64, now time.Time) (part float64, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := c.process()
-	old, known := t.limits[p]
-	t.limits[p] = namedLimit{rate: rate, at: now}
-	return !known || old.ended || old.rate != rate
+	old, limited := t.limit(p)
+	t.setLimit(p, namedLimit{rate: limit, at: now, local: true}, now)
+	return t.hosts.named(limit, t.hosts.rank(p.ID)).rate, !limited || old != limit
+}
+
+// setLimit replaces what is known of the limit of a server process. When a limit
+// begins, the token bucket is empty: the server has just got more requests than it takes.
+func (t *Table) setLimit(p Process, l namedLimit, now time.Time) {
+	_, limited := t.limit(p)
+	t.limits[p] = l
+	if s := t.servers[p.ID]; s != nil && !limited && !l.ended {
+		s.level = 0
+		s.refilledAt = now
+	}
 }
 
 // EndLimit records that a response of the server of a choice named no limit, and
@@ -38,10 +62,38 @@
 	if !known || old.ended || !c.sent.After(old.at) {
 		return false
 	}
-	t.limits[p] = namedLimit{ended: true, at: now}
+	t.setLimit(p, namedLimit{ended: true, at: now, local: true}, now)
 	return true
 }
 
+// MergeLimits records the limits that another host of the region has reported, in so
+// far as its responses are newer than those that this host knows of.
+func (t *Table) MergeLimits(list []ServerLimit, received time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range list {
+		at := received.Add(-l.Age)
+		if old, known := t.limits[l.Process]; !known || at.After(old.at) {
+			t.setLimit(l.Process, namedLimit{rate: l.Rate, ended: l.Ended, at: at}, received)
+		}
+	}
+}
+
+// Limits returns the limits that this host knows of from responses to its own requests.
+// Those that others have reported are left out: passing them on would make them
+// seem newer each time.
+func (t *Table) Limits(now time.Time) []ServerLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []ServerLimit
+	for p, l := range t.limits {
+		if age := now.Sub(l.at); l.local && age <= limitTTL {
+			list = append(list, ServerLimit{Process: p, Rate: l.rate, Ended: l.ended, Age: max(age, 0)})
+		}
+	}
+	return list
+}
+
 // limit returns the limit that a server process has named, or false if none applies.
 func (t *Table) limit(p Process) (float64, bool) {
 	l, ok := t.limits[p]
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -16,11 +16,12 @@
 	cache cache
 	// warmAt is when the server becomes warm.
 	warmAt time.Time
-	// allowance is the level of a token bucket of one request, which limits the
-	// requests to a cold server or one on probation. It was last refilled at
-	// refilledAt.
-	allowance  float64
+	// level is that of a token bucket, which limits the requests to a server with an
+	// allowance. It was last refilled at refilledAt.
+	level      float64
 	refilledAt time.Time
+	// hostRank is the rank of this host for the server, -1 if not yet computed.
+	hostRank int
 
 	// failures counts consecutive failures. From failureThreshold on, the server
 	// gets no requests until downUntil, and one at a time after that: probing is
@@ -51,7 +52,7 @@
 }
 
 func newServer(s spec.Server) *server {
-	return &server{Server: s, peers: make(map[string]Load), slowdown: 1, cache: newCache()}
+	return &server{Server: s, peers: make(map[string]Load), slowdown: 1, cache: newCache(), hostRank: -1}
 }
 
 // update replaces the entry of the server. The cache and the failures are those of a
@@ -69,6 +70,7 @@
 	}
 	s.Server = e
 	s.warmAt = now.Add(e.Warm)
+	s.hostRank = -1
 }
 
 // resetFailures clears failures, errors, the slowdown and a requested pause.
@@ -114,41 +116,25 @@
 	s.slowdownAt = now
 }
 
-// limited reports whether requests to the server are rate-limited, because it is cold
-// or on probation.
-func (s *server) limited(now time.Time) bool { return s.probation || now.Before(s.warmAt) }
+// slowStart reports whether the server is cold or on probation.
+func (s *server) slowStart(now time.Time) bool { return s.probation || now.Before(s.warmAt) }
 
-// refill adds rate per second to the allowance of a limited server, up to 1.
-func (s *server) refill(rate float64, now time.Time) {
+// refill fills the token bucket of a server with an allowance.
+func (s *server) refill(a allowance, now time.Time) {
 	if !s.refilledAt.IsZero() {
-		s.allowance += now.Sub(s.refilledAt).Seconds() * rate
+		s.level += now.Sub(s.refilledAt).Seconds() * a.rate
 	}
-	s.allowance = min(s.allowance, 1)
+	s.level = min(s.level, a.burst)
 	s.refilledAt = now
 }
 
-// usable reports whether a request may be sent to a server that is not leaving. The
-// rate of a cold server is computed only if the server is limited, since it takes a
-// hash for each host of the region.
-func (s *server) usable(req *Request, svc *spec.Service, warmupHosts *WarmupHosts, now time.Time) bool {
+// available reports whether the server accepts a request, whatever its allowance: it
+// has not failed lately and has requested no pause.
+func (s *server) available(req *Request, now time.Time) bool {
 	if now.Before(s.pausedUntil) || slices.Contains(req.Exclude, s.ID) {
 		return false
 	}
-	if s.failures >= failureThreshold && (now.Before(s.downUntil) || s.probing) {
-		return false
-	}
-	if !s.limited(now) {
-		return true
-	}
-	rate := warmupHosts.rate(svc, s.ID)
-	if rate < 0 {
-		if !s.probation {
-			return true
-		}
-		rate = probationRate
-	}
-	s.refill(rate, now)
-	return s.allowance >= 1
+	return s.failures < failureThreshold || !now.Before(s.downUntil) && !s.probing
 }
 
 // recordFailure adds weight to the consecutive failures. From failureThreshold on, it
--- /dev/null
+++ b/internal/core/pick/share.go
@@ -0,0 +1,152 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+const (
+	// maxWarmupHosts bounds the hosts that send to one cold server, since each of
+	// them may send one request at any time, whatever the rate.
+	maxWarmupHosts = 4
+	// warmupRateShare is the part of a cold server's rate limit that the hosts use
+	// together. The rest is for a network partition, in which each host may count
+	// fewer hosts than share the limit.
+	warmupRateShare = 0.55
+	// probationRate is the rate limit, in requests per second, of one host for a
+	// server on probation.
+	probationRate = 2.0
+	// minNamedRate is the rate, in requests per second over all hosts, at which a
+	// server gets requests even if it names a lower limit: only a response shows
+	// that the limit has ended.
+	minNamedRate = 0.5
+	// minNamedHosts is the least number of hosts that share a limit that a server
+	// has named, so that one of them may fail. One more takes part for each
+	// request per second.
+	minNamedHosts = 2
+	// namedBurst is the time whose requests a host may send at once to a server
+	// that has named a limit.
+	namedBurst = 750 * time.Millisecond
+)
+
+// RegionHosts describes the hosts of the region, which share the limits that hold for
+// a server over all hosts together.
+type RegionHosts struct {
+	// Self is the name of this host and Hosts are those of all hosts of the region.
+	Self  string
+	Hosts []string
+	// Discovered is set once this host has had time to discover the others. Until
+	// then it sends nothing to servers with a limit over all hosts.
+	Discovered bool
+	// ReportInterval is the interval at which these hosts report their load.
+	ReportInterval time.Duration
+}
+
+// rank returns the position of this host, from 0, in the rendezvous order of the hosts
+// for a server, or the number of hosts if it is not among them.
+func (h *RegionHosts) rank(id string) int {
+	if len(h.Hosts) > 0 && !slices.Contains(h.Hosts, h.Self) {
+		return len(h.Hosts)
+	}
+	self := xxhash.Sum64String(id + h.Self)
+	rank := 0
+	for _, name := range h.Hosts {
+		if xxhash.Sum64String(id+name) > self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// allowance is the part of a server's limits that falls to this host.
+type allowance struct {
+	// rate is the number of requests per second and burst that of requests at once.
+	// Both are 0 for a host without a part of the limit.
+	rate, burst float64
+	// total is the rate of all hosts together.
+	total float64
+}
+
+// least returns an allowance that meets both a and b.
+func (a allowance) least(b allowance) allowance {
+	return allowance{rate: min(a.rate, b.rate), burst: min(a.burst, b.burst), total: min(a.total, b.total)}
+}
+
+// refillTime returns the time until a token bucket at a level holds a request again. A
+// host without a part of the limit returns the time between two requests of all hosts:
+// by then another host accepts one.
+func (a allowance) refillTime(level float64) time.Duration {
+	missing, rate := 1-level, a.rate
+	if rate == 0 {
+		missing, rate = 1, a.total
+	}
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// unlimited is the allowance of a server without limits.
+var unlimited = allowance{rate: math.Inf(1), burst: math.Inf(1), total: math.Inf(1)}
+
+// share returns the part of a limit of total requests per second that falls to a host
+// with a rank, if at most maxHosts hosts share it. With more hosts, those of the
+// lowest ranks share it, since each may send a request at any time.
+func (h *RegionHosts) share(total float64, maxHosts, rank int) allowance {
+	n := min(max(len(h.Hosts), 1), maxHosts)
+	if !h.Discovered || rank >= n {
+		return allowance{total: total}
+	}
+	return allowance{rate: total / float64(n), burst: 1, total: total}
+}
+
+// warmup returns the allowance of a cold server.
+func (h *RegionHosts) warmup(svc *spec.Service, rank int) allowance {
+	if svc.WarmupRate <= 0 {
+		return unlimited
+	}
+	return h.share(warmupRateShare*svc.WarmupRate, maxWarmupHosts, rank)
+}
+
+// named returns the allowance of a server that names a limit.
+func (h *RegionHosts) named(limit float64, rank int) allowance {
+	hosts := minNamedHosts + int(min(limit, float64(len(h.Hosts))))
+	a := h.share(max(limit, minNamedRate), hosts, rank)
+	a.burst = max(a.burst, a.rate*namedBurst.Seconds())
+	return a
+}
+
+// allowance returns what this host may send to a server, and whether that is limited.
+func (t *Table) allowance(s *server, now time.Time) (allowance, bool) {
+	a := unlimited
+	if s.slowStart(now) {
+		a = t.hosts.warmup(&t.model.Service, t.rank(s))
+		if s.probation && math.IsInf(a.rate, 1) {
+			a = allowance{rate: probationRate, burst: 1, total: probationRate}
+		}
+	}
+	if limit, ok := t.limit(s.process()); ok {
+		a = a.least(t.hosts.named(limit, t.rank(s)))
+	}
+	return a, !math.IsInf(a.rate, 1)
+}
+
+// limited reports whether this host's requests to a server are limited.
+func (t *Table) limited(s *server, now time.Time) bool {
+	_, limited := t.allowance(s, now)
+	return limited
+}
+
+// rank returns the rank of this host for a server. It is computed once for each list of
+// hosts, since it takes a hash for each host.
+func (t *Table) rank(s *server) int {
+	if s.hostRank < 0 {
+		s.hostRank = t.hosts.rank(s.ID)
+	}
+	return s.hostRank
+}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -18,11 +18,11 @@
 
 // Table holds the servers of one service in the local region.
 type Table struct {
-	mu          sync.Mutex
-	model       model
-	warmupHosts WarmupHosts
-	servers     map[string]*server
-	order       []string // IDs, sorted so that equal states give equal decisions
+	mu      sync.Mutex
+	model   model
+	hosts   RegionHosts
+	servers map[string]*server
+	order   []string // IDs, sorted so that equal states give equal decisions
 	// placements are this host's recent ones, for reports.
 	placements []timedPlacement
 	// leavingProcesses are processes that have announced that they leave, with the
@@ -41,11 +41,11 @@
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
 // names the data centres that are evacuated.
-func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, warmupHosts WarmupHosts, now time.Time) {
+func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, hosts RegionHosts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.model.Service = svc
-	t.warmupHosts = warmupHosts
+	t.hosts = hosts
 	seen := make(map[string]bool, len(list))
 	t.order = t.order[:0]
 	for _, e := range list {
@@ -125,13 +125,26 @@
 	return best.cost.score, best.cost.time, true
 }
 
+// usable reports whether this host may send a request to a server now.
+func (t *Table) usable(s *server, req *Request, now time.Time) bool {
+	if t.leaving(s) || !s.available(req, now) {
+		return false
+	}
+	a, limited := t.allowance(s, now)
+	if !limited {
+		return true
+	}
+	s.refill(a, now)
+	return s.level >= 1
+}
+
 // candidates returns the servers that may get a request, with their costs.
 func (t *Table) candidates(req *Request, now time.Time) []candidate {
 	ranks := t.ranks(req.Prefix())
 	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
 		s := t.servers[id]
-		if !t.leaving(s) && s.usable(req, &t.model.Service, &t.warmupHosts, now) {
+		if t.usable(s, req, now) {
 			list = append(list, s.candidate(req, &t.model, ranks[i], now))
 		}
 	}
@@ -173,8 +186,8 @@
 func (t *Table) recordSent(s *server, req *Request, unread int, now time.Time) {
 	s.local.add(Load{Running: 1, Unread: unread, Memory: req.Prompt + req.Output})
 	s.updateLateShare(&t.model, now)
-	if s.limited(now) {
-		s.allowance--
+	if t.limited(s, now) {
+		s.level--
 	}
 	if s.failures >= failureThreshold {
 		s.probing = true
@@ -201,7 +214,7 @@
 	s.local.Unread -= c.unread
 	s.updateLateShare(&t.model, now)
 	s.measure(now.Sub(c.sent), c.Expected, now)
-	if c.Load.Unread == 0 && c.unread >= minPrefillSample && !s.limited(now) {
+	if c.Load.Unread == 0 && c.unread >= minPrefillSample && !t.limited(s, now) {
 		t.model.observePrefill(now.Sub(c.sent), c.Expected)
 	}
 }
@@ -354,7 +367,7 @@
 	var sum Summary
 	var waits []time.Duration
 	for _, s := range t.servers {
-		if t.leaving(s) || now.Before(s.pausedUntil) || s.failures >= failureThreshold || s.limited(now) {
+		if s.failures >= failureThreshold || s.slowStart(now) || !t.usable(s, &Request{}, now) {
 			continue
 		}
 		sum.Servers++
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -207,7 +207,7 @@
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
 	names := f.localNames(v, now)
-	warmupHosts := pick.WarmupHosts{
+	hosts := pick.RegionHosts{
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
 		ReportInterval: spread.Interval(len(names)),
 	}
@@ -224,7 +224,7 @@
 				list = append(list, e)
 			}
 		}
-		s.Table.Update(svc, list, v.Evacuated, warmupHosts, v.Answered)
+		s.Table.Update(svc, list, v.Evacuated, hosts, v.Answered)
 		tables[svc.Name] = s
 	}
 	f.tables.Store(&tables)
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -253,6 +253,7 @@
 	s.Loads = make(map[string]map[string]pick.Load)
 	s.Placements = make(map[string][]pick.Placement)
 	s.LeavingProcesses = make(map[string][]pick.Process)
+	s.Limits = make(map[string][]pick.ServerLimit)
 	for name, svc := range *f.tables.Load() {
 		loads, placements := svc.Table.Report(now)
 		if len(loads) > 0 {
@@ -264,6 +265,9 @@
 		if leaving := svc.Table.LeavingProcesses(); len(leaving) > 0 {
 			s.LeavingProcesses[name] = leaving
 		}
+		if limits := svc.Table.Limits(now); len(limits) > 0 {
+			s.Limits[name] = limits
+		}
 	}
 	return s
 }
@@ -299,5 +303,6 @@
 	for name, svc := range *f.tables.Load() {
 		svc.Table.MergePeer(p.State.Host.Name, p.State.Loads[name], p.State.Placements[name], p.Received)
 		svc.Table.MergeLeaving(p.State.LeavingProcesses[name], p.Received)
+		svc.Table.MergeLimits(p.State.Limits[name], p.Received)
 	}
 }
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -35,6 +35,11 @@
 	for _, list := range s.Placements {
 		errs = append(errs, placements(list)...)
 	}
+	for _, list := range s.Limits {
+		for _, l := range list {
+			errs = append(errs, amount("limit of "+l.Process.ID, l.Rate), age("limit of "+l.Process.ID, l.Age))
+		}
+	}
 	for org, spent := range s.Admitted {
 		errs = append(errs, amount("tokens of "+org, spent))
 	}
--- a/internal/edge/gossip/check_test.go
+++ b/internal/edge/gossip/check_test.go
@@ -34,9 +34,12 @@
 		"negative tokens of a part": func(s *State) {
 			s.Placements = map[string][]pick.Placement{"chat": {{Parts: []pick.Part{{Tokens: -1}}}}}
 		},
-		"infinite tokens":     func(s *State) { s.Admitted = map[string]float64{"o": math.Inf(1)} },
-		"negative region age": func(s *State) { s.Regions = []Region{{Name: "b", Age: -time.Hour}} },
-		"member without name": func(s *State) { s.Regions = []Region{{Name: "b", Members: []Member{{}}}} },
+		"negative limit":        func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Rate: -1}}} },
+		"limit not a number":    func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Rate: math.NaN()}}} },
+		"limit from the future": func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Age: -time.Second}}} },
+		"infinite tokens":       func(s *State) { s.Admitted = map[string]float64{"o": math.Inf(1)} },
+		"negative region age":   func(s *State) { s.Regions = []Region{{Name: "b", Age: -time.Hour}} },
+		"member without name":   func(s *State) { s.Regions = []Region{{Name: "b", Members: []Member{{}}}} },
 		"negative servers": func(s *State) {
 			s.Regions = []Region{{Name: "b", Services: map[string]pick.Summary{"chat": {Servers: -1}}}}
 		},
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -45,6 +45,9 @@
 	// LeavingProcesses are the server processes by service that have announced in a
 	// response that they leave. They are sent to hosts of the local region only.
 	LeavingProcesses map[string][]pick.Process `cbor:"14,keyasint,omitempty"`
+	// Limits are the limits by service that servers have named in responses to this
+	// host. They are sent to hosts of the local region only.
+	Limits map[string][]pick.ServerLimit `cbor:"17,keyasint,omitempty"`
 	// Regions are reports of regions: that of the local region is sent to remote
 	// hosts, and those of remote regions are forwarded to local hosts.
 	Regions []Region `cbor:"15,keyasint,omitempty"`
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -180,16 +180,19 @@
 }
 
 // refuseNoServer returns the refusal of a request that no server of the region may
-// get now. If servers have requested a pause, Retry-After is the time until the
-// first pause ends.
+// get now. If servers have requested a pause or have a limit, Retry-After is the time
+// until the first one accepts a request again.
 func (q *request) refuseNoServer(svc *fleet.Service, now time.Time) *refusal {
 	ref := &refusal{http.StatusServiceUnavailable, reasonNoServer, retryAfterBusy}
 	if svc == nil {
 		return ref
 	}
-	if d, ok := svc.Table.ShortestPause(&q.pick, now); ok {
+	if w, ok := svc.Table.ShortestWait(&q.pick, now); ok {
 		ref.reason = reasonRetryAfter
-		ref.retryAfter = max(d, retryAfterBusy)
+		if w.Limited {
+			ref.reason = reasonServerLimit
+		}
+		ref.retryAfter = max(w.For, retryAfterBusy)
 	}
 	return ref
 }
@@ -365,8 +368,8 @@
 	case err != nil:
 		q.s.log.Requests.Warn("limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
 	case named:
-		if svc.Table.NameLimit(&q.choice, rate, now) {
-			q.s.log.Info("server limits requests", zap.String("id", q.id), zap.String("server", q.server), zap.Float64("limit", rate), zap.Int("status", resp.Status))
+		if part, changed := svc.Table.NameLimit(&q.choice, rate, now); changed {
+			q.s.log.Info("server limits requests", zap.String("id", q.id), zap.String("server", q.server), zap.Float64("limit", rate), zap.Float64("part", part), zap.Int("status", resp.Status))
 		}
 	case success(resp) && svc.Table.EndLimit(&q.choice, now):
 		q.s.log.Info("server ended its limit", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -184,6 +184,7 @@
 	reasonOrgLimit        = "organisation over its limit"
 	reasonNoServer        = "no server"
 	reasonRetryAfter      = "servers want no requests"
+	reasonServerLimit     = "servers limit requests"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -91,7 +91,7 @@
 	}
 	for i, name := range names {
 		h := &host{name: name, table: pick.NewTable(svc, rand.New(rand.NewPCG(uint64(i), 1)))}
-		h.table.Update(svc, list, nil, pick.WarmupHosts{Self: name, Hosts: names, Discovered: true, ReportInterval: reportInterval}, p.start)
+		h.table.Update(svc, list, nil, pick.RegionHosts{Self: name, Hosts: names, Discovered: true, ReportInterval: reportInterval}, p.start)
 		p.hosts = append(p.hosts, h)
 	}
 	return p
