Drop retries above a lower limit of the retry budget

Each host holds an equal part of the retries of all hosts. When it counts more hosts than before, such as after a partition or while hosts register, SetLimit lowered the bound of later deposits, but the host kept what it had saved under the larger part, and the hosts together held more than the whole.

Ruled out: the deposits; they are a fraction of the host's own requests, whatever the number of hosts.

Change: SetLimit drops what lies above the new limit.

Result: TestLimitOfBudgetLowered, 40 retries at once after the limit fell to 6 before, 6 now.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -26,9 +26,17 @@
 	available atomic.Int64 // in units
 }
 
-// SetLimit bounds the retries that the budget holds.
+// SetLimit bounds the retries that the budget holds. Those above a lower limit are
+// dropped, since other hosts hold them from then on.
 func (b *Budget) SetLimit(retries float64) {
-	b.limit.Store(max(int64(retries*unitsPerRetry), 1))
+	limit := max(int64(retries*unitsPerRetry), 1)
+	b.limit.Store(limit)
+	for {
+		old := b.available.Load()
+		if old <= limit || b.available.CompareAndSwap(old, limit) {
+			return
+		}
+	}
 }
 
 // limitUnits returns the limit in units.
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// TestLimitOfBudgetLowered guards against a host that keeps the retries of a larger part
+// of the budget of all hosts when it has to share the budget with more of them.
+func TestLimitOfBudgetLowered(t *testing.T) {
+	var budget Budget
+	budget.SetLimit(40)
+	for range 1000 {
+		budget.Deposit()
+	}
+	budget.SetLimit(6)
+	retries := 0
+	for budget.Withdraw() {
+		retries++
+	}
+	if retries != 6 {
+		t.Errorf("%d retries at once after the limit fell to 6", retries)
+	}
+}
+
 // TestBackoff guards against retries without delay and against synchronised
 // retries.
 func TestBackoff(t *testing.T) {
