Let fewer hosts share a low limit of a cold server

Four hosts shared the limit of each cold server whatever its rate, and each may send one request at any time. With a limit below about one request a second, four at once are more than one and a half times the limit and 3 requests in a second.

Change: hosts share a cold server's limit as they share one that a server names: two, and one more for each request per second, four at most.

Result: TestColdServerWithLowRate, 7 hosts and 0.5 requests a second: 4 requests in one second before, 3 allowed; it passes now. The other tests of cold servers are unchanged and pass.

--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// maxWarmupHosts bounds the hosts that send to one cold server, since each of
-	// them may send one request at any time, whatever the rate.
+	// maxWarmupHosts bounds the hosts that send to one cold server.
 	maxWarmupHosts = 4
 	// warmupRateShare is the part of a cold server's rate limit that the hosts use
 	// together. The rest is for a network partition, in which each host may count
@@ -25,10 +24,9 @@
 	// server gets requests even if it names a lower limit: only a response shows
 	// that the limit has ended.
 	minNamedRate = 0.5
-	// minNamedHosts is the least number of hosts that share a limit that a server
-	// has named, so that one of them may fail. One more takes part for each
-	// request per second.
-	minNamedHosts = 2
+	// minSharing is the least number of hosts that share a limit, so that one of
+	// them may fail. One more takes part for each request per second.
+	minSharing = 2
 	// namedBurst is the time whose requests a host may send at once to a server
 	// that has named a limit.
 	namedBurst = 750 * time.Millisecond
@@ -105,18 +103,23 @@
 	return allowance{rate: total / float64(n), burst: 1, total: total}
 }
 
+// sharing returns how many hosts share a limit of rate requests per second. Each of them
+// may send one at any time, so that a low limit is shared by few.
+func (h *RegionHosts) sharing(rate float64) int {
+	return minSharing + int(min(rate, float64(len(h.Hosts))))
+}
+
 // warmup returns the allowance of a cold server.
 func (h *RegionHosts) warmup(svc *spec.Service, rank int) allowance {
 	if svc.WarmupRate <= 0 {
 		return unlimited
 	}
-	return h.share(warmupRateShare*svc.WarmupRate, maxWarmupHosts, rank)
+	return h.share(warmupRateShare*svc.WarmupRate, min(h.sharing(svc.WarmupRate), maxWarmupHosts), rank)
 }
 
 // named returns the allowance of a server that names a limit.
 func (h *RegionHosts) named(limit float64, rank int) allowance {
-	hosts := minNamedHosts + int(min(limit, float64(len(h.Hosts))))
-	a := h.share(max(limit, minNamedRate), hosts, rank)
+	a := h.share(max(limit, minNamedRate), h.sharing(limit), rank)
 	a.burst = max(a.burst, a.rate*namedBurst.Seconds())
 	return a
 }
--- a/internal/core/pick/table_test.go
+++ b/internal/core/pick/table_test.go
@@ -279,6 +279,42 @@
 	return got
 }
 
+// TestColdServerWithLowRate guards against hosts that each send a request at the same
+// time to a cold server whose rate limit is lower than one request per second and host.
+func TestColdServerWithLowRate(t *testing.T) {
+	svc := engine
+	svc.WarmupRate = 0.5
+	limit := int(svc.WarmupRate*1.5 + 3)
+	hosts := []string{"h0", "h1", "h2", "h3", "h4", "h5", "h6"}
+	e := entryOf(0)
+	e.Warm = time.Minute
+	var tabs []*Table
+	for _, h := range hosts {
+		tab := NewTable(svc, rand.New(rand.NewPCG(1, 2)))
+		tab.Update(svc, []spec.Server{e}, nil, RegionHosts{Self: h, Hosts: hosts, Discovered: true}, epoch)
+		tabs = append(tabs, tab)
+	}
+	total := 0
+	for second := range 40 {
+		got := 0
+		for ms := 0; ms < 1000; ms += 50 {
+			at := epoch.Add(time.Duration(second)*time.Second + time.Duration(ms)*time.Millisecond)
+			for _, tab := range tabs {
+				if _, ok := tab.Pick(&Request{Prompt: 10}, at); ok {
+					got++
+				}
+			}
+		}
+		if got > limit {
+			t.Errorf("second %d: %d requests to the cold server, want at most %d", second, got, limit)
+		}
+		total += got
+	}
+	if total == 0 {
+		t.Error("the cold server got no requests")
+	}
+}
+
 // TestColdServerDuringPartition guards against hosts that each use the whole rate limit
 // of a cold server because a network partition hides the others from them. The server
 // then got 12 requests in one second in a load test (Comptoir, scale-2).
