Report limited servers to other regions with their wait

Cause: a region reported a server with a named limit as usable only in the moments in which its allowance held a request. Under load that is hardly ever, and never on a host without a part of the limit, so that a region whose servers all name limits seemed to have none: requests that must be served there were refused in all other regions.

Ruled out: reporting limited servers as any other; requests would then be forwarded to a region that refuses them.

Change: the expected wait in the report includes the time until the host accepts another request for a limited server.

--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -355,7 +355,8 @@
 type Summary struct {
 	// Servers is the number of usable servers. Wait is the expected time to the
 	// first byte of a short request, averaged over the better half of these
-	// servers, to which requests go.
+	// servers, to which requests go. It includes the time until a server with a
+	// limit accepts another request.
 	Servers int
 	Wait    time.Duration
 }
@@ -367,11 +368,11 @@
 	var sum Summary
 	var waits []time.Duration
 	for _, s := range t.servers {
-		if s.failures >= failureThreshold || s.slowStart(now) || !t.usable(s, &Request{}, now) {
+		if t.leaving(s) || now.Before(s.pausedUntil) || s.failures >= failureThreshold || s.slowStart(now) {
 			continue
 		}
 		sum.Servers++
-		waits = append(waits, s.cost(s.total(), &Request{}, &t.model, 0, now).time)
+		waits = append(waits, t.wait(s, now).For+s.cost(s.total(), &Request{}, &t.model, 0, now).time)
 	}
 	if sum.Servers > 0 {
 		sum.Wait = lowerMean(waits)
