Let servers of the soak name limits

Ruled out: a check during the faults. A host that was restarted, frozen or cut off is excused, and that holds for nearly every moment there.

Change: servers name limits at random during the faults: none, 0, 1.5, 20 and one that is no number. After them one server of each region names 2.5 a second; from 8 s later on, when all hosts have started again, no 4 s may hold more than 1.5 x 4 x 2.5 + 5 requests, and each server must be used again once it names no limit.

--- /dev/null
+++ b/cmd/yuccalbe/limit_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// soakLimit is the limit, in requests per second, that servers name in the
+	// check of limits. From settleTime after the last fault on, when all hosts have
+	// started again, no limitWindow holds more requests than limitExcess times what
+	// the limit allows, and limitSlack more.
+	soakLimit   = 2.5
+	settleTime  = 8 * time.Second
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+	// usedRequests is the number of requests that a server gets within serveTimeout
+	// once it names no limit.
+	usedRequests = 50
+)
+
+// limits are those that servers name during the faults, "" for none.
+var limits = []string{"", "0", "1.5", "20", "many"}
+
+// limit is the limit that a server names. It is safe for concurrent use.
+type limit struct {
+	mu    sync.Mutex
+	value string
+	// arrivals are the times of all requests to the server.
+	arrivals []time.Time
+}
+
+// name makes the server name a limit, or none if value is empty.
+func (l *limit) name(value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.value = value
+}
+
+// arrive records a request, and returns the header lines that name the limit.
+func (l *limit) arrive(at time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, at)
+	if l.value == "" {
+		return nil
+	}
+	return []string{platform.HeaderServerLimit + ": " + l.value}
+}
+
+// since returns the number of requests since a time.
+func (l *limit) since(at time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(l.arrivals, at, time.Time.Compare)
+	return len(l.arrivals) - i
+}
+
+// checkLimits lets a server of each region name a limit after the faults, and checks
+// that it gets no more requests than that allows, and that it is used again when it
+// names none any more. The other servers name no limit.
+func (s *soak) checkLimits() {
+	s.t.Helper()
+	for i, l := range s.limits {
+		l.name("")
+		if i < len(soakSites) {
+			l.name(fmt.Sprint(soakLimit))
+		}
+	}
+	time.Sleep(settleTime)
+	begin := time.Now()
+	time.Sleep(limitWindow)
+	for i, l := range s.limits[:len(soakSites)] {
+		if got, want := l.since(begin), int(limitExcess*soakLimit*limitWindow.Seconds()+limitSlack); got > want {
+			s.t.Errorf("server %d got %d requests within %v, want at most %d under a limit of %v a second", i, got, limitWindow, want, soakLimit)
+		}
+		l.name("")
+	}
+	ended := time.Now()
+	for i, l := range s.limits[:len(soakSites)] {
+		await.For(s.t, serveTimeout, fmt.Sprintf("server %d is used without a limit", i), func() error {
+			if got := l.since(ended); got < usedRequests {
+				return fmt.Errorf("%d requests, want %d", got, usedRequests)
+			}
+			return nil
+		})
+	}
+}
--- a/cmd/yuccalbe/server_test.go
+++ b/cmd/yuccalbe/server_test.go
@@ -25,9 +25,10 @@
 // serverScript returns the behaviour of a server. It rejects requests for another
 // server, checks that requests hold no key, records those that run, and responds
 // according to the fault.
-func (s *soak) serverScript(f *atomic.Int32, server string) origin.Script {
+func (s *soak) serverScript(f *atomic.Int32, l *limit, server string) origin.Script {
 	return func(x *origin.Exchange) bool {
 		fault := f.Load()
+		lines := l.arrive(x.Arrived)
 		if x.Header.Get(platform.HeaderExpectInstance) != server {
 			return x.Misdirect()
 		}
@@ -35,33 +36,33 @@
 			s.t.Errorf("a key reached a server:\n%s", x.Raw)
 		}
 		if fault == faultRefuse {
-			return x.Refuse()
+			return x.RefuseWith(lines...)
 		}
 		s.recordRun(x)
 		if strings.HasPrefix(x.URL.Path, "/ask/") {
-			return sendEvents(x, fault)
+			return sendEvents(x, fault, lines)
 		}
 		switch fault {
 		case faultReset:
 			return x.Reset()
 		case faultTruncate:
-			x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 99\r\n\r\n" + x.ID())
+			x.Send("HTTP/1.1 200 OK\r\n" + strings.Join(append(lines, ""), "\r\n") + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 99\r\n\r\n" + x.ID())
 			return false
 		case faultRepeat:
-			x.Reply(http.StatusOK, x.ID())
+			x.Reply(http.StatusOK, x.ID(), lines...)
 		}
-		return x.Reply(http.StatusOK, x.ID())
+		return x.Reply(http.StatusOK, x.ID(), lines...)
 	}
 }
 
 // sendEvents sends the events after the last one of an earlier attempt. While there
 // is a fault, it resets the connection after two events.
-func sendEvents(x *origin.Exchange, fault int32) bool {
+func sendEvents(x *origin.Exchange, fault int32, lines []string) bool {
 	last, err := strconv.Atoi(x.Header.Get(platform.HeaderLastEventID))
 	if err != nil {
 		last = 0 // the header is absent in the first attempt
 	}
-	x.StartStream()
+	x.StartStream(lines...)
 	for id := last + 1; id <= soakEvents; id++ {
 		if fault != faultNone && id == last+3 {
 			return x.Reset()
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -54,7 +54,8 @@
 // checks at the callers and the backend servers that a request that must not be
 // repeated runs at most once, a request that is reported as not run has not run, a
 // complete response belongs to its request, no key reaches a server, and a revoked
-// key stops working.
+// key stops working. After the faults, it checks that servers get no more requests than
+// the limits allow that they name.
 func TestSoak(t *testing.T) {
 	bin, err := proc.Build(t.TempDir())
 	if err != nil {
@@ -77,6 +78,7 @@
 	configs []map[string]any // settings of the hosts
 	hosts   []*proc.Process
 	faults  []*atomic.Int32 // current faults of the servers
+	limits  []*limit        // of the servers
 	// proxies are all proxies: one between the hosts and each server, one between
 	// each host and the store, and one between the callers and each host.
 	proxies       []*proxy.Proxy
@@ -108,8 +110,10 @@
 	s.rotateKey()
 	for i := range soakServers {
 		f := &atomic.Int32{}
-		srv := origin.New(t, s.serverScript(f, s.serverID(i)))
+		l := &limit{}
+		srv := origin.New(t, s.serverScript(f, l, s.serverID(i)))
 		s.faults = append(s.faults, f)
+		s.limits = append(s.limits, l)
 		s.serverProxies = append(s.serverProxies, s.proxy(srv.Addr()))
 		s.register(i)
 	}
@@ -135,8 +139,11 @@
 	return p
 }
 
+// soakSites are the data centres, one of each region.
+var soakSites = []string{"a1", "b1"}
+
 // soakSite returns the data centre of the i-th host or server.
-func soakSite(i int) string { return [2]string{"a1", "b1"}[i%2] }
+func soakSite(i int) string { return soakSites[i%len(soakSites)] }
 
 func (s *soak) serverID(i int) string { return fmt.Sprintf("s%d-%s", i, s.name) }
 
@@ -212,6 +219,7 @@
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
+	s.checkLimits()
 	close(stop)
 	callers.Wait()
 	s.waitServing()
@@ -324,7 +332,7 @@
 	if s.snapshot == nil || s.rng.IntN(4) == 0 {
 		s.snapshot, s.snapshotAt = s.store.Copy(), time.Now()
 	}
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(15) {
 	case 0:
 		_ = h.Signal(syscall.SIGSTOP) // fails if the process has exited, here and below
 	case 1:
@@ -349,6 +357,8 @@
 		time.AfterFunc(time.Second, func() { s.register(i) })
 	case 9:
 		s.restoreStore()
+	case 10:
+		s.limits[i].name(limits[s.rng.IntN(len(limits))])
 	default:
 		// Connection faults are more frequent, so that several are active at once.
 		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
