Log limits that other hosts report, and keep a true reason of refusals

A host that learnt a limit from another host's frame logged nothing, so that explain did not show what it believed. A failed server on probation counted as one whose limit is used up: refusals said 'servers limit requests' although the server was down. A success without a signature, which no server sends, could end a limit. A tiny warm-up rate could give a wait that overflows.

Ruled out: sampling by value; the lines are sampled like those about requests, since a server may name another value in each response.

Result: TestNamedLimitOvertaken covers the changes by reports; the tests of pick, fleet, relay and the limits in entry pass.

--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -128,11 +128,12 @@
 }
 
 // wait returns the wait for a server, which is zero if neither a pause nor an
-// allowance keeps a request from it.
+// allowance keeps a request from it. The allowance of a failed server does not count:
+// its backoff does.
 func (t *Table) wait(s *server, now time.Time) Wait {
 	w := Wait{For: max(s.pausedUntil.Sub(now), 0)}
 	a, limited := t.allowance(s, now)
-	if !limited {
+	if !limited || s.failures >= failureThreshold {
 		return w
 	}
 	s.refill(a, now)
--- a/internal/core/pick/limit.go
+++ b/internal/core/pick/limit.go
@@ -28,55 +28,71 @@
 	local bool
 }
 
+// LimitChange is a change of the limit of a server.
+type LimitChange struct {
+	Server string
+	// Limit is the new limit in requests per second over all hosts, and Part that of
+	// this host. They do not apply if Ended is set: the server has no limit any more.
+	Limit, Part float64
+	Ended       bool
+}
+
 // NameLimit records that the server of a choice has named a limit, in requests per
-// second over all hosts. It returns the part that falls to this host, and whether the
-// limit differs from the last one.
-func (t *Table) NameLimit(c *Choice, limit float64, now time.Time) (part float64, changed bool) {
+// second over all hosts, and returns whether it differs from the last one.
+func (t *Table) NameLimit(c *Choice, limit float64, now time.Time) (LimitChange, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := c.process()
-	old, limited := t.limit(p)
-	t.setLimit(p, namedLimit{rate: limit, at: now, local: true}, now)
-	return t.hosts.named(limit, t.hosts.rank(p.ID)).rate, !limited || old != limit
-}
-
-// setLimit replaces what is known of the limit of a server process. When a limit
-// begins, the token bucket is empty: the server has just got more requests than it takes.
-func (t *Table) setLimit(p Process, l namedLimit, now time.Time) {
-	_, limited := t.limit(p)
-	t.limits[p] = l
-	if s := t.servers[p.ID]; s != nil && !limited && !l.ended {
-		s.level = 0
-		s.refilledAt = now
-	}
+	return t.setLimit(c.process(), namedLimit{rate: limit, at: now, local: true}, now)
 }
 
 // EndLimit records that a response of the server of a choice named no limit, and
-// reports whether this ends one. Responses may overtake each other, so that only
+// returns whether this ends one. Responses may overtake each other, so that only
 // a request which was sent after the last response with a limit can show its end.
-func (t *Table) EndLimit(c *Choice, now time.Time) bool {
+func (t *Table) EndLimit(c *Choice, now time.Time) (LimitChange, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := c.process()
 	old, known := t.limits[p]
 	if !known || old.ended || !c.sent.After(old.at) {
-		return false
+		return LimitChange{}, false
 	}
-	t.setLimit(p, namedLimit{ended: true, at: now, local: true}, now)
-	return true
+	return t.setLimit(p, namedLimit{ended: true, at: now, local: true}, now)
 }
 
 // MergeLimits records the limits that another host of the region has reported, in so
-// far as its responses are newer than those that this host knows of.
-func (t *Table) MergeLimits(list []ServerLimit, received time.Time) {
+// far as its responses are newer than those that this host knows of. It returns what
+// has changed.
+func (t *Table) MergeLimits(list []ServerLimit, received time.Time) []LimitChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var changes []LimitChange
 	for _, l := range list {
 		at := received.Add(-l.Age)
-		if old, known := t.limits[l.Process]; !known || at.After(old.at) {
-			t.setLimit(l.Process, namedLimit{rate: l.Rate, ended: l.Ended, at: at}, received)
+		if old, known := t.limits[l.Process]; known && !at.After(old.at) {
+			continue
 		}
+		if c, changed := t.setLimit(l.Process, namedLimit{rate: l.Rate, ended: l.Ended, at: at}, received); changed {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// setLimit replaces what is known of the limit of a server process, and returns whether
+// that changes it. When a limit begins, the token bucket is empty: the server has just
+// got more requests than it takes.
+func (t *Table) setLimit(p Process, l namedLimit, now time.Time) (LimitChange, bool) {
+	old, limited := t.limit(p)
+	t.limits[p] = l
+	if l.ended {
+		return LimitChange{Server: p.ID, Ended: true}, limited
+	}
+	if s := t.servers[p.ID]; s != nil && !limited {
+		s.level = 0
+		s.refilledAt = now
 	}
+	part := t.hosts.named(l.rate, t.hosts.rank(p.ID)).rate
+	return LimitChange{Server: p.ID, Limit: l.rate, Part: part}, !limited || old != l.rate
 }
 
 // Limits returns the limits that this host knows of from responses to its own requests.
--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // A server that names a limit gets within limitWindow at most limitExcess times what the
@@ -196,13 +198,14 @@
 	now := epoch
 	before := mustPick(t, tab, &Request{}, now)
 	c := mustPick(t, tab, &Request{}, now)
-	if part, changed := tab.NameLimit(&c, 2, now.Add(time.Second)); part != 2 || !changed {
-		t.Errorf("first limit: part %v, changed %v", part, changed)
+	want := LimitChange{Server: c.ID, Limit: 2, Part: 2}
+	if got, changed := tab.NameLimit(&c, 2, now.Add(time.Second)); got != want || !changed {
+		t.Errorf("first limit: %+v, changed %v", got, changed)
 	}
 	if _, changed := tab.NameLimit(&c, 2, now.Add(2*time.Second)); changed {
 		t.Error("the same limit is reported as a change")
 	}
-	if tab.EndLimit(&before, now.Add(3*time.Second)) {
+	if _, ended := tab.EndLimit(&before, now.Add(3*time.Second)); ended {
 		t.Error("the limit ended by a response to a request from before it")
 	}
 	now = now.Add(4 * time.Second)
@@ -211,17 +214,23 @@
 		t.Errorf("limit of the choice: %v, %v", after.Limit, after.Limited)
 	}
 	p := after.process()
-	tab.MergeLimits([]ServerLimit{{Process: p, Ended: true, Age: 3 * time.Second}}, now)
+	if got := tab.MergeLimits([]ServerLimit{{Process: p, Ended: true, Age: 3 * time.Second}}, now); len(got) != 0 {
+		t.Errorf("an older report changed the limit: %+v", got)
+	}
 	if n, _ := tab.LimitedServers(); n != 1 {
 		t.Error("the limit ended by an older report")
 	}
-	if !tab.EndLimit(&after, now.Add(time.Second)) {
+	if _, ended := tab.EndLimit(&after, now.Add(time.Second)); !ended {
 		t.Error("the limit has not ended")
 	}
 	tab.MergeLimits([]ServerLimit{{Process: p, Rate: 1, Age: 2 * time.Second}}, now.Add(time.Second))
 	if n, rate := tab.LimitedServers(); n != 0 {
 		t.Errorf("an older report brought back a limit of %v", rate)
 	}
+	changes := tab.MergeLimits([]ServerLimit{{Process: p, Rate: 1}}, now.Add(2*time.Second))
+	if diff := cmp.Diff([]LimitChange{{Server: p.ID, Limit: 1, Part: 1}}, changes); diff != "" {
+		t.Errorf("changes by a newer report (-want +got):\n%s", diff)
+	}
 }
 
 // TestNamedLimitOfProcess guards against a limit that is lost while the entry of its
--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -75,9 +75,9 @@
 	return allowance{rate: min(a.rate, b.rate), burst: min(a.burst, b.burst), total: min(a.total, b.total)}
 }
 
-// refillTime returns the time until a token bucket at a level holds a request again. A
-// host without a part of the limit returns the time between two requests of all hosts:
-// by then another host accepts one.
+// refillTime returns the time until a token bucket at a level holds a request again, at
+// most maxPause. A host without a part of the limit returns the time between two
+// requests of all hosts: by then another host accepts one.
 func (a allowance) refillTime(level float64) time.Duration {
 	missing, rate := 1-level, a.rate
 	if rate == 0 {
@@ -86,7 +86,7 @@
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return time.Duration(min(missing/rate, maxPause.Seconds()) * float64(time.Second))
 }
 
 // unlimited is the allowance of a server without limits.
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/share"
@@ -303,6 +305,19 @@
 	for name, svc := range *f.tables.Load() {
 		svc.Table.MergePeer(p.State.Host.Name, p.State.Loads[name], p.State.Placements[name], p.Received)
 		svc.Table.MergeLeaving(p.State.LeavingProcesses[name], p.Received)
-		svc.Table.MergeLimits(p.State.Limits[name], p.Received)
+		for _, c := range svc.Table.MergeLimits(p.State.Limits[name], p.Received) {
+			LogLimit(f.opts.Requests, c, zap.String("from", p.State.Host.Name))
+		}
+	}
+}
+
+// LogLimit logs a change of the limit of a server; source are fields that tell where it
+// is known from.
+func LogLimit(log *zap.Logger, c pick.LimitChange, source ...zap.Field) {
+	fields := append(source, zap.String("server", c.Server))
+	if c.Ended {
+		log.Info("server ended its limit", fields...)
+		return
 	}
+	log.Info("server limits requests", append(fields, zap.Float64("limit", c.Limit), zap.Float64("part", c.Part))...)
 }
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -364,15 +364,20 @@
 // part of the server that does not know it.
 func (q *request) recordLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
 	rate, named, err := platform.ParseServerLimit(resp.Header)
-	switch {
-	case err != nil:
+	if err != nil {
 		q.s.log.Requests.Warn("limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		return
+	}
+	var c pick.LimitChange
+	changed := false
+	switch {
 	case named:
-		if part, changed := svc.Table.NameLimit(&q.choice, rate, now); changed {
-			q.s.log.Info("server limits requests", zap.String("id", q.id), zap.String("server", q.server), zap.Float64("limit", rate), zap.Float64("part", part), zap.Int("status", resp.Status))
-		}
-	case success(resp) && svc.Table.EndLimit(&q.choice, now):
-		q.s.log.Info("server ended its limit", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
+		c, changed = svc.Table.NameLimit(&q.choice, rate, now)
+	case success(resp) && signed(resp):
+		c, changed = svc.Table.EndLimit(&q.choice, now)
+	}
+	if changed {
+		fleet.LogLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
 	}
 }
 
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -44,9 +44,12 @@
 // success reports whether the status of a response is one of success.
 func success(resp *send.Response) bool { return resp.Status >= 200 && resp.Status < 300 }
 
+// signed reports whether a response bears the signature of a server.
+func signed(resp *send.Response) bool { return resp.Header.Get(platform.HeaderSignature) != "" }
+
 // deliver forwards the response of a server.
 func (q *request) deliver(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
-	if success(resp) && resp.Header.Get(platform.HeaderSignature) == "" {
+	if success(resp) && !signed(resp) {
 		q.reason = reasonConnBroken
 		q.s.log.Requests.Warn("success without a signature", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 		return retry.Unknown, pick.Broken
