--- a/cmd/yuccalbe/limit_test.go
+++ b/cmd/yuccalbe/limit_test.go
@@ -7,26 +7,23 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/limits"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
 const (
 	// soakLimit is the limit, in requests per second, that servers name in the
-	// check of limits. From settleTime after the last fault on, when all hosts have
-	// started again, no limitWindow holds more requests than limitExcess times what
-	// the limit allows, and limitSlack more.
-	soakLimit   = 2.5
-	settleTime  = 8 * time.Second
-	limitWindow = 4 * time.Second
-	limitExcess = 1.5
-	limitSlack  = 5
+	// check of limits. It must hold from settleTime after the last fault on, when
+	// all hosts have started again.
+	soakLimit  = 2.5
+	settleTime = 8 * time.Second
 	// usedRequests is the number of requests that a server gets within serveTimeout
 	// once it names no limit.
 	usedRequests = 50
 )
 
-// limits are those that servers name during the faults, "" for none.
-var limits = []string{"", "0", "1.5", "20", "many"}
+// faultyLimits are those that servers name during the faults, "" for none.
+var faultyLimits = []string{"", "0", "1.5", "20", "many"}
 
 // limit is the limit that a server names. It is safe for concurrent use.
 type limit struct {
@@ -75,10 +72,10 @@
 	}
 	time.Sleep(settleTime)
 	begin := time.Now()
-	time.Sleep(limitWindow)
+	time.Sleep(limits.Window)
 	for i, l := range s.limits[:len(soakSites)] {
-		if got, want := l.since(begin), int(limitExcess*soakLimit*limitWindow.Seconds()+limitSlack); got > want {
-			s.t.Errorf("server %d got %d requests within %v, want at most %d under a limit of %v a second", i, got, limitWindow, want, soakLimit)
+		if got, want := l.since(begin), limits.Allowed(soakLimit); got > want {
+			s.t.Errorf("server %d got %d requests within %v, want at most %d under a limit of %v a second", i, got, limits.Window, want, soakLimit)
 		}
 		l.name("")
 	}
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -358,7 +358,7 @@
 	case 9:
 		s.restoreStore()
 	case 10:
-		s.limits[i].name(limits[s.rng.IntN(len(limits))])
+		s.limits[i].name(faultyLimits[s.rng.IntN(len(faultyLimits))])
 	default:
 		// Connection faults are more frequent, so that several are active at once.
 		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -8,14 +8,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-)
 
-// A server that names a limit gets within limitWindow at most limitExcess times what the
-// limit allows, and limitSlack more requests.
-const (
-	limitWindow = 4 * time.Second
-	limitExcess = 1.5
-	limitSlack  = 5
+	"github.com/yuccalb/yuccalb/internal/fake/limits"
 )
 
 // limitedRegion simulates hosts of a region that send as many requests as they may to a
@@ -102,24 +96,11 @@
 	return r.arrivals[i:]
 }
 
-// maxArrivals returns the most arrivals within limitWindow.
-func maxArrivals(times []time.Time) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // checkBound checks that no window of the given arrivals exceeds the limit.
 func (r *limitedRegion) checkBound(t *testing.T, when string, times []time.Time) {
 	t.Helper()
-	want := int(limitExcess*r.limit*limitWindow.Seconds() + limitSlack)
-	if got := maxArrivals(times); got > want {
-		t.Errorf("%s: %d requests within %v to a server that takes %v a second, want at most %d", when, got, limitWindow, r.limit, want)
+	if got, want := limits.Most(times), limits.Allowed(r.limit); got > want {
+		t.Errorf("%s: %d requests within %v to a server that takes %v a second, want at most %d", when, got, limits.Window, r.limit, want)
 	}
 }
 
--- a/internal/edge/entry/limit_test.go
+++ b/internal/edge/entry/limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
+	"github.com/yuccalb/yuccalb/internal/fake/limits"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
@@ -59,19 +59,13 @@
 	}
 }
 
-// Rule for a server that names a limit: from learnTime after the first response with
-// it, no limitWindow holds more requests than limitExcess times what the limit allows,
-// and limitSlack more.
-const (
-	learnTime   = 500 * time.Millisecond
-	limitWindow = 4 * time.Second
-	limitExcess = 1.5
-	limitSlack  = 5
-)
+// learnTime is the time after the first response with a limit from which on the limit
+// must hold.
+const learnTime = 500 * time.Millisecond
 
-// maxArrivals returns the most requests that a server received within limitWindow, from
-// learnTime after the first one on.
-func maxArrivals(s *origin.Server) int {
+// learntArrivals returns when a server received requests, from learnTime after the first
+// one on.
+func learntArrivals(s *origin.Server) []time.Time {
 	seen := s.Seen()
 	var times []time.Time
 	for _, x := range seen {
@@ -79,15 +73,7 @@
 			times = append(times, x.Arrived)
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+	return times
 }
 
 // load sends calls to hosts, each host from a caller of its own, until the end of d.
@@ -143,8 +129,8 @@
 	})
 	cl.eventually("state report of region a", func() bool { return len(hosts[3].fleet.RemoteRegions("desk")) == 1 })
 	cl.load(6*time.Second, 10*time.Millisecond, hosts, get("/safe/x"), post("/ask/x", "1"), post("/order/x", "1"))
-	if got, want := maxArrivals(limited), int(limitExcess*rate*limitWindow.Seconds()+limitSlack); got > want {
-		t.Errorf("the server that takes %d requests a second got %d within %v, want at most %d", rate, got, limitWindow, want)
+	if got, want := limits.Most(learntArrivals(limited)), limits.Allowed(rate); got > want {
+		t.Errorf("the server that takes %d requests a second got %d within %v, want at most %d", rate, got, limits.Window, want)
 	}
 	if got := len(limited.Seen()); got < 6 {
 		t.Errorf("the server that takes %d requests a second got %d in 6 s", rate, got)
@@ -195,9 +181,9 @@
 	cl.load(2*time.Second, 10*time.Millisecond, hosts, get("/safe/x"))
 	lines.Store(&[]string{limitHeader("plenty")})
 	before := len(s.Seen())
-	cl.load(4*time.Second, 10*time.Millisecond, hosts, get("/safe/x"))
-	if got, want := len(s.Seen())-before, int(limitExcess*3*4+limitSlack); got > want {
-		t.Errorf("%d requests within 4 s to a server that takes 3 a second, want at most %d", got, want)
+	cl.load(limits.Window, 10*time.Millisecond, hosts, get("/safe/x"))
+	if got, want := len(s.Seen())-before, limits.Allowed(3); got > want {
+		t.Errorf("%d requests within %v to a server that takes 3 a second, want at most %d", got, limits.Window, want)
 	}
 	lines.Store(&[]string{})
 	cl.load(2*time.Second, 10*time.Millisecond, hosts, get("/safe/x"))
