Keep the pause that a server requested while its entry is missing

When the entry lapsed for a moment, as in an outage of the store, the pause that the server had requested was forgotten, and it got requests again before its end.

Ruled out: announcements of leaving and limits; both are kept by process.

Change: pauses are kept by process (identifier and start) until they end, like those two.

Result: TestPauseRequestedByServer, extended by an entry that goes and comes back: chosen before the end of the pause before, not chosen now.

--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -88,15 +89,23 @@
 func (t *Table) Pause(c *Choice, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := c.server
-	if s.Born != c.born {
-		return false // the request was for an earlier process
-	}
-	paused := now.Before(s.pausedUntil)
-	if until := now.Add(min(d, maxPause)); until.After(s.pausedUntil) {
-		s.pausedUntil = until
+	p := c.process()
+	old := t.pauses[p]
+	if until := now.Add(min(d, maxPause)); until.After(old) {
+		t.pauses[p] = until
 	}
-	return !paused
+	return !now.Before(old)
+}
+
+// pause returns the time until the end of the pause that a server has requested, 0 if
+// there is none.
+func (t *Table) pause(s *server, now time.Time) time.Duration {
+	return max(t.pauses[s.process()].Sub(now), 0)
+}
+
+// expirePauses removes the pauses that have ended.
+func (t *Table) expirePauses(now time.Time) {
+	maps.DeleteFunc(t.pauses, func(_ Process, until time.Time) bool { return !now.Before(until) })
 }
 
 // Wait is the time until a server accepts a request that it does not accept now.
@@ -131,7 +140,7 @@
 // allowance keeps a request from it. The allowance of a failed server does not count:
 // its backoff does.
 func (t *Table) wait(s *server, now time.Time) Wait {
-	w := Wait{For: max(s.pausedUntil.Sub(now), 0)}
+	w := Wait{For: t.pause(s, now)}
 	a, limited := t.allowance(s, now)
 	if !limited || s.failures >= failureThreshold {
 		return w
--- a/internal/core/pick/leave_test.go
+++ b/internal/core/pick/leave_test.go
@@ -58,8 +58,8 @@
 }
 
 // TestPauseRequestedByServer guards against requests to a server during a pause that it
-// has asked for, against an excessive pause that is not bounded, and against a pause
-// that applies to a new process of the server.
+// has asked for, also when its entry is missing for a moment, against an excessive pause
+// that is not bounded, and against a pause that applies to a new process of the server.
 func TestPauseRequestedByServer(t *testing.T) {
 	now := epoch
 	for _, c := range []struct {
@@ -80,6 +80,11 @@
 		}
 		mustPick(t, tab, &Request{}, now.Add(c.want))
 		list := entries(1)
+		tab.Update(tab.model.Service, nil, nil, allDiscovered("h0"), now)
+		tab.Update(tab.model.Service, list, nil, allDiscovered("h0"), now)
+		if _, ok := tab.Pick(&Request{}, now); ok {
+			t.Errorf("pause of %v: chosen after its entry came back", c.asked)
+		}
 		list[0].Born++
 		tab.Update(tab.model.Service, list, nil, allDiscovered("h0"), now)
 		tab.Pause(&choice, c.asked, now)
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -38,8 +38,6 @@
 	// lateShare is the share of time in which prefill takes so long that events
 	// of streams come late.
 	lateShare movingAverage
-	// pausedUntil is when the server accepts requests of this host again.
-	pausedUntil time.Time
 	// errorRate is a moving average of error responses and broken connections.
 	errorRate float64
 	// slowdown is the moving average of the ratio of measured to expected times to
@@ -73,14 +71,13 @@
 	s.hostRank = -1
 }
 
-// resetFailures clears failures, errors, the slowdown and a requested pause.
+// resetFailures clears failures, errors and the slowdown.
 func (s *server) resetFailures() {
 	s.failures = 0
 	s.downUntil = time.Time{}
 	s.probing = false
 	s.errorRate = 0
 	s.slowdown = 1
-	s.pausedUntil = time.Time{}
 }
 
 // total returns the load from all hosts.
@@ -128,10 +125,9 @@
 	s.refilledAt = now
 }
 
-// available reports whether the server accepts a request, whatever its allowance: it
-// has not failed lately and has requested no pause.
+// available reports whether the server may accept a request: it has not failed lately.
 func (s *server) available(req *Request, now time.Time) bool {
-	if now.Before(s.pausedUntil) || slices.Contains(req.Exclude, s.ID) {
+	if slices.Contains(req.Exclude, s.ID) {
 		return false
 	}
 	return s.failures < failureThreshold || !now.Before(s.downUntil) && !s.probing
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -28,7 +28,9 @@
 	// leavingProcesses are processes that have announced that they leave, with the
 	// time at which they were last listed.
 	leavingProcesses map[Process]time.Time
-	// limits are those that processes have named.
+	// limits are those that processes have named, and pauses are the ends of those
+	// that they have requested of this host.
+	pauses   map[Process]time.Time
 	limits   map[Process]namedLimit
 	rng      *rand.Rand
 	arrivals arrivals
@@ -36,7 +38,7 @@
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), pauses: make(map[Process]time.Time), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -66,6 +68,7 @@
 	}
 	t.expireLeaving(now)
 	t.expireLimits(now)
+	t.expirePauses(now)
 	slices.Sort(t.order)
 }
 
@@ -127,7 +130,7 @@
 
 // usable reports whether this host may send a request to a server now.
 func (t *Table) usable(s *server, req *Request, now time.Time) bool {
-	if t.leaving(s) || !s.available(req, now) {
+	if t.leaving(s) || t.pause(s, now) > 0 || !s.available(req, now) {
 		return false
 	}
 	a, limited := t.allowance(s, now)
@@ -368,7 +371,7 @@
 	var sum Summary
 	var waits []time.Duration
 	for _, s := range t.servers {
-		if t.leaving(s) || now.Before(s.pausedUntil) || s.failures >= failureThreshold || s.slowStart(now) {
+		if t.leaving(s) || t.pause(s, now) > 0 || s.failures >= failureThreshold || s.slowStart(now) {
 			continue
 		}
 		sum.Servers++
