Do not forward to a region whose limits are used up what others may serve

Cause: a region whose servers have all got what their limits allow reports a wait of up to a second. A request whose local servers are limited too was sent there, refused, and often sent again: callers were not refused at once, and each try took a round trip between regions.

Ruled out: reporting no servers, as before; requests that only that region may serve would never be sent there.

Change: the report says when all usable servers of a service are limited. Then only requests that may not be served in the local region are sent there, with the same chance as those of local callers; when they are refused, Retry-After is the wait that the region reported.

--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -308,14 +308,17 @@
 	tab := newTable(1)
 	c := mustPick(t, tab, &Request{}, epoch)
 	tab.NameLimit(&c, 1, epoch)
-	for _, c := range []struct{ after, least, most time.Duration }{
-		{0, time.Second, 1100 * time.Millisecond},
-		{600 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond},
-		{2 * time.Second, 0, 100 * time.Millisecond},
+	for _, c := range []struct {
+		after, least, most time.Duration
+		limited            bool
+	}{
+		{0, time.Second, 1100 * time.Millisecond, true},
+		{600 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, true},
+		{2 * time.Second, 0, 100 * time.Millisecond, false},
 	} {
 		got := tab.Summary(epoch.Add(c.after))
-		if got.Servers != 1 || got.Wait < c.least || got.Wait > c.most {
-			t.Errorf("%v after a request: %+v, want one server with a wait from %v to %v", c.after, got, c.least, c.most)
+		if got.Servers != 1 || got.Wait < c.least || got.Wait > c.most || got.Limited != c.limited {
+			t.Errorf("%v after a request: %+v, want one server, a wait from %v to %v, limited %v", c.after, got, c.least, c.most, c.limited)
 		}
 	}
 }
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -362,24 +362,29 @@
 	// limit accepts another request.
 	Servers int
 	Wait    time.Duration
+	// Limited is set if all usable servers have got what their limits allow.
+	Limited bool
 }
 
 // Summary returns the state of the service in the local region.
 func (t *Table) Summary(now time.Time) Summary {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var sum Summary
+	sum := Summary{Limited: true}
 	var waits []time.Duration
 	for _, s := range t.servers {
 		if t.leaving(s) || t.pause(s, now) > 0 || s.failures >= failureThreshold || s.slowStart(now) {
 			continue
 		}
+		w := t.wait(s, now)
 		sum.Servers++
-		waits = append(waits, t.wait(s, now).For+s.cost(s.total(), &Request{}, &t.model, 0, now).time)
+		sum.Limited = sum.Limited && w.Limited
+		waits = append(waits, w.For+s.cost(s.total(), &Request{}, &t.model, 0, now).time)
 	}
-	if sum.Servers > 0 {
-		sum.Wait = lowerMean(waits)
+	if sum.Servers == 0 {
+		return Summary{}
 	}
+	sum.Wait = lowerMean(waits)
 	return sum
 }
 
--- a/internal/edge/entry/limit_test.go
+++ b/internal/edge/entry/limit_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,6 +36,24 @@
 	return string(body)
 }
 
+// attempts returns how many requests a host has sent to a place: "local" or a region.
+func attempts(t *testing.T, e *Entry, place string) float64 {
+	t.Helper()
+	total := 0.0
+	for line := range strings.Lines(metricsPage(t, e, stats.StatePath)) {
+		if !strings.HasPrefix(line, "yuccalb_attempts_total") || !strings.Contains(line, fmt.Sprintf("place=%q", place)) {
+			continue
+		}
+		fields := strings.Fields(line)
+		n, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			t.Fatalf("metric %q: %v", line, err)
+		}
+		total += n
+	}
+	return total
+}
+
 // TestLimitInMetrics guards against metrics that do not show which limits servers name
 // and how many requests are sent to them, and against a page that a collector truncates
 // before it gets to them.
@@ -170,6 +189,63 @@
 	wantStatus(t, cl.do(e, get("/order/x")), http.StatusOK)
 }
 
+// TestAllRegionsLimited guards against a request that goes from region to region although
+// the servers of all have got what their limits allow, and against one that is never
+// sent to the only region that may serve it.
+func TestAllRegionsLimited(t *testing.T) {
+	cl := newCluster(t)
+	a, b := cl.host("a1"), cl.host("b1")
+	answer := func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served", limitHeader("4")) }
+	cl.server("s1", "a1", answer)
+	remote := cl.server("s2", "b1", answer)
+	cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	callers.Go(func() { // uses up the limit of region b
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				cl.do(b, get("/safe/x"))
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+	})
+	defer callers.Wait()
+	defer close(stop)
+	cl.eventually("region b is limited", func() bool {
+		list := a.fleet.RemoteRegions("desk")
+		return len(list) == 1 && list[0].Limited
+	})
+	cl.eventually("region a is limited", func() bool { return cl.do(a, get("/safe/x")).Status == http.StatusServiceUnavailable })
+	for range 20 {
+		begin := time.Now()
+		resp := cl.do(a, get("/safe/x"))
+		if took := time.Since(begin); resp.Status != http.StatusOK && took > 500*time.Millisecond {
+			t.Errorf("refused after %v, want at once", took)
+		}
+	}
+	// The report of region b may show a moment in which its limit allows a request.
+	if got := attempts(t, a, "b"); got > 10 {
+		t.Errorf("%v requests were forwarded to a region whose limits are used up, although the local region may serve them", got)
+	}
+	served := false
+	for end := time.Now().Add(10 * time.Second); !served && time.Now().Before(end); {
+		resp := cl.do(a, get("/home-b/x"))
+		served = resp.Status == http.StatusOK
+		if !served {
+			wantStatus(t, resp, http.StatusServiceUnavailable)
+		}
+	}
+	if !served {
+		t.Error("no request of the routes that only region b may serve was served")
+	}
+	if len(remote.Seen()) == 0 {
+		t.Error("the server of region b got no requests")
+	}
+}
+
 // TestLimitEnds guards against a server that is not used in full soon after it has
 // stopped naming a limit, and against a value that is no number and ends a limit.
 func TestLimitEnds(t *testing.T) {
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -121,7 +121,7 @@
 		if res == retry.NotRun && reason == "" {
 			reason = reasonNotRun
 		}
-		ref = &refusal{http.StatusServiceUnavailable, reason, retryAfterBusy}
+		ref = &refusal{http.StatusServiceUnavailable, reason, max(q.dest.limitWait, retryAfterBusy)}
 	}
 	q.refuse(ref)
 }
@@ -224,12 +224,14 @@
 }
 
 // bestRemote returns a host of the remote region with the best score for the
-// request, or false if there is none.
+// request, or false if there is none. A region whose servers have got what their limits
+// allow hardly accepts more, so that only requests which may not be served in the local
+// region are sent there.
 func (q *request) bestRemote(d *admit.Demand) (destination, admit.Estimate, bool) {
 	var best destination
 	var estimate admit.Estimate
 	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) {
+		if !q.allows(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
 			continue
 		}
 		e := d.RemoteEstimate(r.Wait, r.Cached(q.pick.Parts))
@@ -241,6 +243,9 @@
 			continue
 		}
 		best = destination{region: r.Region, addr: addr}
+		if r.Limited {
+			best.limitWait = r.Wait
+		}
 		estimate = e
 	}
 	return best, estimate, best.addr.IsValid()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -283,6 +283,9 @@
 	// region is empty for a server of the local region.
 	region string
 	addr   netip.AddrPort
+	// limitWait is the expected wait in a remote region whose servers have got what
+	// their limits allow.
+	limitWait time.Duration
 }
 
 // Forwarded reports whether r is a caller's request that another host forwarded.
