Test limits that fall while hosts have requests saved, and wait of failed servers

Cause: four of eleven changes of core/pick that break a limit were not noticed by its tests, or not built: a burst for hosts without a part, reports that are passed on, older reports that count, the allowance of a failed server as a reason to wait.

Change: TestNamedLimitLowered lets the hosts save requests before the limit falls; TestNamedLimitOvertaken asks that reports of others are not passed on; TestWaitForFailedServer is new.

--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -159,21 +159,29 @@
 }
 
 // TestNamedLimitLowered guards against hosts that have no part in a lower limit any
-// more and each send one request that they may still send under the former limit.
+// more and each send the requests that they have saved under the former limit.
 func TestNamedLimitLowered(t *testing.T) {
 	r := newLimitedRegion(60, 40)
 	r.run(2*time.Second, 10*time.Millisecond)
-	r.limit = 1
 	r.now = r.now.Add(30 * time.Second)
-	lowered := r.now.Add(time.Second)
-	r.run(time.Second, 10*time.Millisecond)
+	for _, tab := range r.tables {
+		tab.Expect(&Request{}, r.now)
+	}
+	r.limit = 1
+	for p := range r.tables[0].limits {
+		for _, tab := range r.tables {
+			tab.MergeLimits([]ServerLimit{{Process: p, Rate: r.limit}}, r.now)
+		}
+	}
+	lowered := r.now
 	r.run(8*time.Second, 10*time.Millisecond)
 	r.checkBound(t, "after a lower limit", r.since(lowered))
 }
 
 // TestNamedLimitOvertaken guards against the end of a limit by a response to a request
-// from before the limit, which arrives late, and against an older report of another
-// host that replaces what a newer response has shown.
+// from before the limit, which arrives late, against an older report of another host
+// that replaces what a newer response has shown, and against reports that hosts pass on
+// to each other, which would seem newer each time.
 func TestNamedLimitOvertaken(t *testing.T) {
 	tab := newTable(1)
 	now := epoch
@@ -212,6 +220,9 @@
 	if diff := cmp.Diff([]LimitChange{{Server: p.ID, Limit: 1, Part: 1}}, changes); diff != "" {
 		t.Errorf("changes by a newer report (-want +got):\n%s", diff)
 	}
+	if got := tab.Limits(now.Add(2 * time.Second)); len(got) != 0 {
+		t.Errorf("what another host reported is passed on, with a later time: %+v", got)
+	}
 }
 
 // TestNamedLimitOfProcess guards against a limit that is lost while the entry of its
@@ -300,6 +311,17 @@
 	}
 }
 
+// TestWaitForFailedServer guards against callers that are told of a limit although the
+// only server has failed.
+func TestWaitForFailedServer(t *testing.T) {
+	tab := newTable(1)
+	c := mustPick(t, tab, &Request{}, epoch)
+	tab.Done(&c, NoConnect, epoch)
+	if w, ok := tab.ShortestWait(&Request{}, epoch); ok {
+		t.Errorf("wait for a failed server: %+v, want none", w)
+	}
+}
+
 // TestLimitedServerInSummary guards against a region that draws requests from others
 // as if its servers could take them, although they have got what their limits allow,
 // and against one that seems to have no servers because of limits: requests that must
