Give pauses and waits a file of their own

Cause: leave.go of core/pick held the announcements of leaving, the pauses and the waits for limited servers.

Ruled out: a change of what they do; functions and constants are moved as they were, one comment of Table is reworded.

--- /dev/null
+++ b/internal/core/pick/pause.go
@@ -0,0 +1,78 @@
+package pick
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxPause bounds the pause that a server may request, and all waits.
+const maxPause = 10 * time.Minute
+
+// Pause records that the server of a choice has asked this host to pause its requests
+// for a time, and reports whether the host was not pausing them already.
+func (t *Table) Pause(c *Choice, d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := c.process()
+	old := t.pauses[p]
+	if until := now.Add(min(d, maxPause)); until.After(old) {
+		t.pauses[p] = until
+	}
+	return !now.Before(old)
+}
+
+// pause returns the time until the end of the pause that a server has requested, 0 if
+// there is none.
+func (t *Table) pause(s *server, now time.Time) time.Duration {
+	return max(t.pauses[s.process()].Sub(now), 0)
+}
+
+// expirePauses removes the pauses that have ended.
+func (t *Table) expirePauses(now time.Time) {
+	maps.DeleteFunc(t.pauses, func(_ Process, until time.Time) bool { return !now.Before(until) })
+}
+
+// Wait is the time until a server accepts a request that it does not accept now.
+type Wait struct {
+	For time.Duration
+	// Limited is set if the server's allowance is used up, and unset if the server
+	// has requested a pause.
+	Limited bool
+}
+
+// ShortestWait returns the wait for the first of the servers that accept no request
+// because of a pause or an allowance, or false if there is none. Excluded and leaving
+// servers do not count.
+func (t *Table) ShortestWait(req *Request, now time.Time) (Wait, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var shortest Wait
+	found := false
+	for _, s := range t.servers {
+		if t.leaving(s) || slices.Contains(req.Exclude, s.ID) {
+			continue
+		}
+		if w := t.wait(s, now); w.For > 0 && (!found || w.For < shortest.For) {
+			shortest = w
+			found = true
+		}
+	}
+	return shortest, found
+}
+
+// wait returns the wait for a server, which is zero if neither a pause nor an
+// allowance keeps a request from it. The allowance of a failed server does not count:
+// its backoff does.
+func (t *Table) wait(s *server, now time.Time) Wait {
+	w := Wait{For: t.pause(s, now)}
+	a, limited := t.allowance(s, now)
+	if !limited || s.failures >= failureThreshold {
+		return w
+	}
+	s.refill(a, now)
+	if d := a.refillTime(s.level); d > w.For {
+		w = Wait{For: d, Limited: true}
+	}
+	return w
+}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -28,8 +28,8 @@
 	// leavingProcesses are processes that have announced that they leave, with the
 	// time at which they were last listed.
 	leavingProcesses map[Process]time.Time
-	// limits are those that processes have named, and pauses are the ends of those
-	// that they have requested of this host.
+	// pauses holds when the pauses end that processes have requested of this host,
+	// and limits what they have stated about their limits.
 	pauses   map[Process]time.Time
 	limits   map[Process]namedLimit
 	rng      *rand.Rand
