Check in the soak that only a limit keeps requests from a server

With a server on probation, hosts send 2 a second each until its entry is renewed twice, and the soak's servers renew it only after faults.

Ruled out: a limit that stays in force, by the log lines; a busy machine, since the other server was used throughout.

Change: the check was wrong for few callers. Instead, once the limit ends the other servers refuse all requests and the checked ones renew their entries, so that 50 requests within 20 s are due whatever the callers' load; nothing else is relaxed.

--- a/cmd/yuccalbe/limit_test.go
+++ b/cmd/yuccalbe/limit_test.go
@@ -61,7 +61,8 @@
 
 // checkLimits lets a server of each region name a limit after the faults, and checks
 // that it gets no more requests than that allows, and that it is used again when it
-// names none any more. The other servers name no limit.
+// names none any more. The other servers name no limit, and refuse all requests once it
+// has ended: they could serve the few callers alone.
 func (s *soak) checkLimits() {
 	s.t.Helper()
 	for i, l := range s.limits {
@@ -79,9 +80,14 @@
 		}
 		l.name("")
 	}
+	for _, f := range s.faults[len(soakSites):] {
+		f.Store(faultRefuse)
+		defer f.Store(faultNone)
+	}
 	ended := time.Now()
 	for i, l := range s.limits[:len(soakSites)] {
 		await.For(s.t, serveTimeout, fmt.Sprintf("server %d is used without a limit", i), func() error {
+			s.register(i) // heartbeats end its probation
 			if got := l.since(ended); got < usedRequests {
 				return fmt.Errorf("%d requests, want %d", got, usedRequests)
 			}
