Let the hosts save as many requests for a limited server as the limit leaves room for

Cause: a host could send 0.75 s of its part of a named limit at once, on small regions one request.

Ruled out: a rate above the limit; a larger number of hosts that share it, which the bound for low limits does not allow.

Change: the token buckets of all hosts together hold the requests of 1.25 s and two more, each at least one. With 4 s at the limit that is at most 5.25 s of it and 2, within the 6 s of it and 5 that are allowed.

--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -344,3 +344,29 @@
 		}
 	}
 }
+
+// TestNamedLimitUsed guards against requests that are refused although the server takes
+// more: with few hosts, calls at random times at four fifths of the limit are
+// served to four fifths, since each host may send several requests at once.
+func TestNamedLimitUsed(t *testing.T) {
+	const load = 0.8
+	for _, limit := range []float64{5, 20, 40} {
+		r := newLimitedRegion(3, limit)
+		for _, tab := range r.tables {
+			tab.MergeLimits([]ServerLimit{{Process: Process{"s0", 1}, Rate: limit}}, epoch)
+		}
+		rng := rand.New(rand.NewPCG(1, 2))
+		sent, served := 0, 0
+		for now := epoch; now.Sub(epoch) < 50*time.Second; sent++ {
+			now = now.Add(time.Duration(rng.ExpFloat64() / (limit * load) * float64(time.Second)))
+			tab := r.tables[rng.IntN(len(r.tables))]
+			if c, ok := tab.Pick(&Request{Prompt: 10}, now); ok {
+				tab.Done(&c, Served, now)
+				served++
+			}
+		}
+		if share := float64(served) / float64(sent); share < 0.8 {
+			t.Errorf("limit of %v a second: %.2f of the requests served, want 0.8", limit, share)
+		}
+	}
+}
--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -27,9 +27,11 @@
 	// minSharing is the least number of hosts that share a limit, so that one of
 	// them may fail. One more takes part for each request per second.
 	minSharing = 2
-	// namedBurst is the time whose requests a host may send at once to a server
-	// that has named a limit.
-	namedBurst = 750 * time.Millisecond
+	// All hosts together may send at once, to a server that names a limit, the
+	// requests of namedBurst and minNamedBurst more. Both keep the requests of 4 s
+	// below one and a half times the limit and 5 requests.
+	namedBurst    = 1250 * time.Millisecond
+	minNamedBurst = 2.0
 )
 
 // RegionHosts describes the hosts of the region, which share the limits that hold for
@@ -96,13 +98,16 @@
 // with a rank, if at most maxHosts hosts share it. With more hosts, those of the
 // lowest ranks share it, since each may send a request at any time.
 func (h *RegionHosts) share(total float64, maxHosts, rank int) allowance {
-	n := min(max(len(h.Hosts), 1), maxHosts)
+	n := h.parts(maxHosts)
 	if !h.Discovered || rank >= n {
 		return allowance{total: total}
 	}
 	return allowance{rate: total / float64(n), burst: 1, total: total}
 }
 
+// parts returns the number of parts of a limit that at most maxHosts hosts share.
+func (h *RegionHosts) parts(maxHosts int) int { return min(max(len(h.Hosts), 1), maxHosts) }
+
 // sharing returns how many hosts share a limit of rate requests per second. Each of them
 // may send one at any time, so that a low limit is shared by few.
 func (h *RegionHosts) sharing(rate float64) int {
@@ -119,8 +124,11 @@
 
 // named returns the allowance of a server that names a limit.
 func (h *RegionHosts) named(limit float64, rank int) allowance {
-	a := h.share(max(limit, minNamedRate), h.sharing(limit), rank)
-	a.burst = max(a.burst, a.rate*namedBurst.Seconds())
+	hosts := h.sharing(limit)
+	a := h.share(max(limit, minNamedRate), hosts, rank)
+	if a.burst > 0 {
+		a.burst = max(1, (minNamedBurst+limit*namedBurst.Seconds())/float64(h.parts(hosts)))
+	}
 	return a
 }
 
