--- a/internal/edge/entry/conns_test.go
+++ b/internal/edge/entry/conns_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 )
 
@@ -79,3 +83,67 @@
 	cl.eventually("maximum of requests in progress", func() bool { return e.relay.Running() >= 35 }) // runningShare
 	wantStatus(t, cl.do(e, get("/safe/x")), http.StatusServiceUnavailable)
 }
+
+// sweptConn is a connection on which each Read that returns data first calls received.
+type sweptConn struct {
+	net.Conn
+	received func()
+}
+
+func (c *sweptConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+// sweptListener accepts connections as sweptConn.
+type sweptListener struct {
+	net.Listener
+	received func()
+}
+
+func (l *sweptListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &sweptConn{c, l.received}, nil
+}
+
+// TestSweepDuringRead guards against a request that is served without a response: its
+// connection was idle and is closed between the read of its bytes and the time at which
+// net/http counts the connection as active. In a load test (Vallmo, hunt-9b91-27) a
+// host that stopped closed a connection 28 ms after the arrival of a request.
+func TestSweepDuringRead(t *testing.T) {
+	conns := newConnTracker()
+	var sweep atomic.Bool
+	var handled atomic.Int32
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{ConnState: conns.State, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })}
+	go srv.Serve(&sweptListener{l, func() {
+		if sweep.Load() {
+			conns.Sweep(time.Now().Add(time.Hour), 0)
+		}
+	}})
+	defer srv.Close()
+	c, err := line.Dial(netip.MustParseAddrPort(l.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if a := c.Do(line.Get("/"), nextID()); a.Status != http.StatusOK {
+		t.Fatalf("first request: status %d, %v", a.Status, a.Err)
+	}
+	time.Sleep(50 * time.Millisecond) // the connection becomes idle
+	sweep.Store(true)
+	a := c.Do(line.Get("/"), nextID())
+	time.Sleep(100 * time.Millisecond) // the handler may run after the close
+	if a.Status != http.StatusOK && handled.Load() > 1 {
+		t.Errorf("the second request was served, but its connection was closed: %v", a.Err)
+	}
+}
