Compute a host's part of a limit only when the limit changes

Each response of a server that names a limit computed the part of this host, with a hash for each host of the region and under the table's lock, although only a change is logged. expireLimits repeated what maps.DeleteFunc does in expirePauses.

Ruled out: a change of what is decided; the part is used by the log line alone.

Change: setLimit returns before the computation when the limit is the same; expireLimits uses maps.DeleteFunc.

Result: the tests of core/pick and those of limits in edge/entry pass, formatter, vet and linter are clean.

--- a/internal/core/pick/limit.go
+++ b/internal/core/pick/limit.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // limitTTL is how long a limit is remembered after the last response that named it,
 // and its end after the response that showed it.
@@ -91,8 +94,11 @@
 		s.level = 0
 		s.refilledAt = now
 	}
+	if limited && old == l.rate {
+		return LimitChange{}, false // most responses: the part takes a hash for each host
+	}
 	part := t.hosts.named(l.rate, t.hosts.rank(p.ID)).rate
-	return LimitChange{Server: p.ID, Limit: l.rate, Part: part}, !limited || old != l.rate
+	return LimitChange{Server: p.ID, Limit: l.rate, Part: part}, true
 }
 
 // Limits returns the limits that this host knows of from responses to its own requests.
@@ -118,11 +124,7 @@
 
 // expireLimits removes what responses stated more than limitTTL ago.
 func (t *Table) expireLimits(now time.Time) {
-	for p, l := range t.limits {
-		if now.Sub(l.at) > limitTTL {
-			delete(t.limits, p)
-		}
-	}
+	maps.DeleteFunc(t.limits, func(_ Process, l namedLimit) bool { return now.Sub(l.at) > limitTTL })
 }
 
 // LimitedServers returns the number of listed servers that name a limit, and the sum
