Log how responses are framed and where streams end

Lines about requests now have framing (length, chunked, close or none) of the last response and within_event when a stream ended in one; yuccalb_stream_ends_total counts streams by framing and place of the end. What is forwarded is unchanged: the scanner only feeds logs and metrics here.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -327,6 +327,8 @@
 		return q.classifyError(err, c, req)
 	}
 	defer func() { _ = resp.Close() }() // it returns no errors
+	q.framing = resp.Framing.String()
+	q.withinEvent = false
 	q.recordServerState(resp)
 	if o, notRun := notRun(resp); notRun {
 		q.tally.Sends++
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -14,6 +14,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/core/stream"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -171,6 +172,8 @@
 func (q *request) stream(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
+	var events stream.Scanner
+	within := 0 // bytes of buf that are within an event
 	for {
 		if len(buf) >= maxEvent {
 			return q.classifyTruncation(errEventTooLong, q.truncationResult())
@@ -180,6 +183,12 @@
 		}
 		n, err := resp.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
+		if end := events.Scan(buf[len(buf)-n:]); end > 0 {
+			within = n - end
+		} else {
+			within += n
+		}
+		q.withinEvent = within > 0
 		complete := len(buf)
 		if !errors.Is(err, io.EOF) {
 			complete = completeEvents(buf)
@@ -193,6 +202,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			onFirstByte()
+			q.s.stats.StreamEnd(q.service, q.framing, q.withinEvent)
 			q.endStream(resp)
 			return retry.Done, pick.Served
 		}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -73,6 +73,10 @@
 	localExpected time.Duration // time to the first byte in the local region
 	dest          destination
 	server        string
+	// framing is that of the last response, and withinEvent is set if this one was a
+	// stream that ended within an event.
+	framing       string
+	withinEvent   bool
 	choice        pick.Choice // of the last attempt in the local region
 	entriesReadAt time.Time   // when the server list behind choice was read
 	// refusalInputs are the values that led to a refusal, for its log line.
@@ -317,6 +321,12 @@
 	if q.lastEvent != "" {
 		fields = append(fields, zap.String("last_event", q.lastEvent))
 	}
+	if q.framing != "" {
+		fields = append(fields, zap.String("framing", q.framing))
+	}
+	if q.withinEvent {
+		fields = append(fields, zap.Bool("within_event", true))
+	}
 	if q.route != nil {
 		fields = append(fields, zap.String("route", q.route.Name))
 	}
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -6,14 +6,54 @@
 	"net/http"
 )
 
+// Framing is how a response marks the end of its body.
+type Framing int
+
+// Framings. A body of FramingClose ends with its connection, so that a server which
+// stopped early can't be told from one which had sent everything. FramingNone is that
+// of responses that never have a body.
+const (
+	FramingNone Framing = iota
+	FramingLength
+	FramingChunked
+	FramingClose
+)
+
+// String returns the name of the framing.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunked:
+		return "chunked"
+	case FramingClose:
+		return "close"
+	default:
+		return "none"
+	}
+}
+
+// framing returns the framing of the response to a request with the given method.
+func framing(method string, resp *http.Response) Framing {
+	switch {
+	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return FramingNone
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength < 0:
+		return FramingClose
+	default:
+		return FramingLength
+	}
+}
+
 // Response is a response whose body can be read. It must be closed.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known beforehand.
-	Length int64
-	// Chunked is set when the body has a transfer encoding, which marks its end.
-	Chunked bool
+	Length  int64
+	Framing Framing
 
 	client *Client
 	conn   *conn
@@ -50,12 +90,13 @@
 	r.Status = resp.StatusCode
 	r.Header = resp.Header
 	r.Length = resp.ContentLength
-	r.Chunked = len(resp.TransferEncoding) > 0
+	r.Framing = framing(req.Method, resp)
 	r.conn.parseKeepAlive(resp.Header)
 	return nil
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF at the end of a complete body and, with
+// FramingClose, when the server closes the connection without a reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
 	if errors.Is(err, io.EOF) {
@@ -80,10 +121,7 @@
 
 // reusable reports whether the connection can be used by another request.
 func (r *Response) reusable() bool {
-	if !r.complete || r.resp.Close || r.conn.br.Buffered() > 0 {
-		return false
-	}
-	if r.Length < 0 && !r.Chunked {
+	if !r.complete || r.resp.Close || r.Framing == FramingClose || r.conn.br.Buffered() > 0 {
 		return false
 	}
 	if r.writeErr == nil {
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -32,6 +32,7 @@
 	response       *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
 	limitedSends   *prometheus.CounterVec
+	streamEnds     *prometheus.CounterVec
 	store          *prometheus.CounterVec
 }
 
@@ -57,11 +58,14 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
 		}, []string{"service"}),
+		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_stream_ends_total", Help: "Streams that ended without an error, by service, framing (length, chunked or close) and place of the end (event: within an event, between: after one).",
+		}, []string{"service", "framing", "place"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.store)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -111,6 +115,15 @@
 // LimitedSend records a request that was sent to a server that named a limit.
 func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
 
+// StreamEnd records the end of a stream that ended without an error.
+func (m *Metrics) StreamEnd(service, framing string, withinEvent bool) {
+	place := "between"
+	if withinEvent {
+		place = "event"
+	}
+	m.streamEnds.WithLabelValues(service, framing, place).Inc()
+}
+
 // Store records a call to the platform's store.
 func (m *Metrics) Store(call string, err error) {
 	outcome := "ok"
