--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -43,6 +43,7 @@
 	{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 5000},
 	{Prefix: "/home-b/", Service: "desk", Kind: "safe", TimeoutMS: 2000, Regions: []string{"b"}},
 	{Prefix: "/order-b/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Regions: []string{"b"}},
+	{Prefix: "/chat-b/", Service: "desk", Kind: "stream", TimeoutMS: 5000, Regions: []string{"b"}},
 	{Prefix: "/open/", Service: "desk", Kind: "safe", TimeoutMS: 2000, Public: true},
 	{Prefix: "/short/", Service: "desk", Kind: "safe", TimeoutMS: 300},
 }
--- /dev/null
+++ b/internal/edge/entry/framing_test.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// unframed returns the script of a server that sends body with neither a length nor
+// chunks and closes the connection.
+func unframed(version, body string) origin.Script {
+	return func(x *origin.Exchange) bool {
+		x.Send(fmt.Sprintf("%s 200 OK\r\n%s: %s\r\n%s: s\r\n\r\n%s", version, platform.HeaderAttemptID, x.ID(), platform.HeaderSignature, body))
+		time.Sleep(30 * time.Millisecond)
+		return false
+	}
+}
+
+// large is longer than the responses that are read completely before any of them is
+// forwarded.
+var large = origin.Events(1, 20000)
+
+// TestUnframedResponse guards against a response that its server may have broken off and
+// that its caller takes for complete: it ends with its connection, and is passed on with
+// a length or a last chunk. In an incident at the Comptoir, streams that had been broken
+// off reached their callers like this.
+func TestUnframedResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(version, func(t *testing.T) {
+			cl := newCluster(t)
+			a := cl.host("a1")
+			cl.host("b1")
+			echo := func(x *origin.Exchange) bool { return unframed(version, string(x.Body))(x) }
+			cl.server("s1", "a1", echo)
+			cl.server("s2", "b1", echo)
+			cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+			for _, path := range []string{"/order/x", "/chat/x", "/order-b/x", "/chat-b/x"} {
+				for name, body := range map[string]string{"small": origin.Events(1, 2), "empty": "", "large": origin.Events(1, 20000)} {
+					resp := cl.do(a, post(path, body))
+					if resp.Status != http.StatusOK || resp.Err != nil || resp.Body != body {
+						t.Errorf("%s, %s: status %d, %d bytes, error %v, want %d bytes", path, name, resp.Status, len(resp.Body), resp.Err, len(body))
+					}
+					if resp.Framed || !resp.Close {
+						t.Errorf("%s, %s: the response has a length or chunks", path, name)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestUnframedError guards against an error response of unknown end that is passed on as
+// complete.
+func TestUnframedError(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		x.Send("HTTP/1.1 400 X\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n\r\nnot possi")
+		return false
+	})
+	resp := cl.do(e, post("/order/x", "1"))
+	wantStatus(t, resp, http.StatusBadRequest)
+	if resp.Framed || resp.Err != nil || resp.Body != "not possi" {
+		t.Errorf("framed %v, error %v, body %q", resp.Framed, resp.Err, resp.Body)
+	}
+}
+
+// TestUnframedResponseReset guards against a response that is broken off after its start
+// was forwarded, and that ends for its caller like a complete one: if neither a length nor
+// chunks mark the end, only a reset shows it.
+func TestUnframedResponseReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		call   line.Call
+		script origin.Script
+		body   string // that must arrive before the error
+	}{
+		"large response": {post("/order/x", "1"), func(x *origin.Exchange) bool {
+			unframed("HTTP/1.1", large)(x)
+			return x.Reset()
+		}, ""},
+		"stream": {post("/chat/x", "1"), func(x *origin.Exchange) bool {
+			unframed("HTTP/1.1", origin.Events(1, 3))(x)
+			return x.Reset()
+		}, origin.Events(1, 3)},
+		"stream to HTTP/1.0": {http10(post("/chat/x", "1")), func(x *origin.Exchange) bool {
+			x.StartStream()
+			x.Chunk(origin.Events(1, 3))
+			time.Sleep(30 * time.Millisecond)
+			return false
+		}, origin.Events(1, 3)},
+		"large response to HTTP/1.0": {http10(post("/order/x", "1")), func(x *origin.Exchange) bool {
+			x.StartStream()
+			x.Chunk(large)
+			time.Sleep(30 * time.Millisecond)
+			return false
+		}, large},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", c.script)
+			resp := cl.do(e, c.call)
+			wantStatus(t, resp, http.StatusOK)
+			if resp.Err == nil {
+				t.Errorf("the response looks complete: %d bytes", len(resp.Body))
+			}
+			if !strings.HasPrefix(resp.Body, c.body) {
+				t.Errorf("got %d bytes before the error, want %d", len(resp.Body), len(c.body))
+			}
+		})
+	}
+}
+
+func http10(c line.Call) line.Call {
+	c.HTTP10 = true
+	return c
+}
+
+// framings are the ways in which a server sends a stream.
+var framings = map[string]origin.Script{
+	"length": func(x *origin.Exchange) bool {
+		text := streamText(x)
+		x.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderAttemptID, x.ID(), platform.HeaderSignature, len(text), text))
+		return true
+	},
+	"chunked": func(x *origin.Exchange) bool {
+		x.StartStream()
+		x.Chunk(streamText(x))
+		return x.EndStream()
+	},
+	"close":    func(x *origin.Exchange) bool { return unframed("HTTP/1.1", streamText(x))(x) },
+	"HTTP/1.0": func(x *origin.Exchange) bool { return unframed("HTTP/1.0", streamText(x))(x) },
+}
+
+// streamText returns what the servers of TestStreamEndsWithinEvent send: the body of the
+// request or, if the stream is resumed, the events after the last one up to the third.
+func streamText(x *origin.Exchange) string {
+	switch x.Header.Get(platform.HeaderLastEventID) {
+	case "":
+		return string(x.Body)
+	case "1":
+		return origin.Events(2, 3)
+	default:
+		return origin.Event(3)
+	}
+}
+
+// TestStreamEndsWithinEvent guards against a stream that ends within an event, also in
+// its first one, and is passed on as complete, whatever its framing says.
+func TestStreamEndsWithinEvent(t *testing.T) {
+	for name, script := range framings {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", script)
+			cl.server("s2", "a1", script)
+			for _, rest := range []string{"id: 9", "id: 9\n", "id: 9\ndata: par", "id: 9\r\ndata: part 9\r\n"} {
+				if resp := cl.do(e, post("/chat/x", rest)); resp.Status != http.StatusBadGateway {
+					t.Errorf("%q: status %d, body %q, error %v", rest, resp.Status, resp.Body, resp.Err)
+				}
+				resp := cl.do(e, post("/chat/x", origin.Events(1, 2)+rest))
+				if resp.Status != http.StatusOK || resp.Err == nil || resp.Body != origin.Events(1, 2) {
+					t.Errorf("two events and %q: status %d, body %q, error %v", rest, resp.Status, resp.Body, resp.Err)
+				}
+				time.Sleep(2 * time.Second) // a server that failed three times pauses
+			}
+		})
+	}
+}
+
+// TestStreamEndsWithinEventResumed guards against a stream that ends within an event and
+// is not resumed although its route allows it.
+func TestStreamEndsWithinEventResumed(t *testing.T) {
+	for name, script := range framings {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", script)
+			cl.server("s2", "a1", func(x *origin.Exchange) bool {
+				x.StartStream()
+				x.Chunk(streamText(x))
+				return x.EndStream()
+			})
+			for range 20 { // fills the retry budget
+				cl.do(e, post("/ask/x", origin.Event(1)))
+			}
+			resp := cl.do(e, post("/ask/x", origin.Events(1, 2)+"id: 3\ndata: pa"))
+			wantStatus(t, resp, http.StatusOK)
+			if resp.Err != nil || resp.Body != origin.Events(1, 3) {
+				t.Errorf("error %v, body %q", resp.Err, resp.Body)
+			}
+		})
+	}
+}
+
+// TestStreamResumedUnframed guards against a stream in chunks that is resumed by a server
+// whose response has neither a length nor chunks, and whose end becomes the last chunk.
+func TestStreamResumedUnframed(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	script := func(x *origin.Exchange) bool {
+		if x.Header.Get(platform.HeaderLastEventID) != "" {
+			return unframed("HTTP/1.1", origin.Events(3, 4))(x)
+		}
+		x.StartStream()
+		x.Chunk(origin.Events(1, 2))
+		time.Sleep(30 * time.Millisecond)
+		return x.Reset()
+	}
+	cl.server("s1", "a1", script)
+	cl.server("s2", "a1", script)
+	for range 20 { // fills the retry budget
+		cl.do(e, get("/open/x"))
+	}
+	resp := cl.do(e, post("/ask/x", "1"))
+	wantStatus(t, resp, http.StatusOK)
+	if resp.Err == nil || resp.Body != origin.Events(1, 4) {
+		t.Errorf("error %v, body %q", resp.Err, resp.Body)
+	}
+}
+
+// TestStreamLines guards against streams of correct servers that are cut or held back
+// because of their line endings or comments.
+func TestStreamLines(t *testing.T) {
+	for name, script := range framings {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", script)
+			for _, text := range []string{
+				"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+				"id: 1\r\ndata: a\r\n\r\n: idle\r\n",
+				"id: 1\ndata: a\n\r\n: idle\n\n\n",
+			} {
+				resp := cl.do(e, post("/chat/x", text))
+				if resp.Status != http.StatusOK || resp.Err != nil || resp.Body != text {
+					t.Errorf("%q: status %d, body %q, error %v", text, resp.Status, resp.Body, resp.Err)
+				}
+			}
+		})
+	}
+}
--- a/internal/fake/line/line.go
+++ b/internal/fake/line/line.go
@@ -24,6 +24,8 @@
 	Method, Path string
 	Header       http.Header
 	Body         string
+	// HTTP10 makes it a request of HTTP/1.0.
+	HTTP10 bool
 }
 
 // Get returns a call without a body.
@@ -47,7 +49,11 @@
 // Bytes returns the bytes of the request with an identifier.
 func (c Call) Bytes(id string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", c.Method, c.Path, plattest.Host, platform.HeaderAttemptID, id)
+	version := "HTTP/1.1"
+	if c.HTTP10 {
+		version = "HTTP/1.0"
+	}
+	fmt.Fprintf(&b, "%s %s %s\r\nHost: %s\r\n%s: %s\r\n", c.Method, c.Path, version, plattest.Host, platform.HeaderAttemptID, id)
 	for name, values := range c.Header {
 		for _, v := range values {
 			if v != "" {
@@ -69,6 +75,9 @@
 	Err    error
 	// Close is set when the server closes the connection after the response.
 	Close bool
+	// Framed is set when the response states the end of its body, by a length or by
+	// chunks.
+	Framed bool
 }
 
 // Conn is a connection of a caller to a host.
@@ -101,5 +110,5 @@
 		return Response{Err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err, Close: resp.Close}
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err, Close: resp.Close, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}
 }
