--- /dev/null
+++ b/internal/edge/entry/poison_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// contactTime is the time after the fifth crash within which all hosts must know
+	// which part of prompts makes servers crash.
+	contactTime = 5 * time.Second
+	// downTime is how long a server that crashed is down. Its entry expires meanwhile.
+	downTime = 2 * time.Second
+)
+
+// fragile are servers of which one crashes at each request with the part "dead".
+type fragile struct {
+	cl *cluster
+
+	mu      sync.Mutex
+	crashes []time.Time
+	done    sync.WaitGroup
+}
+
+// add starts a server.
+func (f *fragile) add(id, site string) {
+	var srv *origin.Server
+	srv = f.cl.server(id, site, func(x *origin.Exchange) bool {
+		time.Sleep(20 * time.Millisecond)
+		if strings.Contains(x.Header.Get(platform.HeaderPrompt), "dead:") {
+			f.crash(srv, id, site)
+			return false
+		}
+		x.StartStream()
+		x.Chunk(origin.Events(1, 2))
+		return x.EndStream()
+	})
+}
+
+// crash ends a server and starts it again after downTime.
+func (f *fragile) crash(srv *origin.Server, id, site string) {
+	f.mu.Lock()
+	f.crashes = append(f.crashes, time.Now())
+	f.mu.Unlock()
+	srv.Crash()
+	f.done.Go(func() {
+		time.Sleep(downTime / 2)
+		f.cl.store.RemoveServer(id)
+		time.Sleep(downTime / 2)
+		if err := srv.Recover(); err != nil {
+			f.cl.t.Error(err)
+		}
+		f.cl.store.PutProcess(id, "desk", site, srv.Addr(), "ready", time.Now().UnixMilli())
+	})
+}
+
+// after returns the number of crashes later than d after the fifth, and false before that.
+func (f *fragile) after(d time.Duration) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < 5 {
+		return 0, false
+	}
+	n := 0
+	for _, at := range f.crashes {
+		if at.Sub(f.crashes[4]) > d {
+			n++
+		}
+	}
+	return n, true
+}
+
+// since returns the time since the fifth crash, 0 before it.
+func (f *fragile) since() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < 5 {
+		return 0
+	}
+	return time.Since(f.crashes[4])
+}
+
+// prompt returns a request whose prompt has the given parts and one of its own.
+func prompt(path string, parts ...string) line.Call {
+	text := ""
+	for _, part := range parts {
+		text += part + ":165,"
+	}
+	return post(path, "1").With(platform.HeaderPrompt, text+nextID()+":20").With(platform.HeaderTokens, "2000,20")
+}
+
+// TestPromptPartCrashesServers guards against servers that crash one after the other at
+// requests with the same part of a prompt. Such requests come at all hosts; others share
+// their other parts and their caller, and must be served.
+func TestPromptPartCrashesServers(t *testing.T) {
+	cl := newCluster(t)
+	hosts := []*Entry{cl.host("a1"), cl.host("a1"), cl.host("b1")}
+	f := &fragile{cl: cl}
+	t.Cleanup(f.done.Wait)
+	for i := range 3 {
+		f.add(fmt.Sprintf("sa%d", i), "a1")
+		f.add(fmt.Sprintf("sb%d", i), "b1")
+	}
+	began := time.Now()
+	var served, sound int
+	var last line.Response
+	for i := 0; f.since() < contactTime+4*time.Second; i++ {
+		if time.Since(began) > 40*time.Second {
+			t.Fatalf("%d crashes within 40 s, want 5", len(f.crashes))
+		}
+		e := hosts[i%len(hosts)]
+		if i%7 == 0 {
+			last = cl.do(e, prompt("/chat/x", "guide", "dead"))
+		}
+		resp := cl.do(e, prompt("/chat/x", "guide", "other"))
+		if f.since() > contactTime {
+			sound++
+			if resp.Status == http.StatusOK && resp.Err == nil {
+				served++
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n, _ := f.after(contactTime); n > 3 {
+		t.Errorf("%d servers crashed later than %v after the fifth crash, want at most 3", n, contactTime)
+	}
+	if served*10 < sound*9 {
+		t.Errorf("%d of %d requests with the same first part were served", served, sound)
+	}
+	if last.Status != http.StatusServiceUnavailable || last.Header.Get("Retry-After") == "" {
+		t.Errorf("the last request with the part got status %d, error %v", last.Status, last.Err)
+	}
+}
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -60,13 +60,15 @@
 		t.Fatal(err)
 	}
 	s := &Server{listener: l, script: script, conns: make(map[net.Conn]bool)}
-	s.done.Go(s.accept)
+	s.done.Go(func() { s.accept(l) })
 	t.Cleanup(s.Close)
 	return s
 }
 
 // Addr returns the address of the server.
 func (s *Server) Addr() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return netip.MustParseAddrPort(s.listener.Addr().String())
 }
 
@@ -79,18 +81,37 @@
 
 // Close closes the listener and all connections, and waits for the scripts.
 func (s *Server) Close() {
-	_ = s.listener.Close() // makes accept return
+	s.Crash()
+	s.done.Wait()
+}
+
+// Crash closes the listener and all connections, as the end of a process does. It does not
+// wait for the scripts, so that a script may call it.
+func (s *Server) Crash() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close() // makes accept return
 	for c := range s.conns {
 		_ = c.Close() // makes reads and writes of its script fail
 	}
-	s.mu.Unlock()
-	s.done.Wait()
 }
 
-func (s *Server) accept() {
+// Recover makes a server that crashed listen again, at the same address.
+func (s *Server) Recover() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := net.Listen("tcp4", s.listener.Addr().String())
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
+	}
+	s.listener = l
+	s.done.Go(func() { s.accept(l) })
+	return nil
+}
+
+func (s *Server) accept(l net.Listener) {
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
