--- /dev/null
+++ b/internal/edge/relay/prompt.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// parsePrompt parses the headers about the size and the parts of the prompt.
+// Invalid values count as absent: they are hints for routing, and the server
+// checks them.
+func (q *request) parsePrompt() {
+	in, out, ok := strings.Cut(q.r.Header.Get(platform.HeaderTokens), ",")
+	if ok {
+		prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
+		output, err2 := strconv.Atoi(strings.TrimSpace(out))
+		if err1 == nil && err2 == nil && prompt >= 0 && output >= 0 {
+			q.tokensStated = true
+			q.pick.Prompt = prompt
+			q.pick.Output = output
+		}
+	}
+	q.pick.Parts = sharedParts(q.r.Header.Get(platform.HeaderPrompt), q.pick.Prompt)
+}
+
+// sharedParts returns the parts of a prompt that other requests may share, which
+// are all but the last: that one belongs to the request or its session. It
+// returns nil if they have fewer than pick.PrefixTokens tokens, too few to route
+// by.
+func sharedParts(text string, prompt int) []pick.Part {
+	var parts []pick.Part
+	shared := 0
+	key := uint64(0)
+	for len(parts) < pick.MaxParts {
+		part, rest, more := strings.Cut(text, ",")
+		if !more {
+			break
+		}
+		text = rest
+		id, size, ok := strings.Cut(strings.TrimSpace(part), ":")
+		n, err := strconv.Atoi(size)
+		if !ok || err != nil || n < 0 || n > prompt-shared {
+			break
+		}
+		d := xxhash.NewWithSeed(key)
+		_, _ = d.WriteString(id) // it returns no errors
+		key = d.Sum64() | 1      // 0 stands for no prefix
+		shared += n
+		parts = append(parts, pick.Part{Key: key, Tokens: n})
+	}
+	if shared < pick.PrefixTokens {
+		return nil
+	}
+	return parts
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line, and maxLoggedPart the length
+// of each in bytes.
+const (
+	maxLoggedParts = 8
+	maxLoggedPart  = 32
+)
+
+// partNames returns the identifiers of the parts of the prompt that other requests may
+// share, for logs.
+func (q *request) partNames() []string {
+	var names []string
+	text := q.r.Header.Get(platform.HeaderPrompt)
+	for len(names) < maxLoggedParts {
+		part, rest, more := strings.Cut(text, ",")
+		if !more {
+			break // the last part is the request's own
+		}
+		text = rest
+		name, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		names = append(names, name[:min(len(name), maxLoggedPart)])
+	}
+	return names
+}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"time"
 
@@ -152,54 +151,6 @@
 	return nil
 }
 
-// parsePrompt parses the headers about the size and the parts of the prompt.
-// Invalid values count as absent: they are hints for routing, and the server
-// checks them.
-func (q *request) parsePrompt() {
-	in, out, ok := strings.Cut(q.r.Header.Get(platform.HeaderTokens), ",")
-	if ok {
-		prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
-		output, err2 := strconv.Atoi(strings.TrimSpace(out))
-		if err1 == nil && err2 == nil && prompt >= 0 && output >= 0 {
-			q.tokensStated = true
-			q.pick.Prompt = prompt
-			q.pick.Output = output
-		}
-	}
-	q.pick.Parts = sharedParts(q.r.Header.Get(platform.HeaderPrompt), q.pick.Prompt)
-}
-
-// sharedParts returns the parts of a prompt that other requests may share, which
-// are all but the last: that one belongs to the request or its session. It
-// returns nil if they have fewer than pick.PrefixTokens tokens, too few to route
-// by.
-func sharedParts(text string, prompt int) []pick.Part {
-	var parts []pick.Part
-	shared := 0
-	key := uint64(0)
-	for len(parts) < pick.MaxParts {
-		part, rest, more := strings.Cut(text, ",")
-		if !more {
-			break
-		}
-		text = rest
-		id, size, ok := strings.Cut(strings.TrimSpace(part), ":")
-		n, err := strconv.Atoi(size)
-		if !ok || err != nil || n < 0 || n > prompt-shared {
-			break
-		}
-		d := xxhash.NewWithSeed(key)
-		_, _ = d.WriteString(id) // it returns no errors
-		key = d.Sum64() | 1      // 0 stands for no prefix
-		shared += n
-		parts = append(parts, pick.Part{Key: key, Tokens: n})
-	}
-	if shared < pick.PrefixTokens {
-		return nil
-	}
-	return parts
-}
-
 // hash returns the value that distributes requests over the targets of a route.
 // Requests with the same prompt prefix go to the same target.
 func (q *request) hash() uint64 {
