Refuse requests with a prompt part that makes servers crash

Cause: hosts knew nothing of what the requests have in common under which servers end. Each one took down the next server. Ruled out: retries, since the requests with the part have identifiers of their own, and other reasons for the crashes, since each one breaks off a request with the part that has no event yet (timeline).

Change: core/poison, without a clock or network. A host records the parts of requests that a server broke off before their response had begun, and takes them for a crash once the process is known to have ended: it refuses connections, or the store no longer lists it. A reset or an end of a server that goes on is no crash. A part is suspected after three crashes, at least half a second apart, without a response to a request with it in between; the part that explains the most crashes comes first, and the crashes that it explains count for no other part. Hosts report crashes, responses and suspicions to each other, in the region and with the reports of regions. A suspicion is also a record in the store, under a lease of ten minutes, so that it outlives all hosts. It ends when a response to a request with the part has begun anywhere; a host that wins the replacement of the record may send one request as a probe, after 15 s, 45 s, 2 min and 5 min. All state is bounded. Refusals are 503 with the time to the next probe, or 502 if the request was run before. The header of probes between hosts, the record and the fields of reports are new; hosts of the former version ignore them.

Weighed: a suspicion after one crash, which is wrong for the parts of all requests that end with a server; hashing whole prompts, of which no two are alike; reports through the store only, which an outage would stop; a probe by each host, which would be more than the three crashes that may follow.

--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -21,7 +21,7 @@
 func (t *Table) MarkLeaving(c *Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := c.process()
+	p := c.Process()
 	_, announced := t.leavingProcesses[p]
 	t.leavingProcesses[p] = now
 	return !announced
--- a/internal/core/pick/limit.go
+++ b/internal/core/pick/limit.go
@@ -45,7 +45,7 @@
 func (t *Table) NameLimit(c *Choice, limit float64, now time.Time) (LimitChange, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.setLimit(c.process(), namedLimit{rate: limit, at: now, local: true}, now)
+	return t.setLimit(c.Process(), namedLimit{rate: limit, at: now, local: true}, now)
 }
 
 // EndLimit records that a response of the server of a choice named no limit, and
@@ -54,7 +54,7 @@
 func (t *Table) EndLimit(c *Choice, now time.Time) (LimitChange, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := c.process()
+	p := c.Process()
 	old, known := t.limits[p]
 	if !known || old.ended || !c.sent.After(old.at) {
 		return LimitChange{}, false
--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -14,7 +14,7 @@
 func (t *Table) Pause(c *Choice, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := c.process()
+	p := c.Process()
 	old := t.pauses[p]
 	if until := now.Add(min(d, maxPause)); until.After(old) {
 		t.pauses[p] = until
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -111,8 +111,8 @@
 	firstByte time.Time
 }
 
-// process returns the process of the server to which the request is sent.
-func (c *Choice) process() Process { return Process{ID: c.ID, Born: c.born} }
+// Process returns the process of the server to which the request is sent.
+func (c *Choice) Process() Process { return Process{ID: c.ID, Born: c.born} }
 
 // Outcome is the outcome of a request that was sent to a server.
 type Outcome int
--- /dev/null
+++ b/internal/core/poison/poison.go
@@ -0,0 +1,119 @@
+// Package poison finds the parts of prompts that make backend servers crash. A server
+// process that ends takes all its requests with it, so that one crash shows only which
+// parts may be the cause: those of requests whose response had not begun. A part is
+// suspected once several processes have ended under it while no response to a request
+// with it has begun. Requests with a suspected part are refused until a response to one
+// of them shows that the suspicion was wrong.
+//
+// A Detector is safe for concurrent use. It reads no clock: the time is an argument.
+package poison
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+)
+
+// Part identifies a part of prompts by a hash.
+type Part uint64
+
+// NewPart returns the part with an identifier.
+func NewPart(id string) Part { return Part(xxhash.Sum64String(id)) }
+
+// MaxParts bounds the parts of one prompt that are examined.
+const MaxParts = 16
+
+const (
+	// threshold is the number of crashes from which on a part is suspected. Crashes
+	// within spacing of one another count once: when a whole region fails, many
+	// processes end at once under the parts that are in use.
+	threshold = 3
+	spacing   = 500 * time.Millisecond
+	// maxSkew bounds the difference of times that hosts report to each other: a report
+	// is late by the time that it takes.
+	maxSkew = time.Second
+	// pendingTTL is how long a request that broke off is remembered until the end of
+	// its process is known. The entry of a process expires within a few seconds.
+	pendingTTL = 20 * time.Second
+	// crashTTL is how long crashes are remembered, and clearedTTL how long parts whose
+	// suspicion was wrong are.
+	crashTTL   = 5 * time.Minute
+	clearedTTL = 2 * time.Minute
+	// suspectTTL is how long a part is suspected after the last request with it.
+	suspectTTL = 10 * time.Minute
+)
+
+// Bounds of the state, which callers can fill with parts that they make up.
+const (
+	maxPending  = 32   // processes
+	maxPerBreak = 2048 // parts of the requests to one process
+	maxCrashed  = 4096 // parts with crashes
+	maxCrashes  = 64   // crashes of one part
+	maxEnded    = 256  // processes known to have ended
+	maxSuspects = 32
+	maxCleared  = 64
+)
+
+// Change is the begin or the end of the suspicion of a part.
+type Change struct {
+	Part Part
+	// Crashes is the number of crashes that led to the suspicion, 0 if another host
+	// has reported it. It does not apply if Cleared is set: a response to a request
+	// with the part has begun.
+	Crashes int
+	Cleared bool
+}
+
+// crash is the end of a process under requests with a part.
+type crash struct {
+	process pick.Process
+	at      time.Time
+	scope   Scope
+}
+
+// crashes are the crashes under a part. Position is the part's greatest position in a
+// prompt.
+type crashes struct {
+	list     []crash
+	last     time.Time
+	position int
+}
+
+// add records a crash, once for each process, and reports whether it is new.
+func (c *crashes) add(x crash, position int) bool {
+	for i := range c.list {
+		if c.list[i].process == x.process {
+			c.list[i].scope = min(c.list[i].scope, x.scope)
+			return false
+		}
+	}
+	if len(c.list) >= maxCrashes {
+		c.list = c.list[1:]
+	}
+	c.list = append(c.list, x)
+	if x.at.After(c.last) {
+		c.last = x.at
+	}
+	c.position = max(c.position, position)
+	return true
+}
+
+// suspect is the state of a suspected part.
+type suspect struct {
+	// since is when the suspicion began, or the last probe was allowed to some host.
+	since time.Time
+	// asked is when the last request with the part came.
+	asked time.Time
+	// probes is the number of probes allowed so far, over all hosts. mayProbe is set
+	// while this host may send the next one.
+	probes   int
+	mayProbe bool
+	// own is set if this host has lost a request with the part itself.
+	own bool
+	// record is what the store holds of the suspicion, and unlisted the time since
+	// when it holds nothing.
+	record   Record
+	unlisted time.Time
+}
--- /dev/null
+++ b/internal/core/poison/probe.go
@@ -0,0 +1,181 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/eras"
+)
+
+// Record is what the store holds of the suspicion of a part. It outlives the hosts, and
+// only the host that replaces it may send a probe.
+type Record struct {
+	Part Part
+	// Probes is the number of probes allowed so far.
+	Probes int
+	Rev    eras.Revision
+}
+
+// holds are the times for which no request with a suspected part is sent: from the
+// beginning of the suspicion to the first probe, from this to the next, and so on. The
+// last one repeats.
+var holds = []time.Duration{15 * time.Second, 45 * time.Second, 2 * time.Minute, 5 * time.Minute}
+
+// hold returns the time to the next probe.
+func hold(probes int) time.Duration { return holds[min(max(probes, 0), len(holds)-1)] }
+
+// Verdict is whether a request may be sent.
+type Verdict struct {
+	// Refuse is set if it may not; Index is then the position of the suspected part and
+	// Wait the time until a probe may be sent.
+	Refuse bool
+	Index  int
+	Wait   time.Duration
+	// Probe is set if the request is a probe: it has one suspected part, Part, and may
+	// be sent all the same. A probe that was not run must be returned.
+	Probe bool
+	Part  Part
+}
+
+// Check reports whether a request with these parts may be sent. Only one with a single
+// suspected part can be a probe: its outcome tells something about that part.
+func (d *Detector) Check(parts []Part, now time.Time) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.suspects) == 0 {
+		return Verdict{}
+	}
+	v := Verdict{}
+	n := 0
+	for i, part := range parts[:min(len(parts), MaxParts)] {
+		s := d.suspects[part]
+		if s == nil {
+			continue
+		}
+		n++
+		s.asked = now
+		wait := max(s.since.Add(hold(s.probes)).Sub(now), 0)
+		if !v.Refuse || wait > v.Wait {
+			v = Verdict{Refuse: true, Index: i, Wait: wait, Part: part}
+		}
+	}
+	if n != 1 || !d.suspects[v.Part].mayProbe {
+		return v
+	}
+	d.suspects[v.Part].mayProbe = false
+	return Verdict{Probe: true, Part: v.Part}
+}
+
+// ReturnProbe allows another request to be the probe of a part: the first one was not run.
+func (d *Detector) ReturnProbe(part Part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.suspects[part]; s != nil {
+		s.mayProbe = true
+	}
+}
+
+// Suspects returns the number of suspected parts.
+func (d *Detector) Suspects() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.suspects)
+}
+
+// unlistedTime is how long a host that has seen no crash under a part itself leaves it to
+// others to write the record of its suspicion.
+const unlistedTime = 1500 * time.Millisecond
+
+// recordDelay bounds the time from the removal of a record to the time at which this host
+// no longer reads it.
+const recordDelay = 10 * time.Second
+
+// Records takes over the records that the store lists at now. It suspects parts whose
+// record is new to this host, since other hosts may have ended meanwhile.
+func (d *Detector) Records(list []Record, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	listed := make(map[Part]Record, len(list))
+	for _, r := range list {
+		listed[r.Part] = r
+		if d.records[r.Part].Rev == r.Rev {
+			continue
+		}
+		d.records[r.Part] = r
+		if s := d.suspects[r.Part]; s != nil {
+			s.record = r
+			if r.Probes > s.probes {
+				s.probes = r.Probes
+				s.since = now
+			}
+			continue
+		}
+		if !d.begunSince(r.Part, now.Add(-recordDelay)) {
+			changes = append(changes, d.adopt(r.Part, now, now)...)
+		}
+	}
+	for part := range d.records {
+		if _, ok := listed[part]; !ok {
+			delete(d.records, part)
+		}
+	}
+	for part, s := range d.suspects {
+		if _, ok := listed[part]; ok {
+			s.unlisted = time.Time{}
+		} else if s.unlisted.IsZero() {
+			s.unlisted = now
+			s.record = Record{}
+		}
+	}
+	return changes
+}
+
+// Writes returns the records that this host should write: those of suspected parts that
+// the store does not list, and those of parts of which it may send a probe if it is the
+// first to replace the record. The argument first is set at one host of each region.
+func (d *Detector) Writes(first bool, now time.Time) []Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []Record
+	for part, s := range d.suspects {
+		listed := s.unlisted.IsZero()
+		switch {
+		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
+			list = append(list, Record{Part: part, Probes: s.probes})
+		case listed && !s.mayProbe && now.Sub(s.since) >= hold(s.probes) && now.Sub(s.asked) < time.Second:
+			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: s.record.Rev})
+		}
+	}
+	return list
+}
+
+// Written records that this host has replaced the record of a part by r.
+func (d *Detector) Written(r Record, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records[r.Part] = r
+	s := d.suspects[r.Part]
+	if s == nil {
+		return
+	}
+	s.record = r
+	s.unlisted = time.Time{}
+	if r.Probes > s.probes {
+		s.probes = r.Probes
+		s.since = now
+		s.mayProbe = true
+	}
+}
+
+// Removals returns the records of parts that were suspected wrongly.
+func (d *Detector) Removals() []Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []Record
+	for part := range d.cleared {
+		if r, ok := d.records[part]; ok {
+			list = append(list, r)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/poison/report.go
@@ -0,0 +1,179 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+)
+
+// Bounds of one report.
+const (
+	maxReportedCrashes = 96
+	maxReportedBegun   = 64
+)
+
+// Crash reports that a process ended under a request with a part whose response had not
+// begun. Position is that of the part in the prompt.
+type Crash struct {
+	Part     Part          `cbor:"1,keyasint"`
+	Position int           `cbor:"2,keyasint,omitempty"`
+	Process  pick.Process  `cbor:"3,keyasint"`
+	Age      time.Duration `cbor:"4,keyasint"`
+}
+
+// Begun reports when a response to a request with a part last began.
+type Begun struct {
+	Part Part          `cbor:"1,keyasint"`
+	Age  time.Duration `cbor:"2,keyasint"`
+}
+
+// Suspect reports that a part is suspected, and for how long.
+type Suspect struct {
+	Part Part          `cbor:"1,keyasint"`
+	Age  time.Duration `cbor:"2,keyasint"`
+}
+
+// Report is what hosts report to each other about the parts of prompts of one service.
+type Report struct {
+	Crashes  []Crash   `cbor:"1,keyasint,omitempty"`
+	Begun    []Begun   `cbor:"2,keyasint,omitempty"`
+	Suspects []Suspect `cbor:"3,keyasint,omitempty"`
+}
+
+// Empty reports whether the report holds nothing.
+func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Begun)+len(r.Suspects) == 0 }
+
+// Report returns what this host knows from a scope or a nearer one, and the suspected
+// parts. It leaves out crashes that a suspected part explains.
+func (d *Detector) Report(s Scope, now time.Time) Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	var r Report
+	for part, x := range d.suspects {
+		r.Suspects = append(r.Suspects, Suspect{part, max(now.Sub(x.since), 0)})
+	}
+	explained := d.explained()
+	for _, part := range d.byCrashes(explained, now) {
+		c := d.crashed[part]
+		for _, x := range c.list {
+			if x.scope <= s && !explained[x.process] && x.at.After(d.begun.at(part)) && len(r.Crashes) < maxReportedCrashes {
+				r.Crashes = append(r.Crashes, Crash{part, c.position, x.process, max(now.Sub(x.at), 0)})
+			}
+		}
+	}
+	for _, part := range d.watched(now) {
+		if at := d.begun.within(part, s); !at.IsZero() && now.Sub(at) <= crashTTL && len(r.Begun) < maxReportedBegun {
+			r.Begun = append(r.Begun, Begun{part, max(now.Sub(at), 0)})
+		}
+	}
+	return r
+}
+
+// byCrashes returns the parts with crashes that are not explained, those with the most
+// first, then those with the latest.
+func (d *Detector) byCrashes(explained map[pick.Process]bool, now time.Time) []Part {
+	counts := make(map[Part]int, len(d.crashed))
+	for part := range d.crashed {
+		counts[part] = d.countCrashes(part, explained, now)
+	}
+	maps.DeleteFunc(counts, func(_ Part, n int) bool { return n == 0 })
+	list := slices.Collect(maps.Keys(counts))
+	slices.SortFunc(list, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), d.crashed[b].last.Compare(d.crashed[a].last), cmp.Compare(a, b))
+	})
+	return list
+}
+
+// watchTime is how long after a crash other hosts are told when a response to a request
+// with one of its parts has begun.
+const watchTime = time.Minute
+
+// watched returns the parts about which other hosts need to know when a response to a
+// request with them has begun: those that are or were suspected, and those with recent
+// crashes.
+func (d *Detector) watched(now time.Time) []Part {
+	list := slices.Concat(slices.Sorted(maps.Keys(d.cleared)), slices.Sorted(maps.Keys(d.suspects)))
+	for _, part := range slices.Sorted(maps.Keys(d.crashed)) {
+		if now.Sub(d.crashed[part].last) <= watchTime && d.suspects[part] == nil && d.cleared[part].IsZero() {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+// Merge adds the report of another host, of this region or a remote one. It returns
+// what has changed.
+func (d *Detector) Merge(r Report, s Scope, received time.Time) []Change {
+	if r.Empty() {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	for _, b := range r.Begun {
+		changes = append(changes, d.recordBegun(b.Part, received.Add(-b.Age), s, received)...)
+	}
+	for _, x := range r.Suspects {
+		changes = append(changes, d.adopt(x.Part, received.Add(-x.Age), received)...)
+	}
+	added := false
+	for _, c := range r.Crashes {
+		at := received.Add(-c.Age)
+		if c.Position < 0 || c.Position >= MaxParts || received.Sub(at) > crashTTL {
+			continue
+		}
+		added = d.addCrash(c.Part, c.Position, crash{c.Process, at, s}, received) || added
+		if s == Region {
+			// The process has ended, whether or not this host's requests to it were
+			// already known to have been lost with it.
+			changes = append(changes, d.recordEnd(c.Process, received)...)
+		}
+	}
+	if added {
+		changes = append(changes, d.evaluate(received)...)
+	}
+	return changes
+}
+
+// adopt suspects a part that another host has suspected since a time, unless a response to
+// a request with it has begun later.
+func (d *Detector) adopt(part Part, since, now time.Time) []Change {
+	if d.suspects[part] != nil || d.begunSince(part, since) || d.cleared[part].After(since.Add(-maxSkew)) {
+		return nil
+	}
+	d.suspect(part, &suspect{since: since, asked: now})
+	return []Change{{Part: part}}
+}
+
+// suspect adds a suspected part. If there are too many, it removes the one that was asked
+// for least recently.
+func (d *Detector) suspect(part Part, s *suspect) {
+	for len(d.suspects) >= maxSuspects {
+		oldest := part
+		for other, x := range d.suspects {
+			if oldest == part || x.asked.Before(d.suspects[oldest].asked) {
+				oldest = other
+			}
+		}
+		delete(d.suspects, oldest)
+	}
+	delete(d.cleared, part)
+	r, listed := d.records[part]
+	s.record = r
+	s.probes = r.Probes
+	if !listed {
+		s.unlisted = s.asked
+	}
+	d.suspects[part] = s
+}
+
+// expire removes what is too old.
+func (d *Detector) expire(now time.Time) {
+	maps.DeleteFunc(d.crashed, func(_ Part, c *crashes) bool { return now.Sub(c.last) > crashTTL })
+	maps.DeleteFunc(d.cleared, func(_ Part, at time.Time) bool { return now.Sub(at) > clearedTTL })
+	maps.DeleteFunc(d.suspects, func(_ Part, s *suspect) bool { return now.Sub(s.asked) > suspectTTL })
+}
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -12,6 +12,8 @@
 type Scanner struct {
 	// event is set after a line with a field until the empty line that ends the event.
 	event bool
+	// ended is set once an event has ended.
+	ended bool
 	// text is set after the first byte of a line, and comment if that is a colon.
 	text, comment bool
 	// cr is set after a CR: an LF that follows belongs to the same line ending.
@@ -40,6 +42,9 @@
 	return end
 }
 
+// Ended reports whether an event has ended.
+func (s *Scanner) Ended() bool { return s.ended }
+
 // add reads a byte of a line.
 func (s *Scanner) add(c byte) {
 	if !s.text {
@@ -53,6 +58,7 @@
 func (s *Scanner) endLine() {
 	switch {
 	case !s.text:
+		s.ended = s.ended || s.event
 		s.event = false
 	case !s.comment:
 		s.event = true
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -110,9 +110,11 @@
 
 func ExampleScanner() {
 	var s Scanner
-	fmt.Println(s.Scan([]byte("data: a\n\ndata: b\n")))
-	fmt.Println(s.Scan([]byte("\n")))
+	fmt.Println(s.Scan([]byte(": idle\n")), s.Ended())
+	fmt.Println(s.Scan([]byte("data: a\n\ndata: b\n")), s.Ended())
+	fmt.Println(s.Scan([]byte("\n")), s.Ended())
 	// Output:
-	// 9
-	// 1
+	// 7 false
+	// 9 true
+	// 1 true
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -111,12 +111,13 @@
 	}
 	metrics := stats.New()
 	transport := &http.Transport{DialContext: send.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeader}
+	store := platform.NewStore(settings.Store, transport)
 	e.exchange = exchange
 	e.fleet = fleet.New(fleet.Options{
 		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer, Cores: settings.Cores},
 		Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds, First: settings.First,
 		Revoke: settings.Revoke, Retries: settings.Retries, RetryRatio: settings.Ratio, Log: log.Logger, Requests: log.Requests,
-		Store: platform.NewStore(settings.Store, transport), PeerReader: mirror.NewClient(transport), Count: metrics.Store,
+		Store: store, Records: store, PeerReader: mirror.NewClient(transport), Count: metrics.Store,
 	}, exchange)
 	e.stateHandler = mirror.Handler(e.fleet)
 	files := float64(settings.Files)
@@ -155,6 +156,7 @@
 		_, rate := e.fleet.LimitedServers()
 		return rate
 	})
+	m.Gauge("yuccalb_suspected_parts", "Parts of prompts that are suspected to make servers crash.", func() float64 { return float64(e.fleet.SuspectedParts()) })
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
 		n := 0
 		for _, p := range e.exchange.Peers() {
--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/platform"
@@ -139,3 +142,86 @@
 		t.Errorf("the last request with the part got status %d, error %v", last.Status, last.Err)
 	}
 }
+
+// TestSuspicionOutlivesHosts guards against hosts that, after all of them have restarted,
+// send requests again with a part that is known to make servers crash.
+func TestSuspicionOutlivesHosts(t *testing.T) {
+	cl := newCluster(t)
+	old := []*Entry{cl.host("a1"), cl.host("a1")}
+	f := &fragile{cl: cl}
+	t.Cleanup(f.done.Wait)
+	for i := range 3 {
+		f.add(fmt.Sprintf("s%d", i), "a1")
+	}
+	cl.eventually("suspicion", func() bool {
+		return cl.do(old[0], prompt("/chat/x", "guide", "dead")).Status == http.StatusServiceUnavailable && old[1].fleet.SuspectedParts() > 0
+	})
+	cl.eventually("record in the store", func() bool { return cl.store.Count("yuccalb/suspects/") == 1 })
+	crashes := len(f.crashes)
+	f.done.Wait()
+	cl.hosts = nil
+	for _, e := range old {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // no request is in progress
+		_ = e.Close(ctx)
+	}
+	e := cl.host("a1")
+	resp := cl.do(e, prompt("/chat/x", "guide", "dead"))
+	wantStatus(t, resp, http.StatusServiceUnavailable)
+	if len(f.crashes) != crashes {
+		t.Errorf("%d servers crashed after the restart", len(f.crashes)-crashes)
+	}
+	wantStatus(t, cl.do(e, prompt("/chat/x", "guide", "other")), http.StatusOK)
+}
+
+// TestWrongSuspicionProbed guards against a wrong suspicion that never ends: the part is
+// refused everywhere, so that no response can show that it is harmless.
+func TestWrongSuspicionProbed(t *testing.T) {
+	cl := newCluster(t)
+	key, value, err := platform.EncodeSuspect(platform.Suspect{Service: "desk", Part: uint64(poison.NewPart("guide"))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cl.store.Put(key, value)
+	hosts := []*Entry{cl.host("a1"), cl.host("b1")}
+	cl.server("s1", "a1", slowStream(2, time.Millisecond))
+	cl.server("s2", "b1", slowStream(2, time.Millisecond))
+	for _, e := range hosts {
+		wantStatus(t, cl.do(e, prompt("/chat/x", "guide")), http.StatusServiceUnavailable)
+	}
+	await.True(t, 30*time.Second, "end of the suspicion at all hosts", func() bool {
+		a, b := cl.do(hosts[0], prompt("/chat/x", "guide")), cl.do(hosts[1], prompt("/chat/x", "guide"))
+		return a.Status == http.StatusOK && b.Status == http.StatusOK
+	})
+	cl.eventually("removal of the record", func() bool { return cl.store.Count("yuccalb/suspects/") == 0 })
+}
+
+// TestRefusalAfterCrash guards against a refusal that says that a request was not run
+// although a server has crashed under it.
+func TestRefusalAfterCrash(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	f := &fragile{cl: cl}
+	t.Cleanup(f.done.Wait)
+	for i := range 3 {
+		f.add(fmt.Sprintf("s%d", i), "a1")
+	}
+	cl.eventually("suspicion", func() bool {
+		f.mu.Lock()
+		before := len(f.crashes)
+		f.mu.Unlock()
+		resp := cl.do(e, prompt("/ask/x", "guide", "dead"))
+		f.mu.Lock()
+		ran := len(f.crashes) > before
+		f.mu.Unlock()
+		if promise := resp.Status == http.StatusServiceUnavailable || resp.Status == http.StatusTooManyRequests; promise && ran {
+			t.Errorf("status %d although the request was run", resp.Status)
+		}
+		return e.fleet.SuspectedParts() > 0
+	})
+	resp := cl.do(e, prompt("/ask/x", "guide", "dead"))
+	wantStatus(t, resp, http.StatusServiceUnavailable)
+	if resp.Header.Get(platform.HeaderSignature) != "" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("header %v", resp.Header)
+	}
+}
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -34,10 +34,13 @@
 	"server wants no requests": "server",
 	"server limits requests":   "server",
 	"server ended its limit":   "server",
+
+	"prompt part suspected": "prompts",
+	"prompt part cleared":   "prompts",
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "prompts", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
@@ -57,6 +58,8 @@
 	// PeerReader reads from other hosts the data that they have read from the
 	// store.
 	PeerReader track.PeerReader
+	// Records writes to the store what must outlive the hosts.
+	Records Records
 	// Count counts calls to the store.
 	Count track.Counter
 	Log   *zap.Logger
@@ -82,6 +85,8 @@
 
 	tables   atomic.Pointer[map[string]*Service]
 	seeds    atomic.Pointer[[]netip.AddrPort]
+	stop     chan struct{} // ends keepRecords
+	done     sync.WaitGroup
 	mu       sync.Mutex // guards changes of tables and listedAt
 	listedAt time.Time  // of the first list of entries
 
@@ -98,6 +103,8 @@
 	Table *pick.Table
 	// Budget bounds the retries to the service.
 	Budget *retry.Budget
+	// Poison finds the parts of prompts that make the servers crash.
+	Poison *poison.Detector
 	// Goals are those of the recent requests to the service at this host.
 	Goals admit.RecentGoals
 }
@@ -105,7 +112,7 @@
 // New returns a fleet that exchanges its state over e. It is idle until Start is
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
-	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), limiter: share.NewLimiter(opts.First)}
+	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First)}
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
@@ -120,10 +127,13 @@
 func (f *Fleet) Start() {
 	f.tracker.Start()
 	f.gossip.Start(f)
+	f.done.Go(f.keepRecords)
 }
 
 // Close stops following and the exchange and waits for their goroutines.
 func (f *Fleet) Close() error {
+	close(f.stop)
+	f.done.Wait()
 	f.tracker.Close()
 	return f.gossip.Close()
 }
@@ -225,6 +235,7 @@
 			}
 		}
 		s.Table.Update(svc, list, v.Evacuated, hosts, v.Answered)
+		f.updatePoison(svc.Name, s, list, v.Suspects, now)
 		tables[svc.Name] = s
 	}
 	f.tables.Store(&tables)
@@ -234,6 +245,7 @@
 func (f *Fleet) newService(svc spec.Service) *Service {
 	seed := uint64(time.Now().UnixNano())
 	return &Service{
+		Poison: poison.NewDetector(),
 		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
 		Budget: &retry.Budget{Ratio: retryShare * f.opts.RetryRatio},
 	}
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
@@ -175,6 +176,7 @@
 			r.CachedParts[name] = parts
 		}
 	}
+	r.Poison = f.poisonReports(poison.Region, now)
 	for _, other := range f.reports.all() {
 		r.ReportAges[other.Name] = now.Sub(other.created)
 	}
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/core/spread"
@@ -251,6 +252,7 @@
 		return s
 	}
 	s.Admitted = f.limiter.Admitted()
+	s.Poison = f.poisonReports(poison.Own, now)
 	s.Regions = f.reports.forward(now)
 	s.Loads = make(map[string]map[string]pick.Load)
 	s.Placements = make(map[string][]pick.Placement)
@@ -293,6 +295,7 @@
 		}
 		if f.reports.add(r, p.Received, !local) {
 			f.limiter.Merge(share.Report{Name: regionPeer(r.Name), Run: r.Run, Hosts: len(r.Members), Admitted: r.Admitted}, p.Received)
+			f.mergePoison(r.Poison, poison.Remote, "region "+r.Name, p.Received.Add(-r.Age))
 		}
 	}
 	if !local {
@@ -301,6 +304,7 @@
 	if f.View().Listed() {
 		f.join() // before the tables merge the state of this host
 	}
+	f.mergePoison(p.State.Poison, poison.Region, "host "+p.State.Host.Name, p.Received)
 	f.limiter.Merge(share.Report{Name: p.State.Host.Name, Run: uint64(p.State.ProcessStart), Admitted: p.State.Admitted}, p.Received)
 	for name, svc := range *f.tables.Load() {
 		svc.Table.MergePeer(p.State.Host.Name, p.State.Loads[name], p.State.Placements[name], p.Received)
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 )
 
 const (
@@ -43,6 +44,9 @@
 	for org, spent := range s.Admitted {
 		errs = append(errs, amount("tokens of "+org, spent))
 	}
+	for _, r := range s.Poison {
+		errs = append(errs, poisonErrors(r)...)
+	}
 	for i := range s.Regions {
 		errs = append(errs, s.Regions[i].check())
 	}
@@ -67,6 +71,9 @@
 	for org, spent := range r.Admitted {
 		errs = append(errs, amount("tokens of "+org, spent))
 	}
+	for _, p := range r.Poison {
+		errs = append(errs, poisonErrors(p)...)
+	}
 	for name, d := range r.ReportAges {
 		errs = append(errs, age("region "+name, d))
 	}
@@ -88,6 +95,21 @@
 	return errs
 }
 
+// poisonErrors returns errors for ages and positions that are out of range.
+func poisonErrors(r poison.Report) []error {
+	var errs []error
+	for _, c := range r.Crashes {
+		errs = append(errs, age("crash of "+c.Process.ID, c.Age), count("position of a part", c.Position))
+	}
+	for _, b := range r.Begun {
+		errs = append(errs, age("response to a part", b.Age))
+	}
+	for _, s := range r.Suspects {
+		errs = append(errs, age("suspicion of a part", s.Age))
+	}
+	return errs
+}
+
 // age returns an error for an age that is out of range.
 func age(what string, d time.Duration) error {
 	if d < 0 || d > maxAge {
--- a/internal/edge/gossip/check_test.go
+++ b/internal/edge/gossip/check_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 )
 
 // TestInvalidState guards against accepting a state that can be decoded but holds
@@ -38,8 +39,20 @@
 		"limit not a number":    func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Rate: math.NaN()}}} },
 		"limit from the future": func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Age: -time.Second}}} },
 		"infinite tokens":       func(s *State) { s.Admitted = map[string]float64{"o": math.Inf(1)} },
-		"negative region age":   func(s *State) { s.Regions = []Region{{Name: "b", Age: -time.Hour}} },
-		"member without name":   func(s *State) { s.Regions = []Region{{Name: "b", Members: []Member{{}}}} },
+		"crash in the future": func(s *State) {
+			s.Poison = map[string]poison.Report{"chat": {Crashes: []poison.Crash{{Age: -time.Second}}}}
+		},
+		"negative position": func(s *State) {
+			s.Poison = map[string]poison.Report{"chat": {Crashes: []poison.Crash{{Position: -1}}}}
+		},
+		"response in the future": func(s *State) {
+			s.Poison = map[string]poison.Report{"chat": {Begun: []poison.Begun{{Age: -time.Second}}}}
+		},
+		"suspicion in the future in a region": func(s *State) {
+			s.Regions = []Region{{Name: "b", Poison: map[string]poison.Report{"chat": {Suspects: []poison.Suspect{{Age: -time.Second}}}}}}
+		},
+		"negative region age": func(s *State) { s.Regions = []Region{{Name: "b", Age: -time.Hour}} },
+		"member without name": func(s *State) { s.Regions = []Region{{Name: "b", Members: []Member{{}}}} },
 		"negative servers": func(s *State) {
 			s.Regions = []Region{{Name: "b", Services: map[string]pick.Summary{"chat": {Servers: -1}}}}
 		},
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 )
 
@@ -48,6 +49,9 @@
 	// Limits are the limits by service that servers have named in responses to this
 	// host. They are sent to hosts of the local region only.
 	Limits map[string][]pick.ServerLimit `cbor:"17,keyasint,omitempty"`
+	// Poison is what the host knows of parts of prompts that make servers crash, by
+	// service. It is sent to hosts of the local region only.
+	Poison map[string]poison.Report `cbor:"18,keyasint,omitempty"`
 	// Regions are reports of regions: that of the local region is sent to remote
 	// hosts, and those of remote regions are forwarded to local hosts.
 	Regions []Region `cbor:"15,keyasint,omitempty"`
@@ -68,6 +72,9 @@
 	// identifies the processes whose totals are included.
 	Admitted map[string]float64 `cbor:"6,keyasint,omitempty"`
 	Run      uint64             `cbor:"7,keyasint"`
+	// Poison is what the members know of parts of prompts that make servers crash, by
+	// service. Its ages are those at the creation of the report.
+	Poison map[string]poison.Report `cbor:"9,keyasint,omitempty"`
 	// ReportAges is the age of the last report of each remote region.
 	ReportAges map[string]time.Duration `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -49,8 +49,9 @@
 	Evacuated []string      `cbor:"6,keyasint"`
 	Expired   []spec.Server `cbor:"7,keyasint,omitempty"`
 	// RetainFor is how long expired servers are still retained.
-	RetainFor   time.Duration `cbor:"8,keyasint,omitempty"`
-	Unconfirmed []spec.Server `cbor:"9,keyasint,omitempty"`
+	RetainFor   time.Duration      `cbor:"8,keyasint,omitempty"`
+	Unconfirmed []spec.Server      `cbor:"9,keyasint,omitempty"`
+	Suspects    []platform.Suspect `cbor:"10,keyasint,omitempty"`
 }
 
 // Viewer returns the current view of the responding host.
@@ -88,7 +89,7 @@
 	return entries{
 		Rev: l.EntriesRev, Asked: now.Sub(l.Asked), Answered: now.Sub(l.Answered),
 		Servers: l.Servers, Hosts: l.Hosts, Evacuated: l.Evacuated,
-		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed,
+		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed, Suspects: l.Suspects,
 	}
 }
 
@@ -118,7 +119,7 @@
 	}
 	now := time.Now()
 	l := &track.Listing{
-		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated},
+		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated, Suspects: m.Suspects},
 		EntriesRev:  m.Rev,
 		Asked:       now.Add(-m.Asked),
 		Answered:    now.Add(-m.Answered),
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -136,6 +136,16 @@
 	if remaining <= 0 {
 		return retry.NotRun, &refusal{http.StatusServiceUnavailable, reasonTimeout, retryAfterBusy}
 	}
+	if ref := q.checkPoison(now); ref != nil {
+		return retry.NotRun, ref
+	}
+	res, ref := q.send(now, remaining)
+	q.endProbe(res)
+	return res, ref
+}
+
+// send chooses a server or a host and sends the request to it.
+func (q *request) send(now time.Time, remaining time.Duration) (retry.Result, *refusal) {
 	choice, local, ref := q.choose(now, remaining)
 	if ref != nil {
 		return retry.NotRun, ref
@@ -281,6 +291,7 @@
 	onFirstByte := func() { svc.Table.FirstByte(&c, time.Now()) }
 	res, outcome := q.exchange(q.s.servers, q.outgoing(q.serverHeader(c.ID), q.dest), onFirstByte)
 	svc.Table.Done(&c, outcome, time.Now())
+	q.recordCrash(svc, &c, outcome)
 	// An error response does not exclude the server: it may be the only one.
 	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
 		q.pick.Exclude = append(q.pick.Exclude, c.ID)
@@ -321,6 +332,8 @@
 // exchange sends one request and forwards its response. It calls onFirstByte
 // when the response has started.
 func (q *request) exchange(c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
+	q.began = false
+	q.connLost = false
 	resp, err := c.Do(q.r.Context(), req)
 	if err != nil {
 		return q.classifyError(err, c, req)
@@ -362,6 +375,7 @@
 	if !errors.As(err, &e) {
 		e = &send.Error{Stage: send.StageWait, Err: err}
 	}
+	q.connLost = connEnded(err)
 	if e.Stage == send.StageConnect {
 		if cancelled(q.r.Context()) {
 			return retry.NotRun, pick.Aborted
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -75,6 +75,9 @@
 			return retry.ServerError, outcome
 		}
 	}
+	if success(resp) && (!q.endUnknown || body.Len() > 0) {
+		q.recordBegun()
+	}
 	q.firstByte = time.Now()
 	length := int64(body.Len())
 	if q.r.Method == http.MethodHead {
@@ -110,6 +113,9 @@
 // bodies. Its first bytes are in head.
 func (q *request) relayUnbuffered(resp *send.Response, head *bytes.Buffer, onFirstByte func()) (retry.Result, pick.Outcome) {
 	onFirstByte()
+	if success(resp) {
+		q.recordBegun()
+	}
 	q.firstByte = time.Now()
 	q.writeHeader(resp, resp.Length)
 	q.headerWritten = true
@@ -130,6 +136,7 @@
 	if cancelled(q.r.Context()) {
 		return res, pick.Aborted
 	}
+	q.connLost = connEnded(err)
 	q.reason = reasonTruncated
 	if q.remaining() <= 0 {
 		q.reason = reasonTimeout
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
@@ -84,6 +84,9 @@
 	if q.route.Goal > 0 {
 		h[headerGoal] = []string{formatMillis(q.route.Goal)}
 	}
+	if q.probe {
+		h[headerProbe] = []string{"1"}
+	}
 	q.setResume(h)
 	return h
 }
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -53,6 +53,7 @@
 		return fmt.Errorf("header %s: %w", headerPriority, err)
 	}
 	q.forwardedOrg = h.Get(headerOrg)
+	q.probe = h.Get(headerProbe) != ""
 	q.route = &spec.Route{Attempts: 1}
 	if goal := h.Get(headerGoal); goal != "" {
 		if q.route.Goal, ok = platform.ParseMillis(goal); !ok {
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
@@ -24,6 +25,7 @@
 			q.pick.Output = output
 		}
 	}
+	q.parts = partsOf(q.r.Header.Get(platform.HeaderPrompt))
 	q.pick.Parts = sharedParts(q.r.Header.Get(platform.HeaderPrompt), q.pick.Prompt)
 }
 
@@ -58,6 +60,29 @@
 	return parts
 }
 
+// partsOf returns the parts of a prompt that other requests may share, each by its
+// identifier alone: a part that makes servers crash does so wherever it is in a prompt.
+func partsOf(text string) []poison.Part {
+	var parts []poison.Part
+	for len(parts) < poison.MaxParts {
+		name, rest, more := cutPart(text)
+		if !more {
+			break
+		}
+		text = rest
+		parts = append(parts, poison.NewPart(name))
+	}
+	return parts
+}
+
+// cutPart returns the identifier of the first part in the text of a prompt header, the
+// text after it, and whether another part follows. The last part is the request's own.
+func cutPart(text string) (name, rest string, more bool) {
+	part, rest, more := strings.Cut(text, ",")
+	name, _, _ = strings.Cut(strings.TrimSpace(part), ":")
+	return name, rest, more
+}
+
 // maxLoggedParts bounds the parts of a prompt in a log line, and maxLoggedPart the length
 // of each in bytes.
 const (
@@ -71,12 +96,11 @@
 	var names []string
 	text := q.r.Header.Get(platform.HeaderPrompt)
 	for len(names) < maxLoggedParts {
-		part, rest, more := strings.Cut(text, ",")
+		name, rest, more := cutPart(text)
 		if !more {
-			break // the last part is the request's own
+			break
 		}
 		text = rest
-		name, _, _ := strings.Cut(strings.TrimSpace(part), ":")
 		names = append(names, name[:min(len(name), maxLoggedPart)])
 	}
 	return names
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -185,6 +185,7 @@
 	reasonNoServer        = "no server"
 	reasonRetryAfter      = "servers want no requests"
 	reasonServerLimit     = "servers limit requests"
+	reasonPoison          = "prompt part crashes servers"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
@@ -29,6 +30,7 @@
 	headerTimeout  = "Yuccalb-Millis"  // remaining time in milliseconds
 	headerPriority = "Yuccalb-Urgency" // the priority
 	headerGoal     = "Yuccalb-Goal"    // the route's latency target for the first byte in ms
+	headerProbe    = "Yuccalb-Probe"   // set if the request tests a suspected part of prompts
 	headerOutcome  = "Yuccalb-Outcome" // on responses that the host generated itself
 	headerFraming  = "Yuccalb-Framing" // on responses whose server did not mark their end
 	outcomeNotRun  = "not-run"         // the request has not run
@@ -53,6 +55,7 @@
 	body         []byte
 	reserved     reservation // for the body
 	pick         pick.Request
+	parts        []poison.Part // of the prompt, without the last one
 	tokensStated bool
 	// forwarded is set when another host forwarded the request. It states the
 	// priority and the organisation in headers.
@@ -77,6 +80,13 @@
 	// stream that ended within an event.
 	framing     string
 	withinEvent bool
+	// began is set once the response to the last attempt has begun, and connLost if
+	// the connection to its server was closed before the response ended.
+	began, connLost bool
+	// probe is set while the request may be sent although it has a suspected part,
+	// probePart.
+	probe     bool
+	probePart poison.Part
 	// endUnknown is set if the last response ends with its connection, so that its
 	// server may have broken it off. endUnmarked is set if the header that was written
 	// says so, and endsWithConn if the response to the caller ends with its
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -44,6 +44,9 @@
 		buf = buf[:held+n]
 		if end := events.Scan(buf[held:]); end > 0 {
 			onFirstByte()
+			if events.Ended() {
+				q.recordBegun()
+			}
 			if werr := q.writeEvents(resp, buf[:held+end], control); werr != nil {
 				return retry.Done, pick.Aborted
 			}
@@ -88,6 +91,7 @@
 	if withinEvent {
 		return q.classifyTruncation(errWithinEvent, q.truncationResult())
 	}
+	q.connLost = q.endUnknown
 	onFirstByte()
 	q.writeStreamHeader(resp)
 	if q.endUnknown && !q.endUnmarked {
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -33,6 +33,7 @@
 	attempts       *prometheus.CounterVec
 	limitedSends   *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
+	brokenOff      *prometheus.CounterVec
 	store          *prometheus.CounterVec
 }
 
@@ -58,6 +59,9 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
 		}, []string{"service"}),
+		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_broken_off_total", Help: "Requests with a prompt whose server closed the connection before the response had begun, by service.",
+		}, []string{"service"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_stream_ends_total", Help: "Streams that ended without an error, by service, framing (length, chunked or close) and place of the end (event: within an event, between: after one).",
 		}, []string{"service", "framing", "place"}),
@@ -65,7 +69,7 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.store)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -115,6 +119,9 @@
 // LimitedSend records a request that was sent to a server that named a limit.
 func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
 
+// BrokenOff records a request that its server broke off before the response had begun.
+func (m *Metrics) BrokenOff(service string) { m.brokenOff.WithLabelValues(service).Inc() }
+
 // StreamEnd records the end of a stream that ended without an error.
 func (m *Metrics) StreamEnd(service, framing string, withinEvent bool) {
 	place := "between"
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -129,6 +129,9 @@
 	for _, site := range e.Evacuated {
 		lines = append(lines, "e"+site)
 	}
+	for _, s := range e.Suspects {
+		lines = append(lines, fmt.Sprint("p", s.Service, " ", s.Part, " ", s.Probes))
+	}
 	slices.Sort(lines)
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
 }
