--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -202,7 +202,7 @@
 	if !after.Limited || after.Limit != 2 {
 		t.Errorf("limit of the choice: %v, %v", after.Limit, after.Limited)
 	}
-	p := after.process()
+	p := after.Process()
 	if got := tab.MergeLimits([]ServerLimit{{Process: p, Ended: true, Age: 3 * time.Second}}, now); len(got) != 0 {
 		t.Errorf("an older report changed the limit: %+v", got)
 	}
