Do not pass on a server's status that promises that a request was not run

Callers take 408, 421, 429 and 503 for the promise that the request was not run and never will be. A server makes that promise with a header; its own 408, 429 or 503 without it counts as run.

Change: it is an error of the server. Where the route allows it, another attempt follows, now for 408 and 429 as well; otherwise the caller gets 502 without the server's signature, which promises nothing. A pause that the server requested with 503 is kept as before.

--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,6 +164,37 @@
 	}
 }
 
+// TestPromiseOfServer guards against a caller that is told that its request was not run
+// although a server ran it: callers take these statuses for that promise, but a server makes
+// it only with a header.
+func TestPromiseOfServer(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			cl := newCluster(t)
+			a := cl.host("a1")
+			cl.host("b1")
+			var body atomic.Value
+			script := func(x *origin.Exchange) bool { return x.Reply(status, body.Load().(string), "Retry-After: 0.2") }
+			local, remote := cl.server("s1", "a1", script), cl.server("s2", "b1", script)
+			cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+			for _, text := range []string{"ran", large} {
+				body.Store(text)
+				for _, path := range []string{"/order/x", "/order-b/x", "/chat/x"} {
+					before := len(local.Seen()) + len(remote.Seen())
+					resp := cl.do(a, post(path, "1"))
+					if ran := len(local.Seen()) + len(remote.Seen()) - before; ran != 1 || resp.Status != http.StatusBadGateway {
+						t.Errorf("%s, %d bytes: run %d times, status %d", path, len(text), ran, resp.Status)
+					}
+					if resp.Header.Get(platform.HeaderSignature) != "" || resp.Header.Get("Retry-After") != "" {
+						t.Errorf("%s, %d bytes: header %v", path, len(text), resp.Header)
+					}
+					time.Sleep(1500 * time.Millisecond) // the server has requested a pause, which is reported to the other region
+				}
+			}
+		})
+	}
+}
+
 // TestUnsafeOnce guards against a second run of a request that may run only once,
 // and against a refusal that states that it did not run.
 func TestUnsafeOnce(t *testing.T) {
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -44,6 +44,9 @@
 		q.s.log.Requests.Warn("success without a signature", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 		return retry.Unknown, pick.Broken
 	}
+	if promisesNotRun(resp.Status) {
+		return q.replacePromise(resp, onFirstByte)
+	}
 	if success(resp) && q.route.Stream {
 		return q.stream(resp, onFirstByte)
 	}
@@ -54,6 +57,33 @@
 	return q.relayBuffered(resp, onFirstByte)
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the request
+// was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// replacePromise handles a response whose status callers take for a promise that the
+// server did not make: it ran the request. If no other attempt follows, the caller gets a
+// status that promises nothing.
+func (q *request) replacePromise(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
+	onFirstByte()
+	drainBody(resp)
+	q.reason = reasonServerError
+	if q.headerWritten {
+		return retry.Truncated, pick.Failed
+	}
+	if q.retryable() {
+		return retry.ServerError, pick.Failed
+	}
+	q.refuse(&refusal{http.StatusBadGateway, reasonServerError, 0})
+	return retry.Done, pick.Failed
+}
+
 // relayBuffered reads a response and forwards it once it is complete.
 func (q *request) relayBuffered(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
@@ -71,7 +101,7 @@
 	if resp.Status >= http.StatusInternalServerError {
 		outcome = pick.Failed
 		if q.retryable() {
-			q.reason = "server error"
+			q.reason = reasonServerError
 			return retry.ServerError, outcome
 		}
 	}
@@ -90,7 +120,7 @@
 	name := "served"
 	if !success(resp) {
 		name = "failed"
-		q.reason = "server error"
+		q.reason = reasonServerError
 	}
 	q.finish(name, resp.Status)
 	return retry.Done, outcome
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -191,6 +191,7 @@
 	reasonTimeout         = "timeout"
 	reasonConnBroken      = "connection to server broken"
 	reasonNoAnswer        = "no answer"
+	reasonServerError     = "server error"
 	reasonTruncated       = "response cut"
 	reasonEndUnknown      = "end of response unknown"
 	reasonDisconnected    = "caller left"
