Trust what hosts tell each other about a request only from hosts

A header on responses between hosts says that a request was not run, or may have run.

Change: it counts only if the response comes from another host, as does the header about framing since it exists.

TestInternalHeadersOfServer failed: with not-run the caller of an unsafe request that was run got 503, with unknown 502 instead of the response.

--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// TestInternalHeadersOfServer guards against trusting a server's response in what only
+// hosts tell each other: that a request was not run, or that it may have run.
+func TestInternalHeadersOfServer(t *testing.T) {
+	for _, line := range []string{"Yuccalb-Outcome: not-run", "Yuccalb-Outcome: unknown", "Yuccalb-Framing: close"} {
+		t.Run(line, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			script := func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served", line) }
+			one, two := cl.server("s1", "a1", script), cl.server("s2", "a1", script)
+			resp := cl.do(e, post("/order/x", "1"))
+			if n := len(one.Seen()) + len(two.Seen()); n != 1 {
+				t.Errorf("the request was run %d times", n)
+			}
+			wantStatus(t, resp, http.StatusOK)
+			name, _, _ := strings.Cut(line, ":")
+			if !resp.Framed || resp.Header.Get(name) != "" {
+				t.Errorf("framed %v, header %v", resp.Framed, resp.Header)
+			}
+		})
+	}
+}
+
 // TestUnsafeOnce guards against a second run of a request that may run only once,
 // and against a refusal that states that it did not run.
 func TestUnsafeOnce(t *testing.T) {
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -341,7 +341,7 @@
 	defer func() { _ = resp.Close() }() // it returns no errors
 	q.recordFraming(resp)
 	q.recordServerState(resp)
-	if o, notRun := notRun(resp); notRun {
+	if o, notRun := q.notRun(resp); notRun {
 		q.tally.Sends++
 		q.reason = reasonNotRun
 		drainBody(resp)
@@ -349,17 +349,18 @@
 	}
 	q.tally.Sends++
 	q.tally.Ran++
-	if resp.Header.Get(headerOutcome) == outcomeUnknown {
+	if q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeUnknown {
 		q.reason = reasonNoAnswer
 		return retry.Unknown, pick.Broken
 	}
 	return q.deliver(resp, onFirstByte)
 }
 
-// notRun reports whether a response says that the request did not run.
-func notRun(resp *send.Response) (pick.Outcome, bool) {
+// notRun reports whether a response says that the request did not run. Only another host
+// may say so in headerOutcome.
+func (q *request) notRun(resp *send.Response) (pick.Outcome, bool) {
 	switch {
-	case resp.Header.Get(headerOutcome) == outcomeNotRun:
+	case q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeNotRun:
 		return pick.NotRun, true
 	case resp.Status == http.StatusMisdirectedRequest:
 		return pick.WrongServer, true
