Do not serve a request whose connection was closed as idle

An HTTP client that gets no byte of a response on a connection that was idle sends its request again, elsewhere.

Cause: the tracker closes a caller's connection that net/http still counts as idle, or on which nothing counts as received, although the request has been read from it. net/http starts the handler all the same, the request goes to a server, and its caller, who got an end of the connection, sends it again: it runs twice, or is refused at the second host and runs at the first. Ruled out: a second run by the host itself; no path of the relay repeats an unsafe request that may have run.

Change: a handler in front of the relay marks the connection as active under the lock of the tracker, and ends the request if the tracker has closed the connection before. So either the request is served and its connection stays, or it is not served at all.

--- a/internal/edge/entry/conns.go
+++ b/internal/edge/entry/conns.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -14,10 +15,50 @@
 	// idle maps connections between two requests, and unused those on which
 	// nothing has been received yet, to the time when they entered that state.
 	idle, unused map[net.Conn]time.Time
+	// dropped holds connections that Sweep and Drain have closed. A request may have
+	// been read on them that was not counted as active yet; it must not be served, since
+	// its caller gets no response and may send it again.
+	dropped map[net.Conn]bool
 }
 
 func newConnTracker() *connTracker {
-	return &connTracker{open: make(map[net.Conn]bool), idle: make(map[net.Conn]time.Time), unused: make(map[net.Conn]time.Time)}
+	return &connTracker{open: make(map[net.Conn]bool), idle: make(map[net.Conn]time.Time), unused: make(map[net.Conn]time.Time), dropped: make(map[net.Conn]bool)}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext is the ConnContext hook of an http.Server whose handler is one of Handler.
+func (s *connTracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Handler returns a handler that serves the requests on connections that were not closed,
+// with h.
+func (s *connTracker) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && !s.begin(c) {
+			panic(http.ErrAbortHandler) // the connection is closed
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// begin marks a connection as active, unless it was closed while it was idle or unused.
+func (s *connTracker) begin(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.idle, c)
+	delete(s.unused, c)
+	return !s.dropped[c]
+}
+
+// drop closes a connection for callers that hold s.mu.
+func (s *connTracker) drop(c net.Conn) {
+	delete(s.idle, c)
+	delete(s.unused, c)
+	s.dropped[c] = true
+	_ = c.Close() // no request uses it
 }
 
 // State is the ConnState hook of an http.Server.
@@ -34,6 +75,7 @@
 		s.idle[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(s.open, c)
+		delete(s.dropped, c)
 	}
 }
 
@@ -44,16 +86,15 @@
 	return len(s.open)
 }
 
-// Sweep closes connections that have been idle for longer than limit. The first
-// byte of a request makes its connection active, so no request in progress is
-// aborted.
+// Sweep closes connections that have been idle for longer than limit. A request whose
+// handler has begun makes its connection active, and later ones are not served, so no
+// request in progress is aborted.
 func (s *connTracker) Sweep(now time.Time, limit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.idle {
 		if now.Sub(since) > limit {
-			delete(s.idle, c)
-			_ = c.Close() // no request uses it
+			s.drop(c)
 		}
 	}
 }
@@ -67,8 +108,7 @@
 	defer s.mu.Unlock()
 	for c, since := range s.unused {
 		if now.Sub(since) > unusedLimit {
-			delete(s.unused, c)
-			_ = c.Close() // nothing was received on it
+			s.drop(c)
 		}
 	}
 	return len(s.open)
--- a/internal/edge/entry/conns_test.go
+++ b/internal/edge/entry/conns_test.go
@@ -124,7 +124,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{ConnState: conns.State, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })}
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })
+	srv := &http.Server{ConnState: conns.State, ConnContext: conns.ConnContext, Handler: conns.Handler(handler)}
 	go srv.Serve(&sweptListener{l, func() {
 		if sweep.Load() {
 			conns.Sweep(time.Now().Add(time.Hour), 0)
@@ -147,3 +148,59 @@
 		t.Errorf("the second request was served, but its connection was closed: %v", a.Err)
 	}
 }
+
+// TestResentRequestRunsOnce guards against a request that runs twice because its caller
+// sends it again, as HTTP clients do when an idle connection is closed without a response:
+// the host has read the request from the connection that it closes, and serves it as well.
+func TestResentRequestRunsOnce(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	s := cl.server("s1", "a1", ok)
+	conns := newConnTracker()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sweep atomic.Bool
+	srv := &http.Server{ConnState: conns.State, ConnContext: conns.ConnContext, Handler: conns.Handler(e.relay)}
+	go srv.Serve(&sweptListener{l, func() {
+		if sweep.Swap(false) {
+			conns.Sweep(time.Now().Add(time.Hour), 0)
+		}
+	}})
+	defer srv.Close()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	resent := 0
+	for range 100 {
+		c, err := line.Dial(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantStatus(t, c.Do(post("/order/x", "1"), nextID()), http.StatusOK)
+		time.Sleep(2 * time.Millisecond) // the connection becomes idle
+		sweep.Store(true)
+		id := nextID()
+		resp := c.Do(post("/order/x", "1"), id)
+		_ = c.Close()
+		if resp.Status == 0 {
+			resent++
+			c, err := line.Dial(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Do(post("/order/x", "1"), id)
+			_ = c.Close()
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // a handler may still run
+	runs := make(map[string]int)
+	twice := 0
+	for _, x := range s.Seen() {
+		if runs[x.ID()]++; runs[x.ID()] == 2 {
+			twice++
+		}
+	}
+	if twice > 0 || resent == 0 {
+		t.Errorf("%d of %d requests that were sent again ran twice", twice, resent)
+	}
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -176,7 +176,8 @@
 
 // listen binds all addresses and serves them.
 func (e *Entry) listen(m *stats.Metrics) error {
-	e.front = e.server(e.relay)
+	e.front = e.server(e.callerConns.Handler(e.relay))
+	e.front.ConnContext = e.callerConns.ConnContext
 	e.front.IdleTimeout = 0 // sweep closes idle connections, by the configuration in force
 	e.front.ConnState = e.callerConns.State
 	e.peer = e.server(http.HandlerFunc(e.servePeer))
