Do not send a request again on a connection on which it was refused

Other operators met a faulty worker that wrote an earlier refusal once more on a kept connection: callers were told "not run" for requests that it ran.

Here the refusal of another request is recognised by its identifier and skipped. But a request with the same identifier, which a caller that sends it again uses, went to the server on the same kept connection: the repeated refusal was taken for its response, and the caller was told that a request was not run that the server ran.

Change: a connection remembers the identifiers of the last 32 requests that were refused on it, and does not carry them again.

TestRepeatedRefusal failed in its case with the same identifier (503 for a request that ran) and passes; its case with another one passed before too.

--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -354,3 +356,43 @@
 		}
 	}
 }
+
+// TestRepeatedRefusal guards against a request that a server runs and that its caller is
+// told was not run: the server writes an earlier refusal once more on the connection, ahead
+// of the response, of another request or of an earlier attempt with the same identifier.
+func TestRepeatedRefusal(t *testing.T) {
+	for name, sameID := range map[string]bool{"another request": false, "the same identifier": true} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			var mu sync.Mutex
+			refused := make(map[net.Conn]string) // identifier of the refused request
+			ran := make(map[string]bool)
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				mu.Lock()
+				earlier, again := refused[x.Conn]
+				refused[x.Conn] = x.ID()
+				first := len(refused) == 1 && !again
+				ran[x.ID()] = !first
+				mu.Unlock()
+				if first {
+					return x.Refuse()
+				}
+				if again {
+					x.Send("HTTP/1.1 503 X\r\n" + platform.HeaderAttemptID + ": " + earlier + "\r\n" + platform.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n")
+				}
+				return ok(x)
+			})
+			id := nextID()
+			wantStatus(t, cl.dial(e).Do(post("/order/x", "1"), id), http.StatusServiceUnavailable)
+			if !sameID {
+				id = nextID()
+			}
+			resp := cl.dial(e).Do(post("/order/x", "1"), id)
+			if promise := resp.Status == http.StatusServiceUnavailable; promise && ran[id] {
+				t.Error("a request that was run is reported as not run")
+			}
+			wantStatus(t, resp, http.StatusOK)
+		})
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -344,6 +344,7 @@
 	if o, notRun := q.notRun(resp); notRun {
 		q.tally.Sends++
 		q.reason = reasonNotRun
+		resp.Refused(q.id)
 		drainBody(resp)
 		return retry.NotRun, o
 	}
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -150,7 +151,7 @@
 func (c *Client) get(ctx context.Context, req *Request) (*conn, error) {
 	addr := req.Addr
 	for !req.NewConn {
-		cn, err := c.pop(addr)
+		cn, err := c.pop(addr, req.ID)
 		if err != nil {
 			return nil, err
 		}
@@ -180,21 +181,22 @@
 	return len(list) > 0 && time.Now().Before(list[len(list)-1].expires)
 }
 
-// pop removes and returns the most recently used idle connection, or nil if there
-// is none.
-func (c *Client) pop(addr netip.AddrPort) (*conn, error) {
+// pop removes and returns the most recently used idle connection on which no request with
+// the identifier id was refused, or nil if there is none.
+func (c *Client) pop(addr netip.AddrPort, id string) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, errClosed
 	}
 	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil, nil
+	for i, cn := range slices.Backward(list) {
+		if !slices.Contains(cn.refused, id) {
+			c.idle[addr] = slices.Delete(list, i, i+1)
+			return cn, nil
+		}
 	}
-	cn := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
-	return cn, nil
+	return nil, nil
 }
 
 // put adds a connection to the idle ones, or closes it if there are too many.
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -17,6 +17,8 @@
 	readBuffer = 4 << 10
 	// maxHead bounds the status line and header of a response in bytes.
 	maxHead = 64 << 10
+	// maxRefused bounds the identifiers of refused requests that are remembered.
+	maxRefused = 32
 	// idleMargin is subtracted from a server's idle timeout, since the server may
 	// close the connection while a request is on its way.
 	idleMargin = 500 * time.Millisecond
@@ -33,6 +35,9 @@
 	// expires is when the idle connection must no longer be used.
 	expires     time.Time
 	idleTimeout time.Duration
+	// refused are the identifiers of requests that the server refused on this
+	// connection, the newest last.
+	refused []string
 	// inHead is set while a head is read; headLeft is how many more bytes it may
 	// have.
 	inHead   bool
@@ -81,6 +86,14 @@
 	}
 }
 
+// addRefused records that the server refused a request.
+func (c *conn) addRefused(id string) {
+	if len(c.refused) >= maxRefused {
+		c.refused = append(c.refused[:0], c.refused[1:]...)
+	}
+	c.refused = append(c.refused, id)
+}
+
 // startIdle sets the time at which the connection expires.
 func (c *conn) startIdle(now time.Time) { c.expires = now.Add(c.idleTimeout - idleMargin) }
 
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -105,6 +105,11 @@
 	return n, err
 }
 
+// Refused records that the server refused the request. A request with the same identifier
+// is not sent on the same connection: a faulty server may write the refusal once more, and
+// it could not be told from the response.
+func (r *Response) Refused(id string) { r.conn.addRefused(id) }
+
 // Close keeps the connection for later requests if the request was written and
 // the response was read completely, and closes it otherwise.
 func (r *Response) Close() error {
