Play parts that crash servers and responses without framing in the soak

After the faults one part of prompts makes servers crash; it must be refused by all hosts, with at most three crashes later than 5 s after the fifth, and still be known after all hosts are killed, while requests with the other part are served.

But a server may answer a stream route with other media, such as JSON: that response is complete, and was cut. A response whose media type is stated and not text is not taken for a stream any more (TestOtherMediaOnStreamRoute). And servers of the soak sent no heartbeats after a crash, so that their probation did not end.

--- /dev/null
+++ b/cmd/yuccalbe/poison_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// poisonPart is the part of prompts that makes servers crash.
+	poisonPart = "dead"
+	// crashTime is how long a server that crashed is down, and contactTime the time
+	// after the fifth crash within which all hosts must know the part. At most
+	// lateCrashes may follow.
+	crashTime         = 1500 * time.Millisecond
+	contactTime       = 5 * time.Second
+	lateCrashes       = 3
+	heartbeatInterval = 300 * time.Millisecond
+)
+
+// crash ends server i and starts it again after crashTime. It returns false, as the script
+// of a server that closes the connection does.
+func (s *soak) crash(i int) bool {
+	s.mu.Lock()
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	s.down[i].Store(true)
+	s.servers[i].Crash()
+	s.crashed.Go(func() {
+		time.Sleep(crashTime / 2)
+		s.store.RemoveServer(s.serverID(i))
+		time.Sleep(crashTime / 2)
+		if err := s.servers[i].Recover(); err != nil {
+			s.t.Errorf("server %d: %v", i, err)
+		}
+		s.born[i].Store(time.Now().UnixMilli())
+		s.down[i].Store(false)
+		s.register(i)
+	})
+	return false
+}
+
+// heartbeat registers the servers that run, at intervals, until stop is closed: the
+// probation of a server that failed ends with its heartbeats.
+func (s *soak) heartbeat(stop <-chan struct{}) {
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		for i, down := range s.down {
+			if !down.Load() {
+				s.register(i)
+			}
+		}
+	}
+}
+
+// checkPoison sends requests with poisonPart to all hosts and checks that they are refused
+// soon enough, and still after all hosts were killed, while requests that share their other
+// part are served.
+func (s *soak) checkPoison() {
+	s.t.Helper()
+	stop := make(chan struct{})
+	var beats sync.WaitGroup
+	beats.Go(func() { s.heartbeat(stop) })
+	defer beats.Wait()
+	defer close(stop)
+	refused := 0
+	await.For(s.t, serveTimeout, "the part that makes servers crash is refused by all hosts", func() error {
+		for i := range s.hosts {
+			if a := s.prompt(i, "guide", poisonPart); !refusedForLong(a) {
+				refused = 0
+				return fmt.Errorf("host %d: status %d, error %w", i, a.Status, a.Err)
+			}
+		}
+		if refused++; refused < 3 {
+			return fmt.Errorf("refused %d times", refused)
+		}
+		return nil
+	})
+	s.crashed.Wait()
+	for i := range s.hosts {
+		s.restart(i, syscall.SIGKILL)
+	}
+	s.waitServing()
+	for i := range s.hosts {
+		if a := s.prompt(i, "guide", poisonPart); a.Err == nil && a.Status == http.StatusOK {
+			s.t.Errorf("host %d: status %d for the part that makes servers crash", i, a.Status)
+		}
+		await.For(s.t, serveTimeout, "requests with the other part are served", func() error {
+			if a := s.prompt(i, "guide"); a.Status != http.StatusOK {
+				return fmt.Errorf("host %d: status %d, error %w", i, a.Status, a.Err)
+			}
+			return nil
+		})
+	}
+	s.crashed.Wait()
+	s.checkCrashes()
+}
+
+// refusedForLong reports whether a response is a refusal of longer than servers with a
+// limit or on probation cause.
+func refusedForLong(a line.Response) bool {
+	d, ok := platform.ParseRetryAfter(a.Header)
+	return a.Status == http.StatusServiceUnavailable && ok && d > 2*time.Second
+}
+
+// checkCrashes checks the number of crashes that follow the fifth one.
+func (s *soak) checkCrashes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for i, at := range s.crashes {
+		if i >= 5 && at.Sub(s.crashes[4]) > contactTime {
+			late++
+		}
+	}
+	if late > lateCrashes {
+		s.t.Errorf("%d servers crashed later than %v after the fifth crash, at most %d may", late, contactTime, lateCrashes)
+	}
+	s.t.Logf("%d servers crashed at a part of prompts, %d of them late", len(s.crashes), late)
+}
+
+// prompt sends host i a request whose prompt has the given parts and one of its own.
+func (s *soak) prompt(i int, parts ...string) line.Response {
+	var conn *line.Conn
+	defer closeConnection(&conn)
+	text := ""
+	for _, part := range parts {
+		text += part + ":100,"
+	}
+	id := fmt.Sprintf("%s-prompt-%d-%d", s.name, i, time.Now().UnixNano())
+	call := line.Post("/chat/"+id, "").With(platform.HeaderPrompt, text+id+":10").With(platform.HeaderTokens, "500,10")
+	return s.request(&conn, i, call, id, s.currentKey())
+}
--- a/internal/edge/entry/framing_test.go
+++ b/internal/edge/entry/framing_test.go
@@ -232,6 +232,21 @@
 	}
 }
 
+// TestOtherMediaOnStreamRoute guards against a complete response of a stream route that is
+// cut because it holds no events.
+func TestOtherMediaOnStreamRoute(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		return x.Reply(http.StatusOK, `{"text":"part 1"}`, "Content-Type: application/json")
+	})
+	resp := cl.do(e, post("/chat/x", "1"))
+	wantStatus(t, resp, http.StatusOK)
+	if resp.Err != nil || resp.Body != `{"text":"part 1"}` {
+		t.Errorf("error %v, body %q", resp.Err, resp.Body)
+	}
+}
+
 // TestStreamLines guards against streams of correct servers that are cut or held back
 // because of their line endings or comments.
 func TestStreamLines(t *testing.T) {
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -377,8 +378,8 @@
 	if !errors.As(err, &e) {
 		e = &send.Error{Stage: send.StageWait, Err: err}
 	}
-	q.connLost = connEnded(err)
 	if e.Stage == send.StageConnect {
+		q.connLost = errors.Is(err, syscall.ECONNREFUSED)
 		if cancelled(q.r.Context()) {
 			return retry.NotRun, pick.Aborted
 		}
@@ -386,6 +387,7 @@
 		q.s.log.Requests.Warn("connect failed", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
 		return retry.NotRun, pick.NoConnect
 	}
+	q.connLost = connEnded(err)
 	q.tally.Sends++
 	q.tally.Ran++
 	if cancelled(q.r.Context()) {
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,7 +48,7 @@
 	if promisesNotRun(resp.Status) {
 		return q.replacePromise(resp, onFirstByte)
 	}
-	if success(resp) && q.route.Stream {
+	if success(resp) && q.route.Stream && mayHoldEvents(resp) {
 		return q.stream(resp, onFirstByte)
 	}
 	if q.headerWritten {
@@ -57,6 +58,13 @@
 	return q.relayBuffered(resp, onFirstByte)
 }
 
+// mayHoldEvents reports whether the body of a response may be a stream of events. Some
+// servers label events as plain text or not at all, but none as other media such as JSON.
+func mayHoldEvents(resp *send.Response) bool {
+	media := resp.Header.Get("Content-Type")
+	return media == "" || strings.HasPrefix(strings.ToLower(media), "text/")
+}
+
 // promisesNotRun reports whether callers take a status for the promise that the request
 // was not run and never will be.
 func promisesNotRun(status int) bool {
