--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -64,7 +64,7 @@
 			b.parts[part] = max(pos, i)
 		}
 	}
-	if _, ok := d.ended[p]; ok {
+	if at, ok := d.ended[p]; ok && now.Sub(at) <= pendingTTL {
 		return d.confirm(p, now)
 	}
 	return nil
--- a/internal/edge/relay/poison.go
+++ b/internal/edge/relay/poison.go
@@ -58,7 +58,7 @@
 }
 
 // recordCrash records what an attempt at a server tells about a crash: that it broke off
-// the request before the response had begun, or that it accepts no connections.
+// the request before the response had begun, or that nothing listens at its address.
 func (q *request) recordCrash(svc *fleet.Service, c *pick.Choice, o pick.Outcome) {
 	now := time.Now()
 	switch {
@@ -70,9 +70,9 @@
 	}
 }
 
-// connEnded reports whether an error shows that the server closed or refused a connection.
+// connEnded reports whether an error shows that the server closed the connection.
 func connEnded(err error) bool {
-	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, target) {
 			return true
 		}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -81,7 +81,7 @@
 	framing     string
 	withinEvent bool
 	// began is set once the response to the last attempt has begun, and connLost if
-	// the connection to its server was closed before the response ended.
+	// the server closed the connection before the response ended, or refused it.
 	began, connLost bool
 	// probe is set while the request may be sent although it has a suspected part,
 	// probePart.
