Let fake engines crash at a text in prompts and leave responses unframed

The fault poison makes an engine drop all connections for 3 s when it begins to answer a prompt with a text, unframed sends responses that end with their connection. Both can be set over HTTP like the other faults (TestPoison, TestUnframedResponse).

--- a/internal/fake/server/base.go
+++ b/internal/fake/server/base.go
@@ -47,6 +47,7 @@
 	until    time.Time       // end of the fault; zero if it does not expire
 	seen     map[string]bool // remote addresses of all connections
 	frozen   map[string]bool // remote addresses of connections that stall
+	down     time.Time       // end of the time for which a crashed server is down
 	requests []*Request
 	runs     map[string]int // by booking or request id
 }
@@ -167,6 +168,20 @@
 	return b.frozen[r.RemoteAddr]
 }
 
+// setDown makes the server drop all connections for d.
+func (b *base) setDown(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down = time.Now().Add(d)
+}
+
+// crashed reports whether the server is down after a crash.
+func (b *base) crashed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.down)
+}
+
 // stall blocks until the client cancels the request or the server is closed, and then
 // drops the connection.
 func (b *base) stall(r *http.Request) {
@@ -202,6 +217,9 @@
 	if b.stalled(r) {
 		b.stall(r)
 	}
+	if b.crashed() {
+		drop()
+	}
 	if f.Refuse || f.Drop == DropHead || !b.sleep(r.Context(), time.Duration(f.Slow)) {
 		drop()
 	}
@@ -225,6 +243,9 @@
 		id = "other-" + id
 	}
 	w.Header().Set("X-Request-Id", id)
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no chunks
+	}
 }
 
 // refuse rejects a request and states that it was not run.
--- a/internal/fake/server/chat.go
+++ b/internal/fake/server/chat.go
@@ -137,6 +137,9 @@
 	if !e.sleep(ctx, e.cfg.First+time.Duration(uncached)*time.Second/time.Duration(e.cfg.Prefill)) {
 		drop()
 	}
+	if f.Poison != "" && strings.Contains(string(prompt), f.Poison) {
+		e.crash()
+	}
 	if f.Drop == DropRun || !e.sleep(ctx, time.Duration(f.Late)) {
 		drop()
 	}
@@ -147,6 +150,16 @@
 	}
 }
 
+// crash drops all requests, and all that arrive within crashTime.
+func (e *Engine) crash() {
+	e.setDown(crashTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, cancel := range e.cancels {
+		cancel()
+	}
+}
+
 // track registers a request, so that cancel can end it. The returned function
 // deregisters it.
 func (e *Engine) track(r *http.Request) (context.Context, context.CancelFunc) {
--- a/internal/fake/server/fault.go
+++ b/internal/fake/server/fault.go
@@ -60,6 +60,12 @@
 	// Truncate ends a stream before its Truncate-th token without the end
 	// mark. A plain service ends the response in the middle of the body.
 	Truncate int `json:"truncate,omitempty"`
+	// Unframed sends responses with neither a length nor chunks, so that they end
+	// with their connection.
+	Unframed bool `json:"unframed,omitempty"`
+	// Poison is a text that makes an engine crash when it begins to answer a prompt
+	// with it. The engine drops all connections then, and new ones for crashTime.
+	Poison string `json:"poison,omitempty"`
 	// Mismatch returns the id of another request in the response.
 	Mismatch bool `json:"mismatch,omitempty"`
 	// Late delays the response after the call has run.
@@ -78,6 +84,9 @@
 	For Duration `json:"for,omitempty"`
 }
 
+// crashTime is how long an engine that crashed is down.
+const crashTime = 3 * time.Second
+
 // ParseFault decodes a fault from JSON.
 func ParseFault(data []byte) (Fault, error) {
 	var f Fault
--- a/internal/fake/server/process_test.go
+++ b/internal/fake/server/process_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestProcess guards against faults that cannot be set over HTTP and against requests
@@ -50,6 +52,57 @@
 	}
 }
 
+// TestUnframedResponse guards against a response that has a length or chunks although the
+// fault says that it has neither.
+func TestUnframedResponse(t *testing.T) {
+	e := NewEngine(EngineConfig{})
+	e.SetFault(Fault{Unframed: true})
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	for _, stream := range []string{"false", "true"} {
+		resp, err := http.Post(srv.URL+"/v1/chat/completions", "application/json", strings.NewReader(`{"messages":[{"role":"user","content":"x"}],"max_tokens":2,"stream":`+stream+`}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || len(body) == 0 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+			t.Errorf("stream %s: length %d, encoding %v, %d bytes, error %v", stream, resp.ContentLength, resp.TransferEncoding, len(body), err)
+		}
+	}
+}
+
+// TestPoison guards against an engine that survives a prompt that should make it crash, and
+// against one that serves other requests meanwhile.
+func TestPoison(t *testing.T) {
+	e := NewEngine(EngineConfig{})
+	e.SetFault(Fault{Poison: "dead"})
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	ask := func(prompt string) error {
+		resp, err := http.Post(srv.URL+"/v1/chat/completions", "application/json", strings.NewReader(`{"messages":[{"role":"user","content":"`+prompt+`"}],"max_tokens":2}`))
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		return err
+	}
+	if err := ask("fine"); err != nil {
+		t.Errorf("other prompt: %v", err)
+	}
+	if ask("a dead part") == nil {
+		t.Error("the prompt was answered")
+	}
+	if ask("fine") == nil {
+		t.Error("the engine serves requests after a crash")
+	}
+	time.Sleep(crashTime)
+	if err := ask("fine"); err != nil {
+		t.Errorf("after the crash: %v", err)
+	}
+}
+
 // TestCache guards against a prefix cache that exceeds its size, or evicts a prefix
 // from its start.
 func TestCache(t *testing.T) {
