--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -1,24 +1,14 @@
 package relay
 
 import (
-	"errors"
-	"math/rand/v2"
 	"net/http"
-	"net/netip"
-	"os"
-	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
-	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
-	"github.com/yuccalb/yuccalb/internal/edge/send"
-	"github.com/yuccalb/yuccalb/platform"
 )
 
 // serve makes attempts until the request has ended.
@@ -157,125 +147,6 @@
 	return q.sendPeer(), nil
 }
 
-// choose picks a server of the local region, and returns true, or a remote
-// region.
-func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
-	svc := q.s.fleet.Service(q.service)
-	var local admit.Estimate
-	usable := false
-	if svc != nil && q.allows(q.s.fleet.LocalRegion()) {
-		local.Score, local.First, usable = svc.Table.Expect(&q.pick, now)
-	}
-	q.localExpected = local.First
-	demand := q.demand(svc, remaining)
-	if !q.forwarded {
-		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable, remote) {
-			q.dest = dest
-			return pick.Choice{}, false, q.checkLate(demand, remote.First)
-		}
-	}
-	if !usable {
-		return pick.Choice{}, false, q.refuseNoServer(svc, now)
-	}
-	if ref := q.checkLate(demand, local.First); ref != nil {
-		return pick.Choice{}, false, ref
-	}
-	c, ok := svc.Table.Pick(&q.pick, now)
-	if !ok {
-		return pick.Choice{}, false, q.refuseNoServer(svc, now)
-	}
-	q.choice = c
-	q.entriesReadAt = q.s.fleet.View().Asked
-	return c, true, nil
-}
-
-// refuseNoServer returns the refusal of a request that no server of the region may
-// get now. If servers have requested a pause or have a limit, Retry-After is the time
-// until the first one accepts a request again.
-func (q *request) refuseNoServer(svc *fleet.Service, now time.Time) *refusal {
-	ref := &refusal{http.StatusServiceUnavailable, reasonNoServer, retryAfterBusy}
-	if svc == nil {
-		return ref
-	}
-	if w, ok := svc.Table.ShortestWait(&q.pick, now); ok {
-		ref.reason = reasonRetryAfter
-		if w.Limited {
-			ref.reason = reasonServerLimit
-		}
-		ref.retryAfter = max(w.For, retryAfterBusy)
-	}
-	return ref
-}
-
-// demand returns the input of package admit for the request.
-func (q *request) demand(svc *fleet.Service, remaining time.Duration) *admit.Demand {
-	d := &admit.Demand{
-		Goal: q.route.Goal, Remaining: remaining, Prompt: q.pick.Prompt, Shared: q.pick.Shared(),
-		Bytes: len(q.body), Pace: pick.NewPace(true),
-	}
-	if svc != nil {
-		d.Pace = svc.Table.Pace()
-		now := time.Now()
-		svc.Goals.Record(q.priority(), d.Goal, now)
-		d.ShortestGoal = svc.Goals.Shortest(q.priority(), now)
-	}
-	return d
-}
-
-// checkLate returns a refusal if the first byte is expected too late.
-func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
-	q.expected = first
-	wait, late := d.TooLate(first)
-	if !late {
-		return nil
-	}
-	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Duration("own_expected", q.localExpected))
-	return &refusal{http.StatusServiceUnavailable, reasonTooLate, max(wait, retryAfterBusy)}
-}
-
-// bestRemote returns a host of the remote region with the best score for the
-// request, or false if there is none. A region whose servers have got what their limits
-// allow hardly accepts more, so that only requests which may not be served in the local
-// region are sent there.
-func (q *request) bestRemote(d *admit.Demand) (destination, admit.Estimate, bool) {
-	var best destination
-	var estimate admit.Estimate
-	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
-			continue
-		}
-		e := d.RemoteEstimate(r.Wait, r.Cached(q.pick.Parts))
-		if best.addr.IsValid() && e.Score >= estimate.Score {
-			continue
-		}
-		addr, ok := q.pickHost(r.Hosts)
-		if !ok {
-			continue
-		}
-		best = destination{region: r.Region, addr: addr}
-		if r.Limited {
-			best.limitWait = r.Wait
-		}
-		estimate = e
-	}
-	return best, estimate, best.addr.IsValid()
-}
-
-// pickHost returns one of the hosts that this request was not sent to before. It
-// prefers those with an idle connection: opening one to a remote region takes as
-// long as the request itself.
-func (q *request) pickHost(hosts []steer.Host) (netip.AddrPort, bool) {
-	if len(q.triedHosts) > 0 {
-		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.triedHosts, h.Addr) })
-	}
-	if len(hosts) == 0 {
-		return netip.AddrPort{}, false
-	}
-	hosts = steer.Prefer(hosts, q.s.peers.HasIdle)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return steer.Sample(hosts, 1, rng)[0], true
-}
-
 // sendLocal sends the request to a server of the local region.
 func (q *request) sendLocal(c pick.Choice) retry.Result {
 	svc := q.s.fleet.Service(q.service)
@@ -329,76 +200,3 @@
 		return "aborted"
 	}
 }
-
-// exchange sends one request and forwards its response. It calls onFirstByte
-// when the response has started.
-func (q *request) exchange(c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
-	q.began = false
-	q.connLost = false
-	resp, err := c.Do(q.r.Context(), req)
-	if err != nil {
-		return q.classifyError(err, c, req)
-	}
-	defer func() { _ = resp.Close() }() // it returns no errors
-	q.recordFraming(resp)
-	q.recordServerState(resp)
-	if o, notRun := q.notRun(resp); notRun {
-		q.tally.Sends++
-		q.reason = reasonNotRun
-		resp.Refused(q.id)
-		drainBody(resp)
-		return retry.NotRun, o
-	}
-	q.tally.Sends++
-	q.tally.Ran++
-	if q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeUnknown {
-		q.reason = reasonNoAnswer
-		return retry.Unknown, pick.Broken
-	}
-	return q.deliver(resp, onFirstByte)
-}
-
-// notRun reports whether a response says that the request did not run. Only another host
-// may say so in headerOutcome.
-func (q *request) notRun(resp *send.Response) (pick.Outcome, bool) {
-	switch {
-	case q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeNotRun:
-		return pick.NotRun, true
-	case resp.Status == http.StatusMisdirectedRequest:
-		return pick.WrongServer, true
-	case resp.Header.Get(platform.HeaderNotRun) != "":
-		return pick.NotRun, true
-	}
-	return 0, false
-}
-
-// classifyError classifies a call that got no response.
-func (q *request) classifyError(err error, c *send.Client, req *send.Request) (retry.Result, pick.Outcome) {
-	var e *send.Error
-	if !errors.As(err, &e) {
-		e = &send.Error{Stage: send.StageWait, Err: err}
-	}
-	if e.Stage == send.StageConnect {
-		q.connLost = errors.Is(err, syscall.ECONNREFUSED)
-		if cancelled(q.r.Context()) {
-			return retry.NotRun, pick.Aborted
-		}
-		q.reason = reasonNoServer
-		q.s.log.Requests.Warn("connect failed", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
-		return retry.NotRun, pick.NoConnect
-	}
-	q.connLost = connEnded(err)
-	q.tally.Sends++
-	q.tally.Ran++
-	if cancelled(q.r.Context()) {
-		return retry.Unknown, pick.Aborted
-	}
-	q.reason = reasonConnBroken
-	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Strings("parts", q.partNames()), zap.Error(err))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		q.reason = reasonNoAnswer
-	}
-	// Other idle connections to the same address may be broken as well.
-	c.CloseIdle(req.Addr)
-	return retry.Unknown, pick.Broken
-}
--- /dev/null
+++ b/internal/edge/relay/choose.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/admit"
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/steer"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+)
+
+// choose picks a server of the local region, and returns true, or a remote
+// region.
+func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
+	svc := q.s.fleet.Service(q.service)
+	var local admit.Estimate
+	usable := false
+	if svc != nil && q.allows(q.s.fleet.LocalRegion()) {
+		local.Score, local.First, usable = svc.Table.Expect(&q.pick, now)
+	}
+	q.localExpected = local.First
+	demand := q.demand(svc, remaining)
+	if !q.forwarded {
+		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable, remote) {
+			q.dest = dest
+			return pick.Choice{}, false, q.checkLate(demand, remote.First)
+		}
+	}
+	if !usable {
+		return pick.Choice{}, false, q.refuseNoServer(svc, now)
+	}
+	if ref := q.checkLate(demand, local.First); ref != nil {
+		return pick.Choice{}, false, ref
+	}
+	c, ok := svc.Table.Pick(&q.pick, now)
+	if !ok {
+		return pick.Choice{}, false, q.refuseNoServer(svc, now)
+	}
+	q.choice = c
+	q.entriesReadAt = q.s.fleet.View().Asked
+	return c, true, nil
+}
+
+// refuseNoServer returns the refusal of a request that no server of the region may
+// get now. If servers have requested a pause or have a limit, Retry-After is the time
+// until the first one accepts a request again.
+func (q *request) refuseNoServer(svc *fleet.Service, now time.Time) *refusal {
+	ref := &refusal{http.StatusServiceUnavailable, reasonNoServer, retryAfterBusy}
+	if svc == nil {
+		return ref
+	}
+	if w, ok := svc.Table.ShortestWait(&q.pick, now); ok {
+		ref.reason = reasonRetryAfter
+		if w.Limited {
+			ref.reason = reasonServerLimit
+		}
+		ref.retryAfter = max(w.For, retryAfterBusy)
+	}
+	return ref
+}
+
+// demand returns the input of package admit for the request.
+func (q *request) demand(svc *fleet.Service, remaining time.Duration) *admit.Demand {
+	d := &admit.Demand{
+		Goal: q.route.Goal, Remaining: remaining, Prompt: q.pick.Prompt, Shared: q.pick.Shared(),
+		Bytes: len(q.body), Pace: pick.NewPace(true),
+	}
+	if svc != nil {
+		d.Pace = svc.Table.Pace()
+		now := time.Now()
+		svc.Goals.Record(q.priority(), d.Goal, now)
+		d.ShortestGoal = svc.Goals.Shortest(q.priority(), now)
+	}
+	return d
+}
+
+// checkLate returns a refusal if the first byte is expected too late.
+func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
+	q.expected = first
+	wait, late := d.TooLate(first)
+	if !late {
+		return nil
+	}
+	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Duration("own_expected", q.localExpected))
+	return &refusal{http.StatusServiceUnavailable, reasonTooLate, max(wait, retryAfterBusy)}
+}
+
+// bestRemote returns a host of the remote region with the best score for the
+// request, or false if there is none. A region whose servers have got what their limits
+// allow hardly accepts more, so that only requests which may not be served in the local
+// region are sent there.
+func (q *request) bestRemote(d *admit.Demand) (destination, admit.Estimate, bool) {
+	var best destination
+	var estimate admit.Estimate
+	for _, r := range q.s.fleet.RemoteRegions(q.service) {
+		if !q.allows(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
+			continue
+		}
+		e := d.RemoteEstimate(r.Wait, r.Cached(q.pick.Parts))
+		if best.addr.IsValid() && e.Score >= estimate.Score {
+			continue
+		}
+		addr, ok := q.pickHost(r.Hosts)
+		if !ok {
+			continue
+		}
+		best = destination{region: r.Region, addr: addr}
+		if r.Limited {
+			best.limitWait = r.Wait
+		}
+		estimate = e
+	}
+	return best, estimate, best.addr.IsValid()
+}
+
+// pickHost returns one of the hosts that this request was not sent to before. It
+// prefers those with an idle connection: opening one to a remote region takes as
+// long as the request itself.
+func (q *request) pickHost(hosts []steer.Host) (netip.AddrPort, bool) {
+	if len(q.triedHosts) > 0 {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.triedHosts, h.Addr) })
+	}
+	if len(hosts) == 0 {
+		return netip.AddrPort{}, false
+	}
+	hosts = steer.Prefer(hosts, q.s.peers.HasIdle)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return steer.Sample(hosts, 1, rng)[0], true
+}
--- /dev/null
+++ b/internal/edge/relay/exchange.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// exchange sends one request and forwards its response. It calls onFirstByte
+// when the response has started.
+func (q *request) exchange(c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
+	q.began = false
+	q.connLost = false
+	resp, err := c.Do(q.r.Context(), req)
+	if err != nil {
+		return q.classifyError(err, c, req)
+	}
+	defer func() { _ = resp.Close() }() // it returns no errors
+	q.recordFraming(resp)
+	q.recordServerState(resp)
+	if o, notRun := q.notRun(resp); notRun {
+		q.tally.Sends++
+		q.reason = reasonNotRun
+		resp.Refused(q.id)
+		drainBody(resp)
+		return retry.NotRun, o
+	}
+	q.tally.Sends++
+	q.tally.Ran++
+	if q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeUnknown {
+		q.reason = reasonNoAnswer
+		return retry.Unknown, pick.Broken
+	}
+	return q.deliver(resp, onFirstByte)
+}
+
+// notRun reports whether a response says that the request did not run. Only another host
+// may say so in headerOutcome.
+func (q *request) notRun(resp *send.Response) (pick.Outcome, bool) {
+	switch {
+	case q.fromPeerHost() && resp.Header.Get(headerOutcome) == outcomeNotRun:
+		return pick.NotRun, true
+	case resp.Status == http.StatusMisdirectedRequest:
+		return pick.WrongServer, true
+	case resp.Header.Get(platform.HeaderNotRun) != "":
+		return pick.NotRun, true
+	}
+	return 0, false
+}
+
+// classifyError classifies a call that got no response.
+func (q *request) classifyError(err error, c *send.Client, req *send.Request) (retry.Result, pick.Outcome) {
+	var e *send.Error
+	if !errors.As(err, &e) {
+		e = &send.Error{Stage: send.StageWait, Err: err}
+	}
+	if e.Stage == send.StageConnect {
+		q.connLost = errors.Is(err, syscall.ECONNREFUSED)
+		if cancelled(q.r.Context()) {
+			return retry.NotRun, pick.Aborted
+		}
+		q.reason = reasonNoServer
+		q.s.log.Requests.Warn("connect failed", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		return retry.NotRun, pick.NoConnect
+	}
+	q.connLost = connEnded(err)
+	q.tally.Sends++
+	q.tally.Ran++
+	if cancelled(q.r.Context()) {
+		return retry.Unknown, pick.Aborted
+	}
+	q.reason = reasonConnBroken
+	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Strings("parts", q.partNames()), zap.Error(err))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.reason = reasonNoAnswer
+	}
+	// Other idle connections to the same address may be broken as well.
+	c.CloseIdle(req.Addr)
+	return retry.Unknown, pick.Broken
+}
--- /dev/null
+++ b/internal/edge/relay/refusal.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// refusal is a response that the gateway generates instead of a server.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter is when the caller should retry; 0 sends no Retry-After.
+	retryAfter time.Duration
+}
+
+// Reasons of outcomes other than a success, in logs and metrics.
+const (
+	reasonBusy            = "too many requests in progress"
+	reasonDraining        = "host stops"
+	reasonNoConfig        = "no configuration"
+	reasonKeysUnconfirmed = "keys not confirmed"
+	reasonNoRoute         = "no route"
+	reasonUnknownKey      = "unknown key"
+	reasonBadRequest      = "bad request"
+	reasonBodyTooLarge    = "body too large"
+	reasonBodyMemory      = "no memory for bodies"
+	reasonBodyNotRead     = "body not read"
+	reasonOrgLimit        = "organisation over its limit"
+	reasonNoServer        = "no server"
+	reasonRetryAfter      = "servers want no requests"
+	reasonServerLimit     = "servers limit requests"
+	reasonPoison          = "prompt part crashes servers"
+	reasonTooLate         = "deadline can't be met"
+	reasonNotRun          = "refused by servers"
+	reasonTimeout         = "timeout"
+	reasonConnBroken      = "connection to server broken"
+	reasonNoAnswer        = "no answer"
+	reasonServerError     = "server error"
+	reasonTruncated       = "response cut"
+	reasonEndUnknown      = "end of response unknown"
+	reasonDisconnected    = "caller left"
+)
+
+// Values of Retry-After for refused callers.
+const (
+	// retryAfterHostState is for refusals because of the state of this host, such
+	// as a missing configuration.
+	retryAfterHostState = time.Second
+	// retryAfterBusy is for refusals because of the load or state of servers.
+	retryAfterBusy = 300 * time.Millisecond
+	// retryAfterElsewhere is for refusals that other hosts of the region need not
+	// make.
+	retryAfterElsewhere = 20 * time.Millisecond
+)
+
+// refuse sends a refusal to the caller.
+func (q *request) refuse(ref *refusal) {
+	q.reason = ref.reason
+	h := q.w.Header()
+	if q.id != "" {
+		h.Set(platform.HeaderAttemptID, q.id)
+	}
+	if ref.retryAfter > 0 {
+		// Jitter keeps refused callers from retrying at the same time.
+		spread := 1 + rand.Float64()/2
+		h.Set("Retry-After", formatRetryAfter(time.Duration(float64(ref.retryAfter)*spread)))
+	}
+	if q.forwarded {
+		q.setPeerOutcome(ref.status)
+	}
+	h.Set("Content-Length", "0")
+	q.w.WriteHeader(ref.status)
+	q.finish("refused", ref.status)
+}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -202,26 +201,6 @@
 	return q.forwardedOrg
 }
 
-// refuse sends a refusal to the caller.
-func (q *request) refuse(ref *refusal) {
-	q.reason = ref.reason
-	h := q.w.Header()
-	if q.id != "" {
-		h.Set(platform.HeaderAttemptID, q.id)
-	}
-	if ref.retryAfter > 0 {
-		// Jitter keeps refused callers from retrying at the same time.
-		spread := 1 + rand.Float64()/2
-		h.Set("Retry-After", formatRetryAfter(time.Duration(float64(ref.retryAfter)*spread)))
-	}
-	if q.forwarded {
-		q.setPeerOutcome(ref.status)
-	}
-	h.Set("Content-Length", "0")
-	q.w.WriteHeader(ref.status)
-	q.finish("refused", ref.status)
-}
-
 // finish records the end of the request in metrics and the log, and refunds the
 // rate limit if no attempt may have run.
 func (q *request) finish(outcome string, status int) {
