Bound the reports of crashes further, and remove a record once

Found by reading. Reports of all regions with two services each could come near the 60 KiB of a frame in a storm of crashes, beyond which a receiver drops the whole state: a report holds 32 crashes and 32 responses now. After a wrong suspicion every host called the store to remove the record, again each 200 ms until its next reading: now the host that has seen the response does, and the first host of each region, once. While a probe was due, refusals asked callers to come back after 300 ms, again and again while the store is away: now after 2 s at least, within which a probe is answered.

TestProbe covers the removals.

--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -26,10 +26,9 @@
 	ended   map[pick.Process]time.Time
 	crashed map[Part]*crashes
 	begun   recent
-	// suspects are the suspected parts, cleared those that were suspected wrongly,
-	// with the time at which this showed.
+	// suspects are the suspected parts, cleared those that were suspected wrongly.
 	suspects map[Part]*suspect
-	cleared  map[Part]time.Time
+	cleared  map[Part]clearance
 	// records are the revisions of the store's records that were taken over.
 	records map[Part]Record
 }
@@ -38,7 +37,7 @@
 func NewDetector() *Detector {
 	return &Detector{
 		pending: make(map[pick.Process]*broken), ended: make(map[pick.Process]time.Time), crashed: make(map[Part]*crashes),
-		suspects: make(map[Part]*suspect), cleared: make(map[Part]time.Time), records: make(map[Part]Record),
+		suspects: make(map[Part]*suspect), cleared: make(map[Part]clearance), records: make(map[Part]Record),
 	}
 }
 
@@ -175,10 +174,10 @@
 	}
 	delete(d.suspects, part)
 	if len(d.cleared) >= maxCleared {
-		maps.DeleteFunc(d.cleared, func(_ Part, at time.Time) bool { return now.Sub(at) > clearedTTL })
+		maps.DeleteFunc(d.cleared, func(_ Part, c clearance) bool { return now.Sub(c.at) > clearedTTL })
 	}
 	if len(d.cleared) < maxCleared {
-		d.cleared[part] = now
+		d.cleared[part] = clearance{at: now, own: s == Own}
 	}
 	return []Change{{Part: part, Cleared: true}}
 }
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -100,6 +100,13 @@
 	return true
 }
 
+// clearance is the end of a wrong suspicion. Own is set if a response to a request of this
+// host has shown that it was wrong.
+type clearance struct {
+	at  time.Time
+	own bool
+}
+
 // suspect is the state of a suspected part.
 type suspect struct {
 	// since is when the suspicion began, or the last probe was allowed to some host.
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -194,8 +194,20 @@
 		t.Errorf("a returned probe is not allowed: %+v", v)
 	}
 	b.Begun(parts("dead"), at(30.7))
-	if r := b.Removals(); len(r) != 1 || r[0].Rev.Count != 9 {
-		t.Errorf("removals %+v", r)
+	r := b.Removals(false)
+	if len(r) != 1 || r[0].Rev.Count != 9 {
+		t.Fatalf("removals %+v", r)
+	}
+	b.Removed(r[0])
+	if r := b.Removals(true); len(r) != 0 {
+		t.Errorf("removals %+v of a record that was removed", r)
+	}
+	a.Merge(b.Report(Own, at(30.8)), Region, at(30.9))
+	if r := a.Removals(false); len(r) != 0 {
+		t.Errorf("a host that has not seen the response removes %+v", r)
+	}
+	if r := a.Removals(true); len(r) != 1 {
+		t.Errorf("the first host of a region removes %+v", r)
 	}
 }
 
--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -23,10 +23,14 @@
 // hold returns the time to the next probe.
 func hold(probes int) time.Duration { return holds[min(max(probes, 0), len(holds)-1)] }
 
+// minWait is the least time after which a refused request should come again: a probe that
+// is due is sent and answered meanwhile.
+const minWait = 2 * time.Second
+
 // Verdict is whether a request may be sent.
 type Verdict struct {
 	// Refuse is set if it may not; Index is then the position of the suspected part and
-	// Wait the time until a probe may be sent.
+	// Wait the time until a probe may be sent, at least minWait.
 	Refuse bool
 	Index  int
 	Wait   time.Duration
@@ -53,7 +57,7 @@
 		}
 		n++
 		s.asked = now
-		wait := max(s.since.Add(hold(s.probes)).Sub(now), 0)
+		wait := max(s.since.Add(hold(s.probes)).Sub(now), minWait)
 		if !v.Refuse || wait > v.Wait {
 			v = Verdict{Refuse: true, Index: i, Wait: wait, Part: part}
 		}
@@ -167,15 +171,26 @@
 	}
 }
 
-// Removals returns the records of parts that were suspected wrongly.
-func (d *Detector) Removals() []Record {
+// Removals returns the records that this host should remove: those of parts that were
+// suspected wrongly, as it has seen itself or, if first is set, another host has. The
+// argument first is that of Writes.
+func (d *Detector) Removals(first bool) []Record {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []Record
-	for part := range d.cleared {
-		if r, ok := d.records[part]; ok {
+	for part, c := range d.cleared {
+		if r, ok := d.records[part]; ok && (c.own || first) {
 			list = append(list, r)
 		}
 	}
 	return list
 }
+
+// Removed records that the store no longer holds a record.
+func (d *Detector) Removed(r Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.records[r.Part].Rev == r.Rev {
+		delete(d.records, r.Part)
+	}
+}
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -9,10 +9,10 @@
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 )
 
-// Bounds of one report.
+// Bounds of one report. Reports of all regions must fit into one frame between hosts.
 const (
-	maxReportedCrashes = 96
-	maxReportedBegun   = 64
+	maxReportedCrashes = 32
+	maxReportedBegun   = 32
 )
 
 // Crash reports that a process ended under a request with a part whose response had not
@@ -98,7 +98,7 @@
 func (d *Detector) watched(now time.Time) []Part {
 	list := slices.Concat(slices.Sorted(maps.Keys(d.cleared)), slices.Sorted(maps.Keys(d.suspects)))
 	for _, part := range slices.Sorted(maps.Keys(d.crashed)) {
-		if now.Sub(d.crashed[part].last) <= watchTime && d.suspects[part] == nil && d.cleared[part].IsZero() {
+		if now.Sub(d.crashed[part].last) <= watchTime && d.suspects[part] == nil && d.cleared[part].at.IsZero() {
 			list = append(list, part)
 		}
 	}
@@ -142,7 +142,7 @@
 // adopt suspects a part that another host has suspected since a time, unless a response to
 // a request with it has begun later.
 func (d *Detector) adopt(part Part, since, now time.Time) []Change {
-	if d.suspects[part] != nil || d.begunSince(part, since) || d.cleared[part].After(since.Add(-maxSkew)) {
+	if d.suspects[part] != nil || d.begunSince(part, since) || d.cleared[part].at.After(since.Add(-maxSkew)) {
 		return nil
 	}
 	d.suspect(part, &suspect{since: since, asked: now})
@@ -174,6 +174,6 @@
 // expire removes what is too old.
 func (d *Detector) expire(now time.Time) {
 	maps.DeleteFunc(d.crashed, func(_ Part, c *crashes) bool { return now.Sub(c.last) > crashTTL })
-	maps.DeleteFunc(d.cleared, func(_ Part, at time.Time) bool { return now.Sub(at) > clearedTTL })
+	maps.DeleteFunc(d.cleared, func(_ Part, c clearance) bool { return now.Sub(c.at) > clearedTTL })
 	maps.DeleteFunc(d.suspects, func(_ Part, s *suspect) bool { return now.Sub(s.asked) > suspectTTL })
 }
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -132,10 +132,12 @@
 		d.Written(r, time.Now())
 		f.opts.Log.Info("record of prompt part written", zap.String("service", service), zap.String("part_hash", formatPart(r.Part)), zap.Int("probes", r.Probes))
 	}
-	for _, r := range d.Removals() {
-		if err := f.removeRecord(service, r); err != nil {
-			ok = f.logRecord("record of prompt part not removed", service, r, err) && ok
+	for _, r := range d.Removals(f.Position() == 0) {
+		if err := f.removeRecord(service, r); err != nil && !f.logRecord("record of prompt part not removed", service, r, err) {
+			ok = false
+			continue
 		}
+		d.Removed(r)
 	}
 	return ok
 }
--- a/internal/edge/relay/poison.go
+++ b/internal/edge/relay/poison.go
@@ -32,7 +32,7 @@
 	}
 	names := q.partNames()
 	q.refusalInputs = append(q.refusalInputs, zap.String("part", names[min(v.Index, len(names)-1)]))
-	return &refusal{http.StatusServiceUnavailable, reasonPoison, max(v.Wait, retryAfterBusy)}
+	return &refusal{http.StatusServiceUnavailable, reasonPoison, v.Wait}
 }
 
 // endProbe returns the permission for a probe if the request was not run.
