Evaluate a report of crashes only when all of its parts are known

Found by reading: while a report was merged, the end of a process that it named could confirm requests that this host had lost, and the parts were evaluated then, with only the first crashes of the report. A shared part that the report named before the one that makes servers crash was suspected in its place. Crashes are added first now, and reports name the likeliest cause first, by the same order as the evaluation.

--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+// TestReportWithSharedPart guards against suspecting a part that other requests share because
+// a report names it before the part that makes servers crash.
+func TestReportWithSharedPart(t *testing.T) {
+	for i := range 50 {
+		guide, dead := fmt.Sprint("guide", i), fmt.Sprint("dead", i)
+		a, b := NewDetector(), NewDetector()
+		for i := range 3 {
+			a.Broken(process(i), parts(guide, dead), at(float64(i)))
+			b.Broken(process(i), parts(guide, fmt.Sprint("other", i)), at(float64(i)))
+		}
+		for i := range 3 {
+			a.Ended(process(i), at(3))
+		}
+		a.suspects = make(map[Part]*suspect) // the report holds crashes only
+		b.Merge(a.Report(Own, at(4)), Region, at(4.1))
+		if !refused(b, 5, dead) || refused(b, 5, guide) {
+			t.Fatalf("report %+v: suspects %v", a.Report(Own, at(4)), b.suspects)
+		}
+	}
+}
+
 // TestWrongSuspicionEnds guards against a wrong suspicion that lasts: a response that begins
 // shows it, on all hosts, and it does not come back from a host that has not heard of it.
 func TestWrongSuspicionEnds(t *testing.T) {
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -73,8 +73,8 @@
 	return r
 }
 
-// byCrashes returns the parts with crashes that are not explained, those with the most
-// first, then those with the latest.
+// byCrashes returns the parts with crashes that are not explained, the likeliest cause
+// first.
 func (d *Detector) byCrashes(explained map[pick.Process]bool, now time.Time) []Part {
 	counts := make(map[Part]int, len(d.crashed))
 	for part := range d.crashed {
@@ -83,7 +83,10 @@
 	maps.DeleteFunc(counts, func(_ Part, n int) bool { return n == 0 })
 	list := slices.Collect(maps.Keys(counts))
 	slices.SortFunc(list, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), d.crashed[b].last.Compare(d.crashed[a].last), cmp.Compare(a, b))
+		return cmp.Or(
+			cmp.Compare(counts[b], counts[a]), d.begun.at(a).Compare(d.begun.at(b)),
+			cmp.Compare(d.crashed[b].position, d.crashed[a].position), d.crashed[b].last.Compare(d.crashed[a].last), cmp.Compare(a, b),
+		)
 	})
 	return list
 }
@@ -127,9 +130,11 @@
 			continue
 		}
 		added = d.addCrash(c.Part, c.Position, crash{c.Process, at, s}, received) || added
-		if s == Region {
-			// The process has ended, whether or not this host's requests to it were
-			// already known to have been lost with it.
+	}
+	// Only now, since a part must not be suspected before all parts of the report that
+	// may explain its crashes are known.
+	if s == Region {
+		for _, c := range r.Crashes {
 			changes = append(changes, d.recordEnd(c.Process, received)...)
 		}
 	}
