Name the right part in a refusal, and bear the end of a service during a probe

Found by reading: a refusal named the eighth part of a prompt if the suspected one came later, and the end of a probe expected its service to be there still, which a new configuration may have removed.

--- a/internal/edge/relay/poison.go
+++ b/internal/edge/relay/poison.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,13 +26,13 @@
 	if v.Probe {
 		q.probe = true
 		q.probePart = v.Part
-		q.s.log.Info("request with a suspected prompt part sent as a probe", zap.String("id", q.id), zap.String("service", q.service), zap.Strings("parts", q.partNames()))
+		q.s.log.Info("request with a suspected prompt part sent as a probe", zap.String("id", q.id), zap.String("service", q.service), zap.Strings("parts", q.partNames(0, maxLoggedParts)))
 	}
 	if !v.Refuse {
 		return nil
 	}
-	names := q.partNames()
-	q.refusalInputs = append(q.refusalInputs, zap.String("part", names[min(v.Index, len(names)-1)]))
+	name := strings.Join(q.partNames(v.Index, v.Index+1), "")
+	q.refusalInputs = append(q.refusalInputs, zap.String("part", name))
 	return &refusal{http.StatusServiceUnavailable, reasonPoison, v.Wait}
 }
 
@@ -41,8 +42,9 @@
 		return
 	}
 	q.probe = false
-	if res == retry.NotRun {
-		q.s.fleet.Service(q.service).Poison.ReturnProbe(q.probePart)
+	// A new configuration may have removed the service meanwhile.
+	if svc := q.s.fleet.Service(q.service); svc != nil && res == retry.NotRun {
+		svc.Poison.ReturnProbe(q.probePart)
 	}
 }
 
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -90,18 +90,20 @@
 	maxLoggedPart  = 32
 )
 
-// partNames returns the identifiers of the parts of the prompt that other requests may
-// share, for logs.
-func (q *request) partNames() []string {
+// partNames returns the identifiers of the parts from the position first up to but not
+// including end, of those that other requests may share, for logs.
+func (q *request) partNames(first, end int) []string {
 	var names []string
 	text := q.r.Header.Get(platform.HeaderPrompt)
-	for len(names) < maxLoggedParts {
+	for i := range end {
 		name, rest, more := cutPart(text)
 		if !more {
 			break
 		}
 		text = rest
-		names = append(names, name[:min(len(name), maxLoggedPart)])
+		if i >= first {
+			names = append(names, name[:min(len(name), maxLoggedPart)])
+		}
 	}
 	return names
 }
