--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -139,17 +139,18 @@
 // since or whose last crash is too long ago, then those with the fewest crashes and the
 // oldest last one.
 func (d *Detector) evict(now time.Time) {
-	explained := map[pick.Process]bool{}
-	counts := make(map[Part]int, len(d.crashed))
-	for part := range d.crashed {
-		counts[part] = d.countCrashes(part, explained, now)
+	type entry struct {
+		part Part
+		n    int
+		last time.Time
 	}
-	list := slices.Collect(maps.Keys(counts))
-	slices.SortFunc(list, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(counts[a], counts[b]), d.crashed[a].last.Compare(d.crashed[b].last))
-	})
-	for _, part := range list[:len(list)/4] {
-		delete(d.crashed, part)
+	list := make([]entry, 0, len(d.crashed))
+	for part, c := range d.crashed {
+		list = append(list, entry{part, d.countCrashes(part, nil, now), c.last})
+	}
+	slices.SortFunc(list, func(a, b entry) int { return cmp.Or(cmp.Compare(a.n, b.n), a.last.Compare(b.last)) })
+	for _, e := range list[:len(list)/4] {
+		delete(d.crashed, e.part)
 	}
 }
 
@@ -194,15 +195,16 @@
 	explained := d.explained()
 	var changes []Change
 	for {
-		part, n := d.likeliest(explained, now)
-		if n < threshold {
+		list := d.candidates(explained, now)
+		if len(list) == 0 || list[0].n < threshold {
 			return changes
 		}
-		d.suspect(part, &suspect{since: now, asked: now, own: d.crashedHere(part)})
-		for _, x := range d.crashed[part].list {
+		c := list[0]
+		d.suspect(c.part, &suspect{since: now, asked: now, own: d.crashedHere(c.part)})
+		for _, x := range c.list {
 			explained[x.process] = true
 		}
-		changes = append(changes, Change{Part: part, Crashes: n})
+		changes = append(changes, Change{Part: c.part, Crashes: c.n})
 	}
 }
 
@@ -219,35 +221,36 @@
 	return set
 }
 
-// likeliest returns the part that is not suspected and has the most crashes that are not
-// explained, with their number. Of parts with equally many it is the one under which no
-// response has begun for longest, then the one that comes latest in its prompts: earlier
-// parts are shared by more requests.
-func (d *Detector) likeliest(explained map[pick.Process]bool, now time.Time) (Part, int) {
-	var best Part
-	most := 0
-	for part, c := range d.crashed {
-		if d.suspects[part] != nil {
-			continue
-		}
-		n := d.countCrashes(part, explained, now)
-		if n > most || n == most && n > 0 && d.likelier(part, c.position, best) {
-			best, most = part, n
-		}
-	}
-	return best, most
+// candidate is a part that may make servers crash, with the number of its crashes that are
+// not explained, and when a response to a request with it last began.
+type candidate struct {
+	*crashes
+	part  Part
+	n     int
+	begun time.Time
 }
 
-// likelier reports whether a part at a position is a likelier cause than another one with
-// as many crashes.
-func (d *Detector) likelier(part Part, position int, other Part) bool {
-	if c := d.begun.at(part).Compare(d.begun.at(other)); c != 0 {
-		return c < 0
-	}
-	if p := d.crashed[other].position; p != position {
-		return position > p
+// compare orders candidates: those with the most crashes first, then those under which no
+// response has begun for longest, then those that come latest in their prompts, since
+// earlier parts are shared by more requests.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(
+		cmp.Compare(o.n, c.n), c.begun.Compare(o.begun), cmp.Compare(o.position, c.position),
+		o.last.Compare(c.last), cmp.Compare(c.part, o.part),
+	)
+}
+
+// candidates returns the parts that are not suspected and have crashes that are not
+// explained, the likeliest cause first.
+func (d *Detector) candidates(explained map[pick.Process]bool, now time.Time) []candidate {
+	var list []candidate
+	for part, c := range d.crashed {
+		if n := d.countCrashes(part, explained, now); n > 0 && d.suspects[part] == nil {
+			list = append(list, candidate{c, part, n, d.begun.at(part)})
+		}
 	}
-	return part < other
+	slices.SortFunc(list, candidate.compare)
+	return list
 }
 
 // countCrashes returns the number of crashes under a part since a response to a request
@@ -255,7 +258,8 @@
 // another count once.
 func (d *Detector) countCrashes(part Part, explained map[pick.Process]bool, now time.Time) int {
 	begun := d.begun.at(part)
-	var times []time.Time
+	var buf [4]time.Time // most parts have few crashes
+	times := buf[:0]
 	for _, x := range d.crashed[part].list {
 		if x.at.After(begun) && now.Sub(x.at) <= crashTTL && !explained[x.process] {
 			times = append(times, x.at)
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -48,8 +48,8 @@
 // Bounds of the state, which callers can fill with parts that they make up.
 const (
 	maxPending  = 32   // processes
-	maxPerBreak = 2048 // parts of the requests to one process
-	maxCrashed  = 4096 // parts with crashes
+	maxPerBreak = 1024 // parts of the requests to one process
+	maxCrashed  = 1024 // parts with crashes
 	maxCrashes  = 64   // crashes of one part
 	maxEnded    = 256  // processes known to have ended
 	maxSuspects = 32
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -318,3 +319,36 @@
 		}
 	}
 }
+
+// BenchmarkFull measures the state of a detector that is filled with parts that callers make
+// up, and the time of one more crash and of a report.
+func BenchmarkFull(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	d := NewDetector()
+	rng := rand.New(rand.NewPCG(1, 1))
+	made := func() []Part {
+		list := make([]Part, MaxParts)
+		for i := range list {
+			list[i] = Part(rng.Uint64())
+		}
+		return list
+	}
+	for i := range 300 {
+		for range 20 {
+			d.Begun(made(), at(float64(i)))
+			d.Broken(process(i), made(), at(float64(i)))
+		}
+		d.Ended(process(i), at(float64(i)))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	i := 300
+	for b.Loop() {
+		crashAt(d, i, 300, made())
+		d.Report(Own, at(300))
+		i++
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state-bytes")
+}
--- a/internal/core/poison/recent.go
+++ b/internal/core/poison/recent.go
@@ -54,7 +54,13 @@
 // within returns the latest time of a part that is known from a scope or a nearer one.
 func (r *recent) within(part Part, s Scope) time.Time {
 	times := r.get(part)
-	return slices.MaxFunc(times[:s+1], time.Time.Compare)
+	latest := times[0]
+	for _, at := range times[1 : s+1] {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
 }
 
 // countSpaced returns the number of times that are at least spacing apart.
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -57,55 +57,43 @@
 		r.Suspects = append(r.Suspects, Suspect{part, max(now.Sub(x.since), 0)})
 	}
 	explained := d.explained()
-	for _, part := range d.byCrashes(explained, now) {
-		c := d.crashed[part]
+	for _, c := range d.candidates(explained, now) {
 		for _, x := range c.list {
-			if x.scope <= s && !explained[x.process] && x.at.After(d.begun.at(part)) && len(r.Crashes) < maxReportedCrashes {
-				r.Crashes = append(r.Crashes, Crash{part, c.position, x.process, max(now.Sub(x.at), 0)})
+			if x.scope <= s && !explained[x.process] && x.at.After(c.begun) && len(r.Crashes) < maxReportedCrashes {
+				r.Crashes = append(r.Crashes, Crash{c.part, c.position, x.process, max(now.Sub(x.at), 0)})
 			}
 		}
 	}
-	for _, part := range d.watched(now) {
-		if at := d.begun.within(part, s); !at.IsZero() && now.Sub(at) <= crashTTL && len(r.Begun) < maxReportedBegun {
-			r.Begun = append(r.Begun, Begun{part, max(now.Sub(at), 0)})
-		}
-	}
+	r.Begun = d.reportBegun(s, now)
 	return r
 }
 
-// byCrashes returns the parts with crashes that are not explained, the likeliest cause
-// first.
-func (d *Detector) byCrashes(explained map[pick.Process]bool, now time.Time) []Part {
-	counts := make(map[Part]int, len(d.crashed))
-	for part := range d.crashed {
-		counts[part] = d.countCrashes(part, explained, now)
-	}
-	maps.DeleteFunc(counts, func(_ Part, n int) bool { return n == 0 })
-	list := slices.Collect(maps.Keys(counts))
-	slices.SortFunc(list, func(a, b Part) int {
-		return cmp.Or(
-			cmp.Compare(counts[b], counts[a]), d.begun.at(a).Compare(d.begun.at(b)),
-			cmp.Compare(d.crashed[b].position, d.crashed[a].position), d.crashed[b].last.Compare(d.crashed[a].last), cmp.Compare(a, b),
-		)
-	})
-	return list
-}
-
 // watchTime is how long after a crash other hosts are told when a response to a request
 // with one of its parts has begun.
 const watchTime = time.Minute
 
-// watched returns the parts about which other hosts need to know when a response to a
-// request with them has begun: those that are or were suspected, and those with recent
-// crashes.
-func (d *Detector) watched(now time.Time) []Part {
-	list := slices.Concat(slices.Sorted(maps.Keys(d.cleared)), slices.Sorted(maps.Keys(d.suspects)))
-	for _, part := range slices.Sorted(maps.Keys(d.crashed)) {
-		if now.Sub(d.crashed[part].last) <= watchTime && d.suspects[part] == nil && d.cleared[part].at.IsZero() {
-			list = append(list, part)
+// reportBegun returns when responses have begun to requests with the parts about which other
+// hosts need to know: those that are or were suspected, and those with recent crashes.
+func (d *Detector) reportBegun(s Scope, now time.Time) []Begun {
+	var list []Begun
+	add := func(part Part) {
+		if at := d.begun.within(part, s); !at.IsZero() && now.Sub(at) <= crashTTL {
+			list = append(list, Begun{part, max(now.Sub(at), 0)})
+		}
+	}
+	for part := range d.cleared {
+		add(part)
+	}
+	for part := range d.suspects {
+		add(part)
+	}
+	for part, c := range d.crashed {
+		if now.Sub(c.last) <= watchTime && d.suspects[part] == nil && d.cleared[part].at.IsZero() {
+			add(part)
 		}
 	}
-	return list
+	slices.SortFunc(list, func(a, b Begun) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part)) })
+	return list[:min(len(list), maxReportedBegun)]
 }
 
 // Merge adds the report of another host, of this region or a remote one. It returns
