Derive the record of a suspected part from those of the store

A suspected part kept a copy of the store's record that the detector holds anyway, and three methods kept both alike. Writes reads the detector's now; what is written and when is unchanged.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -119,8 +119,7 @@
 	mayProbe bool
 	// own is set if this host has lost a request with the part itself.
 	own bool
-	// record is what the store holds of the suspicion, and unlisted the time since
-	// when it holds nothing.
-	record   Record
+	// unlisted is the time since when the store holds no record of the suspicion, zero
+	// while it holds one.
 	unlisted time.Time
 }
--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -107,7 +107,6 @@
 		}
 		d.records[r.Part] = r
 		if s := d.suspects[r.Part]; s != nil {
-			s.record = r
 			if r.Probes > s.probes {
 				s.probes = r.Probes
 				s.since = now
@@ -128,7 +127,6 @@
 			s.unlisted = time.Time{}
 		} else if s.unlisted.IsZero() {
 			s.unlisted = now
-			s.record = Record{}
 		}
 	}
 	return changes
@@ -147,7 +145,7 @@
 		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
 			list = append(list, Record{Part: part, Probes: s.probes})
 		case listed && !s.mayProbe && now.Sub(s.since) >= hold(s.probes) && now.Sub(s.asked) < time.Second:
-			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: s.record.Rev})
+			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: d.records[part].Rev})
 		}
 	}
 	return list
@@ -162,7 +160,6 @@
 	if s == nil {
 		return
 	}
-	s.record = r
 	s.unlisted = time.Time{}
 	if r.Probes > s.probes {
 		s.probes = r.Probes
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -156,7 +156,6 @@
 	}
 	delete(d.cleared, part)
 	r, listed := d.records[part]
-	s.record = r
 	s.probes = r.Probes
 	if !listed {
 		s.unlisted = s.asked
