--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -38,14 +38,13 @@
 	shared := 0
 	key := uint64(0)
 	for len(parts) < pick.MaxParts {
-		part, rest, more := strings.Cut(text, ",")
+		id, size, rest, more := cutPart(text)
 		if !more {
 			break
 		}
 		text = rest
-		id, size, ok := strings.Cut(strings.TrimSpace(part), ":")
 		n, err := strconv.Atoi(size)
-		if !ok || err != nil || n < 0 || n > prompt-shared {
+		if err != nil || n < 0 || n > prompt-shared {
 			break
 		}
 		d := xxhash.NewWithSeed(key)
@@ -65,22 +64,23 @@
 func partsOf(text string) []poison.Part {
 	var parts []poison.Part
 	for len(parts) < poison.MaxParts {
-		name, rest, more := cutPart(text)
+		id, _, rest, more := cutPart(text)
 		if !more {
 			break
 		}
 		text = rest
-		parts = append(parts, poison.NewPart(name))
+		parts = append(parts, poison.NewPart(id))
 	}
 	return parts
 }
 
-// cutPart returns the identifier of the first part in the text of a prompt header, the
-// text after it, and whether another part follows. The last part is the request's own.
-func cutPart(text string) (name, rest string, more bool) {
+// cutPart returns the identifier and the size of the first part in the text of a prompt
+// header, the text after it, and whether another part follows. The last part is the
+// request's own.
+func cutPart(text string) (id, size, rest string, more bool) {
 	part, rest, more := strings.Cut(text, ",")
-	name, _, _ = strings.Cut(strings.TrimSpace(part), ":")
-	return name, rest, more
+	id, size, _ = strings.Cut(strings.TrimSpace(part), ":")
+	return id, size, rest, more
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line, and maxLoggedPart the length
@@ -96,13 +96,13 @@
 	var names []string
 	text := q.r.Header.Get(platform.HeaderPrompt)
 	for i := range end {
-		name, rest, more := cutPart(text)
+		id, _, rest, more := cutPart(text)
 		if !more {
 			break
 		}
 		text = rest
 		if i >= first {
-			names = append(names, name[:min(len(name), maxLoggedPart)])
+			names = append(names, id[:min(len(id), maxLoggedPart)])
 		}
 	}
 	return names
