Send responses without framing from one method of the fake server

The header of a response with neither a length nor chunks was written out in the tests of framing, of streams and in the soak's servers: StartUnframed of the fake server writes it. The tests check what they did; only the fake's signature in them is that of its other responses now.

--- a/cmd/yuccalbe/server_test.go
+++ b/cmd/yuccalbe/server_test.go
@@ -95,7 +95,8 @@
 	if fault == faultCut {
 		body = body[:len(body)*2/3]
 	}
-	x.Send("HTTP/1.1 200 OK\r\n" + strings.Join(append(lines, ""), "\r\n") + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\n\r\n" + body)
+	x.StartUnframed("HTTP/1.1", lines...)
+	x.Send(body)
 	time.Sleep(5 * time.Millisecond) // the end arrives after the body
 }
 
--- a/internal/edge/entry/framing_test.go
+++ b/internal/edge/entry/framing_test.go
@@ -16,7 +16,8 @@
 // chunks and closes the connection.
 func unframed(version, body string) origin.Script {
 	return func(x *origin.Exchange) bool {
-		x.Send(fmt.Sprintf("%s 200 OK\r\n%s: %s\r\n%s: s\r\n\r\n%s", version, platform.HeaderAttemptID, x.ID(), platform.HeaderSignature, body))
+		x.StartUnframed(version)
+		x.Send(body)
 		time.Sleep(30 * time.Millisecond)
 		return false
 	}
--- a/internal/edge/entry/stream_test.go
+++ b/internal/edge/entry/stream_test.go
@@ -88,7 +88,8 @@
 	e := cl.host("a1")
 	var reset atomic.Bool
 	cl.server("s1", "a1", func(x *origin.Exchange) bool {
-		x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\n\r\n" + origin.Events(1, 2))
+		x.StartUnframed("HTTP/1.1")
+		x.Send(origin.Events(1, 2))
 		time.Sleep(50 * time.Millisecond)
 		if reset.Load() {
 			return x.Reset()
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -216,6 +216,14 @@
 		platform.HeaderAttemptID, x.ID(), platform.HeaderSignature, x.ID(), headerLines(lines)))
 }
 
+// StartUnframed sends the header of a response with neither a length nor chunks, in a
+// version of HTTP such as "HTTP/1.1", with additional header lines. The response ends with
+// its connection.
+func (x *Exchange) StartUnframed(version string, lines ...string) bool {
+	return x.Send(fmt.Sprintf("%s 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n%s\r\n",
+		version, platform.HeaderAttemptID, x.ID(), platform.HeaderSignature, x.ID(), headerLines(lines)))
+}
+
 // Chunk sends one chunk of a stream.
 func (x *Exchange) Chunk(s string) bool { return x.Send(fmt.Sprintf("%x\r\n%s\r\n", len(s), s)) }
 
