Reset responses in a test only once their start was forwarded

Cause: the fake server reset its connection 30 ms after it had written the response. A reset discards what the host has not read; on a busy machine that was more than all beyond the first 256 KiB, so nothing had been forwarded yet, and the host answered 502, as it must.

Change: the server waits until the caller has the header of the response before it resets or closes. The test checks as much as before: a status of 200, an error, and the bytes that must arrive before it.

--- a/internal/edge/entry/framing_test.go
+++ b/internal/edge/entry/framing_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,48 +79,60 @@
 // was forwarded, and that ends for its caller like a complete one: if neither a length nor
 // chunks mark the end, only a reset shows it.
 func TestUnframedResponseReset(t *testing.T) {
+	chunked := func(x *origin.Exchange, body string) {
+		x.StartStream()
+		x.Chunk(body)
+	}
+	withoutFraming := func(x *origin.Exchange, body string) {
+		x.StartUnframed("HTTP/1.1")
+		x.Send(body)
+	}
 	for name, c := range map[string]struct {
-		call   line.Call
-		script origin.Script
-		body   string // that must arrive before the error
+		call  line.Call
+		start func(x *origin.Exchange, body string)
+		end   func(*origin.Exchange) bool
+		sent  string
+		body  string // that must arrive before the error
 	}{
-		"large response": {post("/order/x", "1"), func(x *origin.Exchange) bool {
-			unframed("HTTP/1.1", large)(x)
-			return x.Reset()
-		}, ""},
-		"stream": {post("/chat/x", "1"), func(x *origin.Exchange) bool {
-			unframed("HTTP/1.1", origin.Events(1, 3))(x)
-			return x.Reset()
-		}, origin.Events(1, 3)},
-		"stream to HTTP/1.0": {http10(post("/chat/x", "1")), func(x *origin.Exchange) bool {
-			x.StartStream()
-			x.Chunk(origin.Events(1, 3))
-			time.Sleep(30 * time.Millisecond)
-			return false
-		}, origin.Events(1, 3)},
-		"large response to HTTP/1.0": {http10(post("/order/x", "1")), func(x *origin.Exchange) bool {
-			x.StartStream()
-			x.Chunk(large)
-			time.Sleep(30 * time.Millisecond)
-			return false
-		}, large},
+		"large response":             {post("/order/x", "1"), withoutFraming, (*origin.Exchange).Reset, large, ""},
+		"stream":                     {post("/chat/x", "1"), withoutFraming, (*origin.Exchange).Reset, origin.Events(1, 3), origin.Events(1, 3)},
+		"stream to HTTP/1.0":         {http10(post("/chat/x", "1")), chunked, closeConn, origin.Events(1, 3), origin.Events(1, 3)},
+		"large response to HTTP/1.0": {http10(post("/order/x", "1")), chunked, closeConn, large, large},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t)
 			e := cl.host("a1")
-			cl.server("s1", "a1", c.script)
-			resp := cl.do(e, c.call)
-			wantStatus(t, resp, http.StatusOK)
-			if resp.Err == nil {
-				t.Errorf("the response looks complete: %d bytes", len(resp.Body))
+			forwarded := make(chan struct{}) // closed when the start has reached the caller
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				c.start(x, c.sent)
+				<-forwarded
+				return c.end(x)
+			})
+			release := sync.OnceFunc(func() { close(forwarded) })
+			t.Cleanup(release) // the server waits for its script
+			conn := cl.dial(e)
+			if _, err := io.WriteString(conn, c.call.Bytes(nextID())); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			release()
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("response %+v, %v", resp, err)
 			}
-			if !strings.HasPrefix(resp.Body, c.body) {
-				t.Errorf("got %d bytes before the error, want %d", len(resp.Body), len(c.body))
+			body, err := io.ReadAll(resp.Body)
+			if err == nil {
+				t.Errorf("the response looks complete: %d bytes", len(body))
+			}
+			if !strings.HasPrefix(string(body), c.body) {
+				t.Errorf("got %d bytes before the error, want %d", len(body), len(c.body))
 			}
 		})
 	}
 }
 
+// closeConn ends a response by an orderly close of its connection.
+func closeConn(*origin.Exchange) bool { return false }
+
 func http10(c line.Call) line.Call {
 	c.HTTP10 = true
 	return c
