Guard the crash counts of tests, and wait for servers that start again

Cause: TestSuspicionOutlivesHosts read the list of crashes without its lock while the script of a server that was still ending had written it, and a test waited for the goroutines that start servers again while a script could start another one. Neither is in the product. The soak waited in the same way.

Change: the list is read under its lock only; tests wait until no server is down, and for the goroutines at the end, when the servers are closed. A closed fake server does not listen again. What is checked is unchanged.

--- a/cmd/yuccalbe/poison_test.go
+++ b/cmd/yuccalbe/poison_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,8 +42,8 @@
 			s.t.Errorf("server %d: %v", i, err)
 		}
 		s.born[i].Store(time.Now().UnixMilli())
-		s.down[i].Store(false)
 		s.register(i)
+		s.down[i].Store(false)
 	})
 	return false
 }
@@ -65,6 +67,14 @@
 	}
 }
 
+// awaitServers waits until no server is down.
+func (s *soak) awaitServers() {
+	s.t.Helper()
+	await.True(s.t, serveTimeout, "all servers run", func() bool {
+		return !slices.ContainsFunc(s.down, (*atomic.Bool).Load)
+	})
+}
+
 // checkPoison sends requests with poisonPart to all hosts and checks that they are refused
 // soon enough, and still after all hosts were killed, while requests that share their other
 // part are served.
@@ -88,7 +98,7 @@
 		}
 		return nil
 	})
-	s.crashed.Wait()
+	s.awaitServers()
 	for i := range s.hosts {
 		s.restart(i, syscall.SIGKILL)
 	}
@@ -104,7 +114,7 @@
 			return nil
 		})
 	}
-	s.crashed.Wait()
+	s.awaitServers()
 	s.checkCrashes()
 }
 
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -115,6 +115,7 @@
 		sent: make(map[string]string), notRun: make(map[string]bool), revoked: make(map[string]time.Time),
 	}
 	s.rotateKey()
+	t.Cleanup(s.crashed.Wait) // after the servers are closed
 	for i := range soakServers {
 		f := &atomic.Int32{}
 		l := &limit{}
--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -30,7 +30,16 @@
 
 	mu      sync.Mutex
 	crashes []time.Time
-	done    sync.WaitGroup
+	down    int            // servers that have crashed and do not run yet
+	done    sync.WaitGroup // of the goroutines that start them again
+}
+
+// newFragile returns a set without servers. At the end of the test it waits for those that
+// start again, after they have been closed.
+func newFragile(cl *cluster) *fragile {
+	f := &fragile{cl: cl}
+	cl.t.Cleanup(f.done.Wait)
+	return f
 }
 
 // add starts a server.
@@ -52,6 +61,7 @@
 func (f *fragile) crash(srv *origin.Server, id, site string) {
 	f.mu.Lock()
 	f.crashes = append(f.crashes, time.Now())
+	f.down++
 	f.mu.Unlock()
 	srv.Crash()
 	f.done.Go(func() {
@@ -62,9 +72,26 @@
 			f.cl.t.Error(err)
 		}
 		f.cl.store.PutProcess(id, "desk", site, srv.Addr(), "ready", time.Now().UnixMilli())
+		f.mu.Lock()
+		f.down--
+		f.mu.Unlock()
 	})
 }
 
+// count returns the number of crashes.
+func (f *fragile) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
+// recovered reports whether all servers run.
+func (f *fragile) recovered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down == 0
+}
+
 // after returns the number of crashes later than d after the fifth, and false before that.
 func (f *fragile) after(d time.Duration) (int, bool) {
 	f.mu.Lock()
@@ -106,8 +133,7 @@
 func TestPromptPartCrashesServers(t *testing.T) {
 	cl := newCluster(t)
 	hosts := []*Entry{cl.host("a1"), cl.host("a1"), cl.host("b1")}
-	f := &fragile{cl: cl}
-	t.Cleanup(f.done.Wait)
+	f := newFragile(cl)
 	for i := range 3 {
 		f.add(fmt.Sprintf("sa%d", i), "a1")
 		f.add(fmt.Sprintf("sb%d", i), "b1")
@@ -117,7 +143,7 @@
 	var last line.Response
 	for i := 0; f.since() < contactTime+4*time.Second; i++ {
 		if time.Since(began) > 40*time.Second {
-			t.Fatalf("%d crashes within 40 s, want 5", len(f.crashes))
+			t.Fatalf("%d crashes within 40 s, want 5", f.count())
 		}
 		e := hosts[i%len(hosts)]
 		if i%7 == 0 {
@@ -148,8 +174,7 @@
 func TestSuspicionOutlivesHosts(t *testing.T) {
 	cl := newCluster(t)
 	old := []*Entry{cl.host("a1"), cl.host("a1")}
-	f := &fragile{cl: cl}
-	t.Cleanup(f.done.Wait)
+	f := newFragile(cl)
 	for i := range 3 {
 		f.add(fmt.Sprintf("s%d", i), "a1")
 	}
@@ -157,8 +182,8 @@
 		return cl.do(old[0], prompt("/chat/x", "guide", "dead")).Status == http.StatusServiceUnavailable && old[1].fleet.SuspectedParts() > 0
 	})
 	cl.eventually("record in the store", func() bool { return cl.store.Count("yuccalb/suspects/") == 1 })
-	crashes := len(f.crashes)
-	f.done.Wait()
+	cl.eventually("all servers run", f.recovered)
+	crashes := f.count()
 	cl.hosts = nil
 	for _, e := range old {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -168,8 +193,8 @@
 	e := cl.host("a1")
 	resp := cl.do(e, prompt("/chat/x", "guide", "dead"))
 	wantStatus(t, resp, http.StatusServiceUnavailable)
-	if len(f.crashes) != crashes {
-		t.Errorf("%d servers crashed after the restart", len(f.crashes)-crashes)
+	if n := f.count(); n != crashes {
+		t.Errorf("%d servers crashed after the restart", n-crashes)
 	}
 	wantStatus(t, cl.do(e, prompt("/chat/x", "guide", "other")), http.StatusOK)
 }
@@ -201,19 +226,14 @@
 func TestRefusalAfterCrash(t *testing.T) {
 	cl := newCluster(t)
 	e := cl.host("a1")
-	f := &fragile{cl: cl}
-	t.Cleanup(f.done.Wait)
+	f := newFragile(cl)
 	for i := range 3 {
 		f.add(fmt.Sprintf("s%d", i), "a1")
 	}
 	cl.eventually("suspicion", func() bool {
-		f.mu.Lock()
-		before := len(f.crashes)
-		f.mu.Unlock()
+		before := f.count()
 		resp := cl.do(e, prompt("/ask/x", "guide", "dead"))
-		f.mu.Lock()
-		ran := len(f.crashes) > before
-		f.mu.Unlock()
+		ran := f.count() > before
 		if promise := resp.Status == http.StatusServiceUnavailable || resp.Status == http.StatusTooManyRequests; promise && ran {
 			t.Errorf("status %d although the request was run", resp.Status)
 		}
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -45,10 +45,11 @@
 	// LeaveBody makes the server leave the body of a request to the script.
 	LeaveBody bool
 
-	mu    sync.Mutex
-	seen  []*Exchange
-	conns map[net.Conn]bool
-	done  sync.WaitGroup
+	mu     sync.Mutex
+	seen   []*Exchange
+	conns  map[net.Conn]bool
+	closed bool
+	done   sync.WaitGroup
 }
 
 // New starts a server, which is closed at the end of the test. No other test uses its
@@ -81,6 +82,9 @@
 
 // Close closes the listener and all connections, and waits for the scripts.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.Crash()
 	s.done.Wait()
 }
@@ -96,10 +100,14 @@
 	}
 }
 
-// Recover makes a server that crashed listen again, at the same address.
+// Recover makes a server that crashed listen again, at the same address. It does nothing
+// after Close.
 func (s *Server) Recover() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
 	l, err := net.Listen("tcp4", s.listener.Addr().String())
 	if err != nil {
 		return fmt.Errorf("listen again: %w", err)
