Log which attempts that broke off belong to one request

A caller's request has a new identifier at each attempt, so that logs could not tell one request that ends server after server from several that do so.

Change: the lines "attempt failed" and "response broke off" have request_hash, a hash of path, organisation and body (poison.NewRequest).

Ruled out: logging the path and the body: they may hold text of a prompt.

Conclusion: no decision changes. Tests of core/poison, edge/relay, edge/fleet and edge/entry pass.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -9,6 +9,7 @@
 package poison
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,11 +17,31 @@
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 )
 
-// Part identifies a part of prompts by a hash.
+// Part identifies by a hash what requests may have in common: a part of their prompts, or
+// all of their path, caller and body.
 type Part uint64
 
-// NewPart returns the part with an identifier.
-func NewPart(id string) Part { return Part(xxhash.Sum64String(id)) }
+// wholeRequest is set in parts that stand for a whole request.
+const wholeRequest Part = 1 << 63
+
+// NewPart returns the part of prompts with an identifier.
+func NewPart(id string) Part { return Part(xxhash.Sum64String(id)) &^ wholeRequest }
+
+// NewRequest returns the part that stands for a whole request. Requests with the same path,
+// caller and body are the same request, whatever identifiers their attempts have.
+func NewRequest(path, caller string, body []byte) Part {
+	d := xxhash.New()
+	// Writes to a digest return no errors. No path or name has a zero byte.
+	_, _ = d.WriteString(path + "\x00" + caller + "\x00")
+	_, _ = d.Write(body)
+	return Part(d.Sum64()) | wholeRequest
+}
+
+// Whole reports whether the part stands for a whole request.
+func (p Part) Whole() bool { return p&wholeRequest != 0 }
+
+// String returns the part as logs and the store's records name it.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
 // MaxParts bounds the parts of one prompt that are examined.
 const MaxParts = 16
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,7 +76,7 @@
 // where they are known from.
 func (f *Fleet) LogPoison(service string, changes []poison.Change, source ...zap.Field) {
 	for _, c := range changes {
-		fields := append(source, zap.String("service", service), zap.String("part_hash", formatPart(c.Part)))
+		fields := append(source, zap.String("service", service), zap.Stringer("part_hash", c.Part))
 		if c.Cleared {
 			f.opts.Log.Info("prompt part cleared", fields...)
 			continue
@@ -86,9 +85,6 @@
 	}
 }
 
-// formatPart returns a part as the store's records name it.
-func formatPart(p poison.Part) string { return strconv.FormatUint(uint64(p), 16) }
-
 // SuspectedParts returns the number of parts that are suspected to make servers crash.
 func (f *Fleet) SuspectedParts() int {
 	n := 0
@@ -130,7 +126,7 @@
 		}
 		r.Rev = rev
 		d.Written(r, time.Now())
-		f.opts.Log.Info("record of prompt part written", zap.String("service", service), zap.String("part_hash", formatPart(r.Part)), zap.Int("probes", r.Probes))
+		f.opts.Log.Info("record of prompt part written", zap.String("service", service), zap.Stringer("part_hash", r.Part), zap.Int("probes", r.Probes))
 	}
 	for _, r := range d.Removals(f.Position() == 0) {
 		if err := f.removeRecord(service, r); err != nil && !f.logRecord("record of prompt part not removed", service, r, err) {
@@ -148,7 +144,7 @@
 	if errors.Is(err, platform.ErrConflict) {
 		return true
 	}
-	f.opts.Log.Debug(msg, zap.String("service", service), zap.String("part_hash", formatPart(r.Part)), zap.Error(err))
+	f.opts.Log.Debug(msg, zap.String("service", service), zap.Stringer("part_hash", r.Part), zap.Error(err))
 	return false
 }
 
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -179,6 +179,6 @@
 	if q.remaining() <= 0 {
 		q.reason = reasonTimeout
 	}
-	q.s.log.Requests.Warn("response broke off", zap.String("id", q.id), zap.String("server", q.server), zap.String("last_event", q.lastEvent), zap.Strings("parts", q.partNames(0, maxLoggedParts)), zap.Error(err))
+	q.s.log.Requests.Warn("response broke off", zap.String("id", q.id), zap.String("server", q.server), zap.String("last_event", q.lastEvent), zap.Strings("parts", q.partNames(0, maxLoggedParts)), zap.Stringer("request_hash", q.whole()), zap.Error(err))
 	return res, pick.Broken
 }
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -78,7 +78,7 @@
 		return retry.Unknown, pick.Aborted
 	}
 	q.reason = reasonConnBroken
-	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Strings("parts", q.partNames(0, maxLoggedParts)), zap.Error(err))
+	q.s.log.Requests.Warn("attempt failed", zap.String("id", q.id), zap.String("server", q.server), zap.Bool("reused", e.Reused), zap.Strings("parts", q.partNames(0, maxLoggedParts)), zap.Stringer("request_hash", q.whole()), zap.Error(err))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		q.reason = reasonNoAnswer
 	}
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -74,6 +74,14 @@
 	return parts
 }
 
+// whole returns the part that stands for the whole request.
+func (q *request) whole() poison.Part {
+	if q.wholePart == 0 {
+		q.wholePart = poison.NewRequest(q.r.RequestURI, q.organisation(), q.body)
+	}
+	return q.wholePart
+}
+
 // cutPart returns the identifier and the size of the first part in the text of a prompt
 // header, the text after it, and whether another part follows. The last part is the
 // request's own.
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -55,6 +55,7 @@
 	reserved     reservation // for the body
 	pick         pick.Request
 	parts        []poison.Part // of the prompt, without the last one
+	wholePart    poison.Part   // see whole, 0 before the first call
 	tokensStated bool
 	// forwarded is set when another host forwarded the request. It states the
 	// priority and the organisation in headers.
