Reproduce one request that crashes server after server in failing tests

Callers saw 502 and lost streams whenever the same request came again.

The calls of the tests of prompt parts have their prompt as body now: with one body for all of them they were one request, which no caller sends with other parts.

--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -18,15 +18,19 @@
 
 const (
 	// contactTime is the time after the fifth crash within which all hosts must know
-	// which part of prompts makes servers crash.
+	// which part of prompts makes servers crash, and after the third one at the same
+	// request within which they must know this request.
 	contactTime = 5 * time.Second
 	// downTime is how long a server that crashed is down. Its entry expires meanwhile.
 	downTime = 2 * time.Second
 )
 
-// fragile are servers of which one crashes at each request with the part "dead".
+// fragile are servers of which one crashes at each request with the part "dead", or with
+// this word as the body or as part of the path.
 type fragile struct {
 	cl *cluster
+	// late makes servers crash after the first event of a stream.
+	late bool
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -47,16 +51,29 @@
 	var srv *origin.Server
 	srv = f.cl.server(id, site, func(x *origin.Exchange) bool {
 		time.Sleep(20 * time.Millisecond)
-		if strings.Contains(x.Header.Get(platform.HeaderPrompt), "dead:") {
+		if deadly(x) {
+			if f.late {
+				x.StartStream()
+				x.Chunk(origin.Event(1))
+				time.Sleep(20 * time.Millisecond)
+			}
 			f.crash(srv, id, site)
 			return false
 		}
+		if !strings.HasPrefix(x.RequestURI, "/chat/") && !strings.HasPrefix(x.RequestURI, "/ask/") {
+			return x.Reply(http.StatusOK, "served")
+		}
 		x.StartStream()
 		x.Chunk(origin.Events(1, 2))
 		return x.EndStream()
 	})
 }
 
+// deadly reports whether a request makes servers crash.
+func deadly(x *origin.Exchange) bool {
+	return strings.Contains(x.Header.Get(platform.HeaderPrompt), "dead:") || string(x.Body) == "dead" || strings.Contains(x.RequestURI, "dead")
+}
+
 // crash ends a server and starts it again after downTime.
 func (f *fragile) crash(srv *origin.Server, id, site string) {
 	f.mu.Lock()
@@ -92,39 +109,38 @@
 	return f.down == 0
 }
 
-// after returns the number of crashes later than d after the fifth, and false before that.
-func (f *fragile) after(d time.Duration) (int, bool) {
+// lateCrashes returns the number of crashes later than contactTime after the nth one.
+func (f *fragile) lateCrashes(nth int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < 5 {
-		return 0, false
-	}
 	n := 0
 	for _, at := range f.crashes {
-		if at.Sub(f.crashes[4]) > d {
+		if len(f.crashes) >= nth && at.Sub(f.crashes[nth-1]) > contactTime {
 			n++
 		}
 	}
-	return n, true
+	return n
 }
 
-// since returns the time since the fifth crash, 0 before it.
-func (f *fragile) since() time.Duration {
+// since returns the time since the nth crash, 0 before it.
+func (f *fragile) since(nth int) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < 5 {
+	if len(f.crashes) < nth {
 		return 0
 	}
-	return time.Since(f.crashes[4])
+	return time.Since(f.crashes[nth-1])
 }
 
-// prompt returns a request whose prompt has the given parts and one of its own.
+// prompt returns a request whose prompt, which is its body, has the given parts and one of
+// its own.
 func prompt(path string, parts ...string) line.Call {
 	text := ""
 	for _, part := range parts {
 		text += part + ":165,"
 	}
-	return post(path, "1").With(platform.HeaderPrompt, text+nextID()+":20").With(platform.HeaderTokens, "2000,20")
+	text += nextID() + ":20"
+	return post(path, text).With(platform.HeaderPrompt, text).With(platform.HeaderTokens, "2000,20")
 }
 
 // TestPromptPartCrashesServers guards against servers that crash one after the other at
@@ -141,7 +157,7 @@
 	began := time.Now()
 	var served, sound int
 	var last line.Response
-	for i := 0; f.since() < contactTime+4*time.Second; i++ {
+	for i := 0; f.since(5) < contactTime+4*time.Second; i++ {
 		if time.Since(began) > 40*time.Second {
 			t.Fatalf("%d crashes within 40 s, want 5", f.count())
 		}
@@ -150,7 +166,7 @@
 			last = cl.do(e, prompt("/chat/x", "guide", "dead"))
 		}
 		resp := cl.do(e, prompt("/chat/x", "guide", "other"))
-		if f.since() > contactTime {
+		if f.since(5) > contactTime {
 			sound++
 			if resp.Status == http.StatusOK && resp.Err == nil {
 				served++
@@ -158,7 +174,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if n, _ := f.after(contactTime); n > 3 {
+	if n := f.lateCrashes(5); n > 3 {
 		t.Errorf("%d servers crashed later than %v after the fifth crash, want at most 3", n, contactTime)
 	}
 	if served*10 < sound*9 {
