Refuse a request that makes servers crash, known by path, caller and body

Callers saw 502 and lost streams again and again: one request ended each server that began to run it, and with it up to 64 requests of others.

Cause: hosts compared requests by the parts of their prompts only. Requests without parts were not examined, and sound requests cleared the parts that the request shared with them. The class: a fault that follows the request is charged to what surrounds it.

Change: the whole request is one more part of it, by a hash of path, organisation and body, in the same guard, reports and records as the parts of prompts. A complete response clears it, not one that began; crashes in quick succession count apart if the request was sent after the one before; two probes, then none until it has not come for 10 min. Crashes that a suspected request explains count for a part of prompts once two others have happened, so that a part is still found by the fifth. A host whose request broke off checks at once whether the server's address refuses connections. Reports name the newest crashes first, and begun responses to requests that broke nothing use no memory.

--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -10,11 +10,18 @@
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 )
 
-// broken are the parts of the requests that a process broke off, with their greatest
-// positions, and the time of the first of these requests.
+// broken are the parts of the requests that a process broke off, and the time at which it
+// broke off the first of them.
 type broken struct {
 	at    time.Time
-	parts map[Part]int
+	parts map[Part]mark
+}
+
+// mark is the greatest position of a part in the requests that have it, and when the last of
+// them was sent.
+type mark struct {
+	position int
+	sent     time.Time
 }
 
 // Detector finds the parts of prompts that make the servers of one service crash.
@@ -41,11 +48,14 @@
 	}
 }
 
-// Broken records that a process broke off a request of this host before its response had
-// begun. It counts as a crash once the process is known to have ended.
-func (d *Detector) Broken(p pick.Process, parts []Part, now time.Time) []Change {
+// Broken records that a process broke off a request of this host that was sent at a time.
+// The argument parts holds its parts if the response had not begun, and the whole request.
+// It counts as a crash once the process is known to have ended. Broken reports whether
+// this is the first such request to the process, so that it should be checked whether it
+// has ended.
+func (d *Detector) Broken(p pick.Process, parts []Part, sent, now time.Time) (changes []Change, first bool) {
 	if len(parts) == 0 {
-		return nil
+		return nil, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -53,20 +63,30 @@
 	if b == nil {
 		maps.DeleteFunc(d.pending, func(_ pick.Process, b *broken) bool { return now.Sub(b.at) > pendingTTL })
 		if len(d.pending) >= maxPending {
-			return nil
+			return nil, false
 		}
-		b = &broken{at: now, parts: make(map[Part]int)}
+		b = &broken{at: now, parts: make(map[Part]mark)}
 		d.pending[p] = b
+		first = true
 	}
-	for i, part := range parts[:min(len(parts), MaxParts)] {
-		if pos, ok := b.parts[part]; ok || len(b.parts) < maxPerBreak {
-			b.parts[part] = max(pos, i)
+	for i, part := range parts[:min(len(parts), MaxParts+1)] {
+		m, ok := b.parts[part]
+		if !ok && len(b.parts) >= maxPerBreak {
+			continue
 		}
+		m.position = max(m.position, i)
+		if part.Whole() {
+			m.position = MaxParts
+		}
+		if sent.After(m.sent) {
+			m.sent = sent
+		}
+		b.parts[part] = m
 	}
 	if at, ok := d.ended[p]; ok && now.Sub(at) <= pendingTTL {
-		return d.confirm(p, now)
+		return d.confirm(p, now), false
 	}
-	return nil
+	return nil, first
 }
 
 // Ended records that a process has ended: it no longer accepts connections, or another one
@@ -110,8 +130,8 @@
 		return nil
 	}
 	added := false
-	for part, pos := range b.parts {
-		added = d.addCrash(part, pos, crash{p, b.at, Own}, now) || added
+	for part, m := range b.parts {
+		added = d.addCrash(part, m.position, crash{p, m.sent, b.at, Own}, now) || added
 	}
 	if !added {
 		return nil
@@ -146,7 +166,8 @@
 	}
 	list := make([]entry, 0, len(d.crashed))
 	for part, c := range d.crashed {
-		list = append(list, entry{part, d.countCrashes(part, nil, now), c.last})
+		n, _ := d.countCrashes(part, nil, now)
+		list = append(list, entry{part, n, c.last})
 	}
 	slices.SortFunc(list, func(a, b entry) int { return cmp.Or(cmp.Compare(a.n, b.n), a.last.Compare(b.last)) })
 	for _, e := range list[:len(list)/4] {
@@ -154,17 +175,34 @@
 	}
 }
 
-// Begun records that a response to a request of this host with these parts has begun.
+// Begun records that a response to a request of this host with these parts has begun, or,
+// for a whole request, is complete.
 func (d *Detector) Begun(parts []Part, now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
 	for _, part := range parts[:min(len(parts), MaxParts)] {
-		changes = append(changes, d.recordBegun(part, now, Own, now)...)
+		// Most whole requests come once: those that broke nothing need no memory.
+		if !part.Whole() || d.known(part) {
+			changes = append(changes, d.recordBegun(part, now, Own, now)...)
+		}
 	}
 	return changes
 }
 
+// known reports whether a process has broken off a request with a part.
+func (d *Detector) known(part Part) bool {
+	if d.crashed[part] != nil || d.suspects[part] != nil {
+		return true
+	}
+	for _, b := range d.pending {
+		if _, ok := b.parts[part]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // recordBegun records that a response to a request with a part began at a time, and ends
 // the suspicion of the part if it is older.
 func (d *Detector) recordBegun(part Part, at time.Time, s Scope, now time.Time) []Change {
@@ -196,38 +234,54 @@
 	var changes []Change
 	for {
 		list := d.candidates(explained, now)
-		if len(list) == 0 || list[0].n < threshold {
+		i := slices.IndexFunc(list, candidate.suspicious)
+		if i < 0 {
 			return changes
 		}
-		c := list[0]
+		c := list[i]
 		d.suspect(c.part, &suspect{since: now, asked: now, own: d.crashedHere(c.part)})
-		for _, x := range c.list {
-			explained[x.process] = true
-		}
+		explained.add(c.part, c.crashes)
 		changes = append(changes, Change{Part: c.part, Crashes: c.n})
 	}
 }
 
+// causes holds the processes that ended under a suspected part, and whether this part is one
+// of prompts. A suspected request explains a crash for other requests, but for parts of
+// prompts only in part.
+type causes map[pick.Process]bool
+
+// add adds the crashes under a suspected part.
+func (s causes) add(part Part, c *crashes) {
+	for _, x := range c.list {
+		s[x.process] = s[x.process] || !part.Whole()
+	}
+}
+
 // explained returns the processes that ended under a suspected part.
-func (d *Detector) explained() map[pick.Process]bool {
-	set := make(map[pick.Process]bool)
+func (d *Detector) explained() causes {
+	set := make(causes)
 	for part := range d.suspects {
 		if c := d.crashed[part]; c != nil {
-			for _, x := range c.list {
-				set[x.process] = true
-			}
+			set.add(part, c)
 		}
 	}
 	return set
 }
 
 // candidate is a part that may make servers crash, with the number of its crashes that are
-// not explained, and when a response to a request with it last began.
+// not explained, and when a response to a request with it last began. The flag shared is
+// set if a suspected request explains further crashes under it.
 type candidate struct {
 	*crashes
-	part  Part
-	n     int
-	begun time.Time
+	part   Part
+	n      int
+	shared bool
+	begun  time.Time
+}
+
+// suspicious reports whether enough processes have ended under the part.
+func (c candidate) suspicious() bool {
+	return c.n >= threshold || c.n >= partThreshold && c.shared && !c.part.Whole()
 }
 
 // compare orders candidates: those with the most crashes first, then those under which no
@@ -242,11 +296,12 @@
 
 // candidates returns the parts that are not suspected and have crashes that are not
 // explained, the likeliest cause first.
-func (d *Detector) candidates(explained map[pick.Process]bool, now time.Time) []candidate {
+func (d *Detector) candidates(explained causes, now time.Time) []candidate {
 	var list []candidate
 	for part, c := range d.crashed {
-		if n := d.countCrashes(part, explained, now); n > 0 && d.suspects[part] == nil {
-			list = append(list, candidate{c, part, n, d.begun.at(part)})
+		n, shared := d.countCrashes(part, explained, now)
+		if n > 0 && d.suspects[part] == nil {
+			list = append(list, candidate{c, part, n, shared, d.begun.at(part)})
 		}
 	}
 	slices.SortFunc(list, candidate.compare)
@@ -254,18 +309,23 @@
 }
 
 // countCrashes returns the number of crashes under a part since a response to a request
-// with it last began, without those that are explained. Crashes within spacing of one
-// another count once.
-func (d *Detector) countCrashes(part Part, explained map[pick.Process]bool, now time.Time) int {
+// with it last began, without those that are explained, and whether a suspected request
+// explains others. Crashes that countSpaced does not count apart count once.
+func (d *Detector) countCrashes(part Part, explained causes, now time.Time) (n int, shared bool) {
 	begun := d.begun.at(part)
-	var buf [4]time.Time // most parts have few crashes
-	times := buf[:0]
+	var buf [4]crash // most parts have few crashes
+	list := buf[:0]
 	for _, x := range d.crashed[part].list {
-		if x.at.After(begun) && now.Sub(x.at) <= crashTTL && !explained[x.process] {
-			times = append(times, x.at)
+		if !x.at.After(begun) || now.Sub(x.at) > crashTTL {
+			continue
+		}
+		byPart, found := explained[x.process]
+		if !found {
+			list = append(list, x)
 		}
+		shared = shared || found && !byPart
 	}
-	return countSpaced(times)
+	return countSpaced(list, part.Whole()), shared
 }
 
 // crashedHere reports whether this host has lost a request with a part in a crash.
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -1,9 +1,10 @@
-// Package poison finds the parts of prompts that make backend servers crash. A server
-// process that ends takes all its requests with it, so that one crash shows only which
-// parts may be the cause: those of requests whose response had not begun. A part is
-// suspected once several processes have ended under it while no response to a request
-// with it has begun. Requests with a suspected part are refused until a response to one
-// of them shows that the suspicion was wrong.
+// Package poison finds the requests, and the parts of prompts, that make backend servers
+// crash. A server process that ends takes all its requests with it, so that one crash
+// shows only which requests may be the cause, and which parts: those of requests whose
+// response had not begun. A part is suspected once several processes have ended under it
+// while no response to a request with it has begun, and a whole request once they have
+// while no response to it was complete. Requests with a suspected part are refused until
+// a response to one of them shows that the suspicion was wrong.
 //
 // A Detector is safe for concurrent use. It reads no clock: the time is an argument.
 package poison
@@ -43,15 +44,21 @@
 // String returns the part as logs and the store's records name it.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
-// MaxParts bounds the parts of one prompt that are examined.
+// MaxParts bounds the parts of one prompt that are examined. The part that stands for the
+// whole request follows them, so that its position is MaxParts.
 const MaxParts = 16
 
 const (
 	// threshold is the number of crashes from which on a part is suspected. Crashes
 	// within spacing of one another count once: when a whole region fails, many
-	// processes end at once under the parts that are in use.
+	// processes end at once under the parts that are in use. Those of a whole request
+	// count apart if it was sent again after the one before, as a retry is.
 	threshold = 3
 	spacing   = 500 * time.Millisecond
+	// partThreshold replaces threshold for a part of prompts if further crashes under
+	// it are explained by a suspected request: the request may have been suspected
+	// because it has the part.
+	partThreshold = 2
 	// maxSkew bounds the difference of times that hosts report to each other: a report
 	// is late by the time that it takes.
 	maxSkew = time.Second
@@ -87,11 +94,12 @@
 	Cleared bool
 }
 
-// crash is the end of a process under requests with a part.
+// crash is the end of a process under requests with a part, the last of which was sent at
+// the time sent.
 type crash struct {
-	process pick.Process
-	at      time.Time
-	scope   Scope
+	process  pick.Process
+	sent, at time.Time
+	scope    Scope
 }
 
 // crashes are the crashes under a part. Position is the part's greatest position in a
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -30,7 +30,7 @@
 // crashAt makes a process end under requests with the given parts, one slice each.
 func crashAt(d *Detector, i int, s float64, requests ...[]Part) []Change {
 	for _, r := range requests {
-		d.Broken(process(i), r, at(s))
+		d.Broken(process(i), r, at(s), at(s))
 	}
 	return d.Ended(process(i), at(s+0.1))
 }
@@ -78,7 +78,7 @@
 		},
 		"processes that go on": func(d *Detector) {
 			for i := range 20 {
-				d.Broken(process(i), parts("guide"), at(float64(i)))
+				d.Broken(process(i), parts("guide"), at(float64(i)), at(float64(i)))
 			}
 			d.Listed(map[pick.Process]bool{process(19): true}, at(60))
 		},
@@ -133,8 +133,8 @@
 		guide, dead := fmt.Sprint("guide", i), fmt.Sprint("dead", i)
 		a, b := NewDetector(), NewDetector()
 		for i := range 3 {
-			a.Broken(process(i), parts(guide, dead), at(float64(i)))
-			b.Broken(process(i), parts(guide, fmt.Sprint("other", i)), at(float64(i)))
+			a.Broken(process(i), parts(guide, dead), at(float64(i)), at(float64(i)))
+			b.Broken(process(i), parts(guide, fmt.Sprint("other", i)), at(float64(i)), at(float64(i)))
 		}
 		for i := range 3 {
 			a.Ended(process(i), at(3))
@@ -191,7 +191,7 @@
 	a.Records([]Record{record}, at(5))
 	b.Records([]Record{record}, at(5))
 	v := a.Check(parts("guide", "dead"), at(10))
-	if !v.Refuse || v.Index != 1 || v.Wait <= 0 || v.Wait > hold(0) {
+	if !v.Refuse || v.Index != 1 || v.Wait <= 0 || v.Wait > hold(record.Part, 0) {
 		t.Errorf("verdict %+v", v)
 	}
 	refused(b, 30, "dead")
@@ -264,7 +264,7 @@
 				made = append(made, Part(rng.Uint64()))
 			}
 			d.Begun(made, at(s))
-			d.Broken(process(i), made, at(s))
+			d.Broken(process(i), made, at(s), at(s))
 		}
 		changes := crashAt(d, i, s, parts("dead"))
 		if len(changes) > 0 && changes[0].Part != NewPart("dead") {
@@ -338,7 +338,7 @@
 	for i := range 300 {
 		for range 20 {
 			d.Begun(made(), at(float64(i)))
-			d.Broken(process(i), made(), at(float64(i)))
+			d.Broken(process(i), made(), at(float64(i)), at(float64(i)))
 		}
 		d.Ended(process(i), at(float64(i)))
 	}
--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
@@ -17,11 +18,28 @@
 
 // holds are the times for which no request with a suspected part is sent: from the
 // beginning of the suspicion to the first probe, from this to the next, and so on. The
-// last one repeats.
-var holds = []time.Duration{15 * time.Second, 45 * time.Second, 2 * time.Minute, 5 * time.Minute}
+// last one repeats. A whole request waits as requestHolds tells: it may end up to 64 others
+// with its server, and nobody else misses it. After as many probes it is not sent until it
+// has not come for suspectTTL.
+var (
+	holds        = []time.Duration{15 * time.Second, 45 * time.Second, 2 * time.Minute, 5 * time.Minute}
+	requestHolds = []time.Duration{time.Minute, 5 * time.Minute}
+)
 
-// hold returns the time to the next probe.
-func hold(probes int) time.Duration { return holds[min(max(probes, 0), len(holds)-1)] }
+// hold returns the time to the next probe of a part.
+func hold(part Part, probes int) time.Duration {
+	probes = max(probes, 0)
+	switch {
+	case !part.Whole():
+		return holds[min(probes, len(holds)-1)]
+	case probes < len(requestHolds):
+		return requestHolds[probes]
+	}
+	return never
+}
+
+// never is a time to a probe that is not reached.
+const never = time.Duration(math.MaxInt64)
 
 // minWait is the least time after which a refused request should come again: a probe that
 // is due is sent and answered meanwhile.
@@ -29,13 +47,13 @@
 
 // Verdict is whether a request may be sent.
 type Verdict struct {
-	// Refuse is set if it may not; Index is then the position of the suspected part and
-	// Wait the time until a probe may be sent, at least minWait.
+	// Refuse is set if it may not; Part is then the suspected part, Index its position
+	// and Wait the time until a probe may be sent, at least minWait.
 	Refuse bool
 	Index  int
 	Wait   time.Duration
-	// Probe is set if the request is a probe: it has one suspected part, Part, and may
-	// be sent all the same. A probe that was not run must be returned.
+	// Probe is set if the request is a probe: it has one suspected part and may be sent
+	// all the same. A probe that was not run must be returned.
 	Probe bool
 	Part  Part
 }
@@ -50,14 +68,17 @@
 	}
 	v := Verdict{}
 	n := 0
-	for i, part := range parts[:min(len(parts), MaxParts)] {
+	for i, part := range parts[:min(len(parts), MaxParts+1)] {
 		s := d.suspects[part]
 		if s == nil {
 			continue
 		}
 		n++
 		s.asked = now
-		wait := max(s.since.Add(hold(s.probes)).Sub(now), minWait)
+		wait := suspectTTL
+		if h := hold(part, s.probes); h < never {
+			wait = max(h-now.Sub(s.since), minWait)
+		}
 		if !v.Refuse || wait > v.Wait {
 			v = Verdict{Refuse: true, Index: i, Wait: wait, Part: part}
 		}
@@ -144,7 +165,7 @@
 		switch {
 		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
 			list = append(list, Record{Part: part, Probes: s.probes})
-		case listed && !s.mayProbe && now.Sub(s.since) >= hold(s.probes) && now.Sub(s.asked) < time.Second:
+		case listed && !s.mayProbe && now.Sub(s.since) >= hold(part, s.probes) && now.Sub(s.asked) < time.Second:
 			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: d.records[part].Rev})
 		}
 	}
--- a/internal/core/poison/recent.go
+++ b/internal/core/poison/recent.go
@@ -63,15 +63,16 @@
 	return latest
 }
 
-// countSpaced returns the number of times that are at least spacing apart.
-func countSpaced(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
+// countSpaced returns the number of crashes that are at least spacing apart. If resent is
+// set, those of requests that were sent after the crash before count as well.
+func countSpaced(list []crash, resent bool) int {
+	slices.SortFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
 	n := 0
 	var last time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(last) >= spacing {
+	for _, x := range list {
+		if n == 0 || x.at.Sub(last) >= spacing || resent && x.sent.After(last) {
 			n++
-			last = at
+			last = x.at
 		}
 	}
 	return n
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -22,6 +22,8 @@
 	Position int           `cbor:"2,keyasint,omitempty"`
 	Process  pick.Process  `cbor:"3,keyasint"`
 	Age      time.Duration `cbor:"4,keyasint"`
+	// Ran is the time from the send of the request to its end.
+	Ran time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Begun reports when a response to a request with a part last began.
@@ -56,16 +58,29 @@
 	for part, x := range d.suspects {
 		r.Suspects = append(r.Suspects, Suspect{part, max(now.Sub(x.since), 0)})
 	}
+	r.Crashes = d.reportCrashes(s, now)
+	r.Begun = d.reportBegun(s, now)
+	return r
+}
+
+// reportCrashes returns the crashes under the likeliest causes, of those with equally many
+// crashes the newest: others have received the older ones before.
+func (d *Detector) reportCrashes(s Scope, now time.Time) []Crash {
 	explained := d.explained()
-	for _, c := range d.candidates(explained, now) {
+	list := d.candidates(explained, now)
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.n, a.n), b.last.Compare(a.last)) })
+	var out []Crash
+	for _, c := range list {
 		for _, x := range c.list {
-			if x.scope <= s && !explained[x.process] && x.at.After(c.begun) && len(r.Crashes) < maxReportedCrashes {
-				r.Crashes = append(r.Crashes, Crash{c.part, c.position, x.process, max(now.Sub(x.at), 0)})
+			if len(out) >= maxReportedCrashes {
+				return out
+			}
+			if _, found := explained[x.process]; x.scope <= s && !found && x.at.After(c.begun) {
+				out = append(out, Crash{c.part, c.position, x.process, max(now.Sub(x.at), 0), max(x.at.Sub(x.sent), 0)})
 			}
 		}
 	}
-	r.Begun = d.reportBegun(s, now)
-	return r
+	return out
 }
 
 // watchTime is how long after a crash other hosts are told when a response to a request
@@ -114,10 +129,10 @@
 	added := false
 	for _, c := range r.Crashes {
 		at := received.Add(-c.Age)
-		if c.Position < 0 || c.Position >= MaxParts || received.Sub(at) > crashTTL {
+		if c.Position < 0 || c.Position > MaxParts || received.Sub(at) > crashTTL {
 			continue
 		}
-		added = d.addCrash(c.Part, c.Position, crash{c.Process, at, s}, received) || added
+		added = d.addCrash(c.Part, c.Position, crash{c.Process, at.Add(-c.Ran), at, s}, received) || added
 	}
 	// Only now, since a part must not be suspected before all parts of the report that
 	// may explain its crashes are known.
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -37,10 +37,12 @@
 
 	"prompt part suspected": "prompts",
 	"prompt part cleared":   "prompts",
+	"request suspected":     "requests",
+	"request cleared":       "requests",
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "prompts", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "prompts", "requests", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,12 +77,16 @@
 // where they are known from.
 func (f *Fleet) LogPoison(service string, changes []poison.Change, source ...zap.Field) {
 	for _, c := range changes {
-		fields := append(source, zap.String("service", service), zap.Stringer("part_hash", c.Part))
+		what, hash := "prompt part", "part_hash"
+		if c.Part.Whole() {
+			what, hash = "request", "request_hash"
+		}
+		fields := append(slices.Clip(source), zap.String("service", service), zap.Stringer(hash, c.Part))
 		if c.Cleared {
-			f.opts.Log.Info("prompt part cleared", fields...)
+			f.opts.Log.Info(what+" cleared", fields...)
 			continue
 		}
-		f.opts.Log.Warn("prompt part suspected", append(fields, zap.Int("crashes", c.Crashes))...)
+		f.opts.Log.Warn(what+" suspected", append(fields, zap.Int("crashes", c.Crashes))...)
 	}
 }
 
@@ -121,15 +126,15 @@
 	for _, r := range d.Writes(f.Position() == 0, time.Now()) {
 		rev, err := f.writeRecord(service, r)
 		if err != nil {
-			ok = f.logRecord("record of prompt part not written", service, r, err) && ok
+			ok = f.logRecord("record of suspicion not written", service, r, err) && ok
 			continue
 		}
 		r.Rev = rev
 		d.Written(r, time.Now())
-		f.opts.Log.Info("record of prompt part written", zap.String("service", service), zap.Stringer("part_hash", r.Part), zap.Int("probes", r.Probes))
+		f.opts.Log.Info("record of suspicion written", zap.String("service", service), zap.Stringer("part_hash", r.Part), zap.Int("probes", r.Probes))
 	}
 	for _, r := range d.Removals(f.Position() == 0) {
-		if err := f.removeRecord(service, r); err != nil && !f.logRecord("record of prompt part not removed", service, r, err) {
+		if err := f.removeRecord(service, r); err != nil && !f.logRecord("record of suspicion not removed", service, r, err) {
 			ok = false
 			continue
 		}
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -99,7 +99,7 @@
 func poisonErrors(r poison.Report) []error {
 	var errs []error
 	for _, c := range r.Crashes {
-		errs = append(errs, age("crash of "+c.Process.ID, c.Age), count("position of a part", c.Position))
+		errs = append(errs, age("crash of "+c.Process.ID, c.Age), age("request of "+c.Process.ID, c.Ran), count("position of a part", c.Position))
 	}
 	for _, b := range r.Begun {
 		errs = append(errs, age("response to a part", b.Age))
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -120,6 +120,7 @@
 // host to send it to.
 func (q *request) attempt() (retry.Result, *refusal) {
 	now := time.Now()
+	q.sentAt = now
 	if q.firstByte.IsZero() {
 		q.lastAttempt = now
 	}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -115,6 +115,7 @@
 	}
 	if success(resp) && (!q.endUnknown || body.Len() > 0) {
 		q.recordBegun()
+		q.recordComplete()
 	}
 	q.firstByte = time.Now()
 	length := int64(body.Len())
@@ -164,6 +165,9 @@
 	if err != nil {
 		return q.classifyTruncation(err, retry.Truncated)
 	}
+	if success(resp) {
+		q.recordComplete()
+	}
 	q.finish("served", resp.Status)
 	return retry.Done, pick.Served
 }
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -82,6 +83,9 @@
 	return q.wholePart
 }
 
+// allParts returns the parts of the prompt, and the one that stands for the whole request.
+func (q *request) allParts() []poison.Part { return append(slices.Clip(q.parts), q.whole()) }
+
 // cutPart returns the identifier and the size of the first part in the text of a prompt
 // header, the text after it, and whether another part follows. The last part is the
 // request's own.
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -32,6 +32,7 @@
 	reasonRetryAfter      = "servers want no requests"
 	reasonServerLimit     = "servers limit requests"
 	reasonPoison          = "prompt part crashes servers"
+	reasonPoisonRequest   = "request crashes servers"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,7 @@
 	staleAt    atomic.Int64
 	lengths    length.Estimator
 	bodyMemory byteLimit
+	checks     sync.WaitGroup // of checks whether servers have ended
 }
 
 // Options sets up a Relay.
@@ -85,8 +87,10 @@
 	}
 }
 
-// Close closes idle connections. Requests in progress must have ended.
+// Close closes idle connections and waits for the checks of servers, which take
+// endCheckTimeout at most. Requests in progress must have ended.
 func (s *Relay) Close() error {
+	s.checks.Wait()
 	if err := s.servers.Close(); err != nil {
 		return err
 	}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -69,8 +69,10 @@
 	reason        string
 	headerWritten bool      // the response header was written to the caller
 	firstByte     time.Time // when the first byte of the response was received
-	// lastAttempt is when the last attempt before the first byte began.
+	// lastAttempt is when the last attempt before the first byte began, and sentAt when
+	// the last one did.
 	lastAttempt   time.Time
+	sentAt        time.Time
 	lastEvent     string        // ID of the last event that the caller has
 	expected      time.Duration // time to the first byte at dest
 	localExpected time.Duration // time to the first byte in the local region
@@ -83,8 +85,8 @@
 	// began is set once the response to the last attempt has begun, and connLost if
 	// the server closed the connection before the response ended, or refused it.
 	began, connLost bool
-	// probe is set while the request may be sent although it has a suspected part,
-	// probePart.
+	// probe is set while the request may be sent although probePart, a part of its
+	// prompt or the whole request, is suspected.
 	probe     bool
 	probePart poison.Part
 	// endUnknown is set if the last response ends with its connection, so that its
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -92,6 +92,9 @@
 		return q.classifyTruncation(errWithinEvent, q.truncationResult())
 	}
 	q.connLost = q.endUnknown
+	if q.began || !q.endUnknown {
+		q.recordComplete()
+	}
 	onFirstByte()
 	q.writeStreamHeader(resp)
 	if q.endUnknown && !q.endUnmarked {
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -60,7 +60,7 @@
 			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
 		}, []string{"service"}),
 		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "yuccalb_broken_off_total", Help: "Requests with a prompt whose server closed the connection before the response had begun, by service.",
+			Name: "yuccalb_broken_off_total", Help: "Requests whose server closed the connection before the response was complete, by service.",
 		}, []string{"service"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_stream_ends_total", Help: "Streams that ended without an error, by service, framing (length, chunked or close) and place of the end (event: within an event, between: after one).",
