Log the software versions of servers and the attempt that a caller resumes

No log line told at which version a stream began or went on.

Change: entries of servers are decoded with their version, lines about servers and requests name it, and a request that takes a stream up names the earlier attempt ("resumes").

Ruled out: a metric by version, whose values operators choose freely.

Conclusion: no decision changes. Tests of platform, edge/track and edge/relay pass.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -100,6 +100,8 @@
 	// requests per second over all hosts.
 	Limited bool
 	Limit   float64
+	// Version is that of the server's software.
+	Version string
 
 	server *server
 	born   int64
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -98,7 +98,7 @@
 	t.recordSent(s, req, c.unread, now)
 	limit, limited := t.limit(s.process())
 	return Choice{
-		Limited: limited, Limit: limit,
+		Limited: limited, Limit: limit, Version: s.Version,
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, PrefillTime: t.model.PrefillTime(c.unread),
 		server: s, born: s.Born, sent: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
 	}, true
--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -108,6 +108,9 @@
 	Service string
 	Addr    netip.AddrPort
 	Site    string
+	// Version is that of the server's software. What two versions write does not fit
+	// together.
+	Version string
 	Slots   int
 	// Leaving is set while the server drains: it gets no new requests.
 	Leaving bool
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -267,6 +267,12 @@
 	if q.choice.Limited {
 		fields = append(fields, zap.Float64("limit", q.choice.Limit))
 	}
+	if q.choice.Version != "" {
+		fields = append(fields, zap.String("version", q.choice.Version))
+	}
+	if id := q.r.Header.Get(platform.HeaderResumes); id != "" {
+		fields = append(fields, zap.String("resumes", id))
+	}
 	if q.lastEvent != "" {
 		fields = append(fields, zap.String("last_event", q.lastEvent))
 	}
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -121,7 +121,7 @@
 func digest(e platform.Entries) uint64 {
 	lines := make([]string, 0, len(e.Servers)+len(e.Hosts)+len(e.Evacuated))
 	for _, s := range e.Servers {
-		lines = append(lines, fmt.Sprint("s", s.ID, s.Service, s.Addr, s.Site, s.Leaving, s.Warm > 0, s.Born))
+		lines = append(lines, fmt.Sprint("s", s.ID, s.Service, s.Addr, s.Site, s.Leaving, s.Warm > 0, s.Born, s.Version))
 	}
 	for _, h := range e.Hosts {
 		lines = append(lines, fmt.Sprint("h", h.Name, h.Site, h.Front, h.Peer))
@@ -149,7 +149,7 @@
 		if ok && o.Leaving == s.Leaving && o.Born == s.Born && (o.Warm > 0) == (s.Warm > 0) {
 			continue
 		}
-		t.opts.Log.Info("server", zap.String("server", s.ID), zap.Bool("new", !ok), zap.Bool("leaving", s.Leaving), zap.Duration("warm", s.Warm), zap.Int64("born", s.Born), zap.String("service", s.Service), zap.String("site", s.Site))
+		t.opts.Log.Info("server", zap.String("server", s.ID), zap.Bool("new", !ok), zap.Bool("leaving", s.Leaving), zap.Duration("warm", s.Warm), zap.Int64("born", s.Born), zap.String("service", s.Service), zap.String("version", s.Version), zap.String("site", s.Site))
 	}
 	for id, s := range before {
 		t.opts.Log.Info("server gone", zap.String("server", id), zap.String("service", s.Service), zap.String("site", s.Site))
