--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -160,7 +160,10 @@
 
 // register writes the store entry of a server with a new heartbeat.
 func (s *soak) register(i int) {
-	s.store.PutEntry(s.serverID(i), "desk", soakSite(i), s.serverProxies[i].Addr(), "ready", s.born[i].Load(), s.heartbeats.Add(1))
+	s.store.PutEntry(plattest.Server{
+		ID: s.serverID(i), Service: "desk", Site: soakSite(i), Addr: s.serverProxies[i].Addr(), State: "ready",
+		Born: s.born[i].Load(), Seq: s.heartbeats.Add(1),
+	})
 }
 
 // currentKey returns the key that is in force.
