Let streams go on only at the software version that began them

Callers got streams whose events come from two software versions of the servers, within one response or over their tries.

Cause: no decision looked at the version of a server's entry. The class: a choice among servers that are taken to be alike where the response depends on which one answered first.

Change: - Within a response, the version of the server that sent the first event is kept, across hosts by a header, and only servers of it are chosen after. - Over tries, each service has a base version, a record of the store. So nothing is written while one version serves, and streams that began before a release need no record. The base changes once its version has not been listed for 2 min. Records are kept in memory for 30 s and written again after a restore of the store. While the store accepts no records, streams begin at the base version if it serves. - A stream whose version no longer serves in a region that it may be served in is refused at once, without a time to come back; one whose version can't be known, with 503 and a time. A stream that can go on is not refused for being late: its caller has its beginning. - Headers between hosts are removed from callers' requests before they are forwarded, not only before servers get them.

Ruled out: a version that follows from the attempt's identifier (by a hash over the versions in service): the set of versions at the beginning of a stream is not known where it is taken up, so that all streams around a release would be ambiguous; and records of all streams, which the store would get without any release. Not tested: a server that starts again at another version under its former identifier.

--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -42,15 +41,15 @@
 }
 
 // ShortestWait returns the wait for the first of the servers that accept no request
-// because of a pause or an allowance, or false if there is none. Excluded and leaving
-// servers do not count.
+// because of a pause or an allowance, or false if there is none. Servers that may
+// not get the request and leaving ones do not count.
 func (t *Table) ShortestWait(req *Request, now time.Time) (Wait, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var shortest Wait
 	found := false
 	for _, s := range t.servers {
-		if t.leaving(s) || slices.Contains(req.Exclude, s.ID) {
+		if t.leaving(s) || !req.allows(s) {
 			continue
 		}
 		if w := t.wait(s, now); w.For > 0 && (!found || w.For < shortest.For) {
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -81,6 +81,9 @@
 	Prompt, Output int
 	// Exclude lists the IDs of servers that have failed this request.
 	Exclude []string
+	// Pinned is set if only servers of the software version Version may be chosen.
+	Pinned  bool
+	Version string
 	// Connected reports whether a connection to a server is open. It may be nil.
 	Connected func(netip.AddrPort) bool
 }
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -49,6 +49,11 @@
 	evacuated bool
 }
 
+// allows reports whether a server may get the request.
+func (r *Request) allows(s *server) bool {
+	return !slices.Contains(r.Exclude, s.ID) && (!r.Pinned || r.Version == s.Version)
+}
+
 func newServer(s spec.Server) *server {
 	return &server{Server: s, peers: make(map[string]Load), slowdown: 1, cache: newCache(), hostRank: -1}
 }
@@ -127,7 +132,7 @@
 
 // available reports whether the server may accept a request: it has not failed lately.
 func (s *server) available(req *Request, now time.Time) bool {
-	if slices.Contains(req.Exclude, s.ID) {
+	if !req.allows(s) {
 		return false
 	}
 	return s.failures < failureThreshold || !now.Before(s.downUntil) && !s.probing
--- /dev/null
+++ b/internal/core/resume/resume.go
@@ -0,0 +1,156 @@
+// Package resume decides at which software version of a service's servers a stream may go
+// on. What two versions write does not fit together, and a caller takes a stream up at any
+// host, after all hosts have restarted too.
+//
+// Each service has one base version, which is a record of the store. Streams that begin at
+// another version are recorded, each before its first event reaches the caller, so that a
+// stream without a record began at the base version. With one version in service, which
+// is then the base, nothing is written.
+package resume
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/eras"
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+// absentTime is how long no server of the base version is listed before another version
+// becomes the base. Streams that began at the old base, which have no record, have ended by
+// then: no route lets a request run that long.
+const absentTime = 2 * time.Minute
+
+// Base is the store's record of the base version of a service: a stream of which the store
+// holds no record began at a server of that version. Hosts send it to each other in CBOR
+// under the names of its fields.
+type Base struct {
+	Service, Version string
+	// Rev is the revision of the record.
+	Rev eras.Revision
+}
+
+// Bases holds the base versions of services. Its zero value knows none. It is safe for
+// concurrent use.
+type Bases struct {
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what is known of the versions of one service.
+type service struct {
+	// base is the store's record, of which listed tells whether the store still holds it;
+	// known is set once it was read.
+	base          Base
+	known, listed bool
+	// versions counts the listed servers by version.
+	versions map[string]int
+	// absentSince is since when no server of the base version is listed, zero if one is.
+	absentSince time.Time
+}
+
+// Update replaces the listed servers of all regions and the store's records. The argument
+// names lists the services whose streams may be taken up.
+func (b *Bases) Update(names []string, servers []spec.Server, records []Base, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.services
+	b.services = make(map[string]*service, len(names))
+	for _, name := range names {
+		s := old[name]
+		if s == nil {
+			s = &service{}
+		}
+		s.update(name, servers, records, now)
+		b.services[name] = s
+	}
+}
+
+func (s *service) update(name string, servers []spec.Server, records []Base, now time.Time) {
+	s.listed = false
+	for _, r := range records {
+		if r.Service == name {
+			s.base = r
+			s.known = true
+			s.listed = true
+		}
+	}
+	s.versions = make(map[string]int)
+	for _, e := range servers {
+		if e.Service == name {
+			s.versions[e.Version]++
+		}
+	}
+	switch {
+	case s.versions[s.base.Version] > 0:
+		s.absentSince = time.Time{}
+	case s.absentSince.IsZero():
+		s.absentSince = now
+	}
+}
+
+// most returns the version with the most servers, the least one of several, and false if
+// there are no servers.
+func (s *service) most() (string, bool) {
+	list := slices.SortedFunc(maps.Keys(s.versions), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.versions[b], s.versions[a]), cmp.Compare(a, b))
+	})
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[0], true
+}
+
+// Writes returns the records that should be written, each in place of the one at its
+// revision: the missing ones, and those whose version has left for good.
+func (b *Bases) Writes(now time.Time) []Base {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Base
+	for name, s := range b.services {
+		most, ok := s.most()
+		switch {
+		case s.known && !s.listed: // lost in a restore of the store
+			list = append(list, Base{Service: name, Version: s.base.Version})
+		case !s.known && ok:
+			list = append(list, Base{Service: name, Version: most})
+		case s.known && ok && !s.absentSince.IsZero() && now.Sub(s.absentSince) >= absentTime:
+			list = append(list, Base{Service: name, Version: most, Rev: s.base.Rev})
+		}
+	}
+	return list
+}
+
+// Base returns the base version of a service, and false if it is unknown.
+func (b *Bases) Base(name string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[name]
+	if s == nil || !s.known {
+		return "", false
+	}
+	return s.base.Version, true
+}
+
+// MustRecord reports whether a stream that begins at a version must be recorded. One that an
+// earlier attempt may have begun may have a record, which must be replaced.
+func (b *Bases) MustRecord(name, version string, retried bool) bool {
+	base, known := b.Base(name)
+	return retried || !known || base != version
+}
+
+// Only returns the version at which a stream began of which nothing is known: the base, if
+// all listed servers are of that version. Otherwise it returns false.
+func (b *Bases) Only(name string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[name]
+	if s == nil || len(s.versions) != 1 {
+		return "", false
+	}
+	only, _ := s.most()
+	return only, !s.known || s.base.Version == only
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
+	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/edge/mirror"
 	"github.com/yuccalb/yuccalb/internal/edge/relay"
@@ -78,6 +79,7 @@
 	log          *logs.Logger
 	exchange     *gossip.Exchange
 	fleet        *fleet.Fleet
+	ledger       *ledger.Ledger
 	relay        *relay.Relay
 	stateHandler http.Handler
 
@@ -121,8 +123,9 @@
 	}, exchange)
 	e.stateHandler = mirror.Handler(e.fleet)
 	files := float64(settings.Files)
+	e.ledger = ledger.New(ledger.Options{Store: store, Count: metrics.Store, Log: log.Requests})
 	e.relay = relay.New(relay.Options{
-		Fleet: e.fleet, Log: log, Stats: metrics, MaxRunning: int64(runningShare * files),
+		Fleet: e.fleet, Records: e.ledger, Log: log, Stats: metrics, MaxRunning: int64(runningShare * files),
 		MaxBodyBytes:     int64(bodyShare * float64(settings.Memory<<20)),
 		DisableKeepAlive: func() bool { return float64(e.callerConns.Open()) > keepAliveShare*files },
 	})
@@ -324,7 +327,7 @@
 		}
 	}
 	close(e.stop)
-	err = errors.Join(err, e.fleet.Close(), e.relay.Close())
+	err = errors.Join(err, e.fleet.Close(), e.relay.Close(), e.ledger.Close())
 	e.done.Wait()
 	if err != nil {
 		return fmt.Errorf("close host: %w", err)
--- a/internal/edge/entry/request_test.go
+++ b/internal/edge/entry/request_test.go
@@ -252,3 +252,26 @@
 		}
 	}
 }
+
+// TestInternalHeadersOfCaller guards against headers between hosts that a caller sets: a host
+// would forward them, and the other one trust them.
+func TestInternalHeadersOfCaller(t *testing.T) {
+	cl := newCluster(t)
+	a := cl.host("a1")
+	cl.host("b1")
+	srv := cl.server("s1", "b1", ok)
+	cl.eventually("forwarded request", func() bool { return cl.do(a, get("/safe/x")).Status == http.StatusOK })
+	for _, name := range []string{"Yuccalb-Probe", "Yuccalb-Recorded", "Yuccalb-Version", "Yuccalb-Org"} {
+		resp := cl.do(a, get("/safe/x").With(name, "other"))
+		if resp.Status != http.StatusOK || resp.Header.Get(name) != "" {
+			t.Errorf("%s: status %d, response header %q", name, resp.Status, resp.Header.Get(name))
+		}
+	}
+	for _, x := range srv.Seen() {
+		for name := range x.Header {
+			if strings.HasPrefix(name, "Yuccalb-") {
+				t.Errorf("the server got %s", name)
+			}
+		}
+	}
+}
--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -362,3 +362,62 @@
 		t.Errorf("of %d streams of the other version: %+v", len(kept), r)
 	}
 }
+
+// TestTakeUpStoreAway guards against streams that go on at another version, or whose callers
+// wait, because the store that holds the records is away; and against streams that begin at a
+// version that can't be recorded while the base version serves.
+func TestTakeUpStoreAway(t *testing.T) {
+	cl, all, _, _, _ := twoVersions(t)
+	cl.restart() // so that hosts remember nothing
+	away := func(r *http.Request) int {
+		if strings.Contains(r.URL.String(), "attempts") || r.URL.Path == "/-/kv-txn" || r.URL.Path == "/-/kv-lease" {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	cl.store.SetFault(away)
+	if r := cl.resumeAll(all); r.refused != len(all) {
+		t.Errorf("of %d streams: %+v, want all refused", len(all), r)
+	}
+	resp := cl.do(cl.hosts[0], all[0].resume())
+	if resp.Status != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v", resp.Status, resp.Header)
+	}
+	cl.begin(12) // hosts find that they can't write
+	if during := cl.begin(12); len(ofVersion(during, "v1")) < len(during) {
+		t.Errorf("streams began at %v", during)
+	}
+	cl.store.SetFault(nil)
+	if r := cl.resumeAll(all); r.joined > 0 || r.complete < len(all)*9/10 {
+		t.Errorf("of %d streams: %+v once the store was back", len(all), r)
+	}
+}
+
+// TestTakeUpWithoutName guards against a caller that does not name the attempt that it resumes
+// and gets events of another version; with one version in service it must be served.
+func TestTakeUpWithoutName(t *testing.T) {
+	cl := newCluster(t)
+	cl.host("a1")
+	cl.addVersion("v1")
+	a := cl.begin(1)[0]
+	call := a.resume().With(platform.HeaderResumes, "")
+	wantStatus(t, cl.do(cl.hosts[0], call), http.StatusOK)
+	cl.addVersion("v2")
+	resp := cl.do(cl.hosts[0], call)
+	if resp.Status != http.StatusServiceUnavailable || resp.Body != "" {
+		t.Errorf("status %d, body %q", resp.Status, resp.Body)
+	}
+}
+
+// TestTakeUpOfUnknownStream guards against a caller that names an attempt of which no host
+// knows, and that is then never answered; it began, if at all, at the base version.
+func TestTakeUpOfUnknownStream(t *testing.T) {
+	cl, _, _, _, _ := twoVersions(t)
+	for range 8 {
+		resp := cl.do(cl.hosts[0], attempt{id: nextID(), last: heldAfter}.resume())
+		wantStatus(t, resp, http.StatusOK)
+		if versions, _ := parseEvents(resp.Body); !versions["v1"] || len(versions) != 1 {
+			t.Errorf("body %q", resp.Body)
+		}
+	}
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
@@ -76,6 +77,7 @@
 	gossip       *gossip.Exchange
 	limiter      *share.Limiter
 	homes        steer.HomeCounts
+	bases        resume.Bases
 	reports      reports
 	leaving      atomic.Bool
 	ready        atomic.Bool
@@ -211,6 +213,7 @@
 	if f.listedAt.IsZero() {
 		f.listedAt = now
 	}
+	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
 	if !f.joined.Load() {
 		return
 	}
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -28,6 +28,7 @@
 
 // Records writes records to the store.
 type Records interface {
+	NoLease() platform.Lease
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
 	Swap(ctx context.Context, key string, value []byte, rev eras.Revision, l platform.Lease) (eras.Revision, error)
 	Remove(ctx context.Context, key string, rev eras.Revision) error
@@ -99,7 +100,8 @@
 	return n
 }
 
-// keepRecords keeps the store's records of suspected parts until the fleet is closed.
+// keepRecords keeps the store's records of suspected parts and of base versions until the
+// fleet is closed.
 func (f *Fleet) keepRecords() {
 	t := time.NewTimer(recordInterval)
 	defer t.Stop()
@@ -115,6 +117,9 @@
 				next = recordPause
 			}
 		}
+		if !f.writeBases() {
+			next = recordPause
+		}
 		t.Reset(next)
 	}
 }
--- /dev/null
+++ b/internal/edge/fleet/version.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/eras"
+	"github.com/yuccalb/yuccalb/internal/core/resume"
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/clock"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// Bases returns the base versions of the services.
+func (f *Fleet) Bases() *resume.Bases { return &f.bases }
+
+// ServesVersion reports whether a region has servers of a service at a software version that
+// are not leaving.
+func (f *Fleet) ServesVersion(service, version, region string) bool {
+	return slices.ContainsFunc(f.View().Usable(), func(e spec.Server) bool {
+		return e.Service == service && e.Version == version && !e.Leaving && f.Region(e.Site) == region
+	})
+}
+
+// Regions returns the names of all regions.
+func (f *Fleet) Regions() []string {
+	return slices.Compact(slices.Sorted(maps.Values(f.opts.Sites)))
+}
+
+// StoreSettled reports whether the store holds all that hosts have written, as far as is known:
+// it was not restored from a copy lately.
+func (f *Fleet) StoreSettled() bool {
+	return f.tracker.State().Era.Age(clock.Now()) >= eras.SettleTime
+}
+
+// resumableServices returns the services with routes whose streams may be taken up.
+func resumableServices(s *spec.Snapshot) []string {
+	var names []string
+	for _, r := range s.Routes {
+		if !r.Stream || !r.Resumable {
+			continue
+		}
+		for _, t := range r.Targets {
+			if !slices.Contains(names, t.Service) {
+				names = append(names, t.Service)
+			}
+		}
+	}
+	return names
+}
+
+// writeBases writes the records of base versions that are missing or outdated. Only the first
+// host of each region does. It reports whether all calls succeeded.
+func (f *Fleet) writeBases() bool {
+	if f.Position() != 0 {
+		return true
+	}
+	ok := true
+	for _, b := range f.bases.Writes(time.Now()) {
+		err := f.writeBase(b)
+		switch {
+		case err == nil:
+			f.opts.Log.Info("base version written", zap.String("service", b.Service), zap.String("version", b.Version))
+		case errors.Is(err, platform.ErrConflict): // another host was faster
+		default:
+			f.opts.Log.Debug("base version not written", zap.String("service", b.Service), zap.Error(err))
+			ok = false
+		}
+	}
+	return ok
+}
+
+// writeBase replaces the record at b.Rev.
+func (f *Fleet) writeBase(b resume.Base) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	key, value, err := platform.EncodeBase(b)
+	if err != nil {
+		return err
+	}
+	_, err = f.opts.Records.Swap(ctx, key, value, b.Rev, f.opts.Records.NoLease())
+	f.opts.Count("swap", err)
+	return err
+}
--- /dev/null
+++ b/internal/edge/ledger/ledger.go
@@ -0,0 +1,365 @@
+// Package ledger records in the store at which software version streams began, so that
+// callers can take them up at any host, after all hosts have restarted too. Records of
+// streams that begin at about the same time are written together.
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// flushInterval is how long a record waits for others: the store accepts few calls.
+	flushInterval = 120 * time.Millisecond
+	// writeTimeout bounds a call for records, readTimeout the look-up of one.
+	writeTimeout = time.Second
+	readTimeout  = time.Second
+	// maxWriters bounds the calls in progress.
+	maxWriters = 4
+	// retryTime is how long a record is written again after failures: the stream may
+	// still break off, and its caller take it up.
+	retryTime  = 5 * time.Second
+	retryPause = 200 * time.Millisecond
+	// leaseTTL is the time to live of records. Those of streams that have ended are not
+	// removed. After renewAge records get another lease, so that each is kept for
+	// leaseTTL-renewAge at least, which is longer than a stream and its take-ups last.
+	leaseTTL = 90 * time.Second
+	renewAge = 30 * time.Second
+	// keepTime and maxKept bound what is kept in memory, to write it again after a
+	// restore of the store and to read it while the store is away.
+	keepTime = 30 * time.Second
+	maxKept  = 8192
+	// eraInterval is how often it is checked whether the store was restored.
+	eraInterval = 250 * time.Millisecond
+	// unhealthyTime is how long the store counts as unable to write after a failure.
+	unhealthyTime = 2 * time.Second
+)
+
+// Store is the platform's store.
+type Store interface {
+	Era() int64
+	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
+	PutStreams(ctx context.Context, list []platform.Stream, l platform.Lease) error
+	StreamVersion(ctx context.Context, attempt string) (string, error)
+}
+
+// Record is a record that is being written.
+type Record struct {
+	platform.Stream
+	added time.Time
+	once  sync.Once
+	done  chan struct{} // closed once it is written
+}
+
+// Wait waits until the record is written, at most for d, and reports whether it is. It
+// returns early when ctx ends.
+func (r *Record) Wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.done:
+		return true
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return false
+}
+
+// Options sets up a Ledger.
+type Options struct {
+	Store Store
+	// Count counts calls to the store.
+	Count func(call string, err error)
+	Log   *zap.Logger
+}
+
+// Ledger writes and reads records of streams. It is safe for concurrent use.
+type Ledger struct {
+	opts    Options
+	kick    chan struct{} // receives a value when the first record of a batch is added
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	writers chan struct{} // holds a value for each call in progress
+
+	mu      sync.Mutex
+	pending []*Record
+	// kept are the records added within keepTime, in the order of their addition, and
+	// versions those of them by attempt.
+	kept     []*Record
+	versions map[string]*Record
+	era      int64 // of the store at the last check
+	lease    platform.Lease
+	leasedAt time.Time // zero if there is no lease
+	failedAt time.Time // of the last call
+}
+
+// New starts a ledger.
+func New(opts Options) *Ledger {
+	l := &Ledger{
+		opts: opts, kick: make(chan struct{}, 1), writers: make(chan struct{}, maxWriters),
+		versions: make(map[string]*Record), era: opts.Store.Era(),
+	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.done.Go(l.run)
+	return l
+}
+
+// Close cancels the calls in progress and waits for their end. Records that were not written
+// are lost.
+func (l *Ledger) Close() error {
+	l.cancel()
+	l.done.Wait()
+	return nil
+}
+
+// Add records at which version an attempt begins a stream. The caller waits for it before it
+// passes on the first event.
+func (l *Ledger) Add(attempt, version string) *Record {
+	r := &Record{Stream: platform.Stream{Attempt: attempt, Version: version}, added: time.Now(), done: make(chan struct{})}
+	l.mu.Lock()
+	l.pending = append(l.pending, r)
+	full := len(l.pending) == platform.MaxStreams
+	l.keep(r)
+	first := len(l.pending) == 1
+	l.mu.Unlock()
+	if first || full {
+		l.wake()
+	}
+	return r
+}
+
+// keep remembers a record and forgets old ones.
+func (l *Ledger) keep(r *Record) {
+	for len(l.kept) > 0 && (len(l.kept) >= maxKept || r.added.Sub(l.kept[0].added) > keepTime) {
+		if old := l.kept[0]; l.versions[old.Attempt] == old {
+			delete(l.versions, old.Attempt)
+		}
+		l.kept = l.kept[1:]
+	}
+	l.kept = append(l.kept, r)
+	l.versions[r.Attempt] = r
+}
+
+// wake makes run look at the pending records.
+func (l *Ledger) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default: // it looks already
+	}
+}
+
+// Healthy reports whether records can be written, as far as the last calls show.
+func (l *Ledger) Healthy(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.failedAt) > unhealthyTime
+}
+
+// Source is where the version of a stream is known from.
+type Source string
+
+// Sources. SourceNone means that the store has no record.
+const (
+	SourceNone   Source = "none"
+	SourceStore  Source = "store"
+	SourceMemory Source = "memory"
+)
+
+// Version returns the version at which a stream began, by the attempt that brought its first
+// event. The error is that of the store, if it can't be read and this host has not
+// recorded the stream itself.
+func (l *Ledger) Version(ctx context.Context, attempt string) (string, Source, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	version, err := l.opts.Store.StreamVersion(ctx, attempt)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.opts.Count("stream", nil)
+	} else {
+		l.opts.Count("stream", err)
+	}
+	if err == nil {
+		return version, SourceStore, nil
+	}
+	l.mu.Lock()
+	r := l.versions[attempt]
+	l.mu.Unlock()
+	switch {
+	case r != nil:
+		return r.Stream.Version, SourceMemory, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return "", SourceNone, nil
+	}
+	return "", "", err
+}
+
+// run writes the pending records in batches.
+func (l *Ledger) run() {
+	eras := time.NewTicker(eraInterval)
+	defer eras.Stop()
+	flush := time.NewTimer(flushInterval)
+	defer flush.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-eras.C:
+			l.checkEra()
+		case <-l.kick:
+			if l.full() {
+				l.flush()
+			}
+			flush.Reset(flushInterval)
+		case <-flush.C:
+			l.flush()
+		}
+	}
+}
+
+// full reports whether a call can be filled with records.
+func (l *Ledger) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) >= platform.MaxStreams
+}
+
+// checkEra writes the records again that the store may have lost in a restore.
+func (l *Ledger) checkEra() {
+	l.mu.Lock()
+	era := l.opts.Store.Era()
+	again := era != l.era
+	l.era = era
+	if again {
+		l.leasedAt = time.Time{}
+		now := time.Now()
+		l.pending = nil
+		for _, r := range l.kept {
+			if now.Sub(r.added) <= keepTime {
+				l.pending = append(l.pending, r)
+			}
+		}
+		again = len(l.pending) > 0
+	}
+	l.mu.Unlock()
+	if again {
+		l.wake()
+	}
+}
+
+// flush begins to write the pending records. If maxWriters calls are in progress, it leaves
+// the rest to the next flush.
+func (l *Ledger) flush() {
+	for {
+		select {
+		case l.writers <- struct{}{}:
+		default:
+			l.wake()
+			return
+		}
+		batch := l.take()
+		if len(batch) == 0 {
+			<-l.writers
+			return
+		}
+		l.done.Go(func() {
+			defer func() { <-l.writers }()
+			l.write(batch)
+		})
+	}
+}
+
+// take removes the records of one call from the pending ones. It drops those that a later
+// attempt of the same request has replaced, so that they don't overwrite its record.
+func (l *Ledger) take() []*Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var batch []*Record
+	for len(l.pending) > 0 && len(batch) < platform.MaxStreams {
+		r := l.pending[0]
+		l.pending = l.pending[1:]
+		if newest := l.versions[r.Attempt]; newest == nil || newest == r {
+			batch = append(batch, r)
+		}
+	}
+	return batch
+}
+
+// write writes records, or leaves those that are not too old to a later call.
+func (l *Ledger) write(batch []*Record) {
+	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
+	defer cancel()
+	err := l.put(ctx, batch)
+	if err == nil {
+		for _, r := range batch {
+			r.once.Do(func() { close(r.done) })
+		}
+		return
+	}
+	l.opts.Log.Warn("streams not recorded", zap.Int("streams", len(batch)), zap.Error(err))
+	now := time.Now()
+	l.mu.Lock()
+	l.failedAt = now
+	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
+		l.leasedAt = time.Time{}
+	}
+	l.mu.Unlock()
+	select {
+	case <-time.After(retryPause):
+	case <-l.ctx.Done():
+		return
+	}
+	l.mu.Lock()
+	for _, r := range batch {
+		if now.Sub(r.added) <= retryTime {
+			l.pending = append(l.pending, r)
+		}
+	}
+	l.mu.Unlock()
+	l.wake()
+}
+
+// put writes records under the current lease.
+func (l *Ledger) put(ctx context.Context, batch []*Record) error {
+	lease, err := l.currentLease(ctx)
+	if err != nil {
+		return err
+	}
+	list := make([]platform.Stream, len(batch))
+	for i, r := range batch {
+		list[i] = r.Stream
+	}
+	err = l.opts.Store.PutStreams(ctx, list, lease)
+	l.opts.Count("streams", err)
+	return err
+}
+
+// currentLease returns the lease for new records. It obtains another one if that is too old.
+func (l *Ledger) currentLease(ctx context.Context) (platform.Lease, error) {
+	l.mu.Lock()
+	lease, at := l.lease, l.leasedAt
+	l.mu.Unlock()
+	asked := time.Now()
+	if !at.IsZero() && asked.Sub(at) < renewAge {
+		return lease, nil
+	}
+	lease, err := l.opts.Store.Grant(ctx, leaseTTL)
+	l.opts.Count("grant", err)
+	if err != nil {
+		return platform.Lease{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease, l.leasedAt = lease, asked
+	return lease, nil
+}
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
+	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 	"github.com/yuccalb/yuccalb/platform"
@@ -52,6 +53,7 @@
 	RetainFor   time.Duration      `cbor:"8,keyasint,omitempty"`
 	Unconfirmed []spec.Server      `cbor:"9,keyasint,omitempty"`
 	Suspects    []platform.Suspect `cbor:"10,keyasint,omitempty"`
+	Bases       []resume.Base      `cbor:"11,keyasint,omitempty"`
 }
 
 // Viewer returns the current view of the responding host.
@@ -89,7 +91,7 @@
 	return entries{
 		Rev: l.EntriesRev, Asked: now.Sub(l.Asked), Answered: now.Sub(l.Answered),
 		Servers: l.Servers, Hosts: l.Hosts, Evacuated: l.Evacuated,
-		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed, Suspects: l.Suspects,
+		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed, Suspects: l.Suspects, Bases: l.Bases,
 	}
 }
 
@@ -119,7 +121,7 @@
 	}
 	now := time.Now()
 	l := &track.Listing{
-		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated, Suspects: m.Suspects},
+		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated, Suspects: m.Suspects, Bases: m.Bases},
 		EntriesRev:  m.Rev,
 		Asked:       now.Add(-m.Asked),
 		Answered:    now.Add(-m.Answered),
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -18,6 +18,10 @@
 	if svc != nil && !q.forwarded {
 		svc.Budget.Deposit()
 	}
+	if ref := q.pinTakeUp(); ref != nil {
+		q.refuse(ref)
+		return
+	}
 	for {
 		if cancelled(q.r.Context()) {
 			q.callerDisconnected()
@@ -59,6 +63,9 @@
 // mayRetry reports whether another attempt follows, and withdraws it from the
 // retry budget.
 func (q *request) mayRetry(res retry.Result, svc *fleet.Service) bool {
+	if q.headerWritten && q.versionUnknown {
+		return false
+	}
 	if q.remaining() <= 0 || cancelled(q.r.Context()) || !q.rules().Allows(res, q.tally) {
 		return false
 	}
@@ -161,6 +168,7 @@
 	if c.Limited {
 		q.s.stats.LimitedSend(q.service)
 	}
+	q.recordVersion(c.Version)
 	onFirstByte := func() { svc.Table.FirstByte(&c, time.Now()) }
 	res, outcome := q.exchange(q.s.servers, q.outgoing(q.serverHeader(c.ID), q.dest), onFirstByte)
 	svc.Table.Done(&c, outcome, time.Now())
@@ -175,9 +183,11 @@
 
 // sendPeer sends the request to a host of a remote region.
 func (q *request) sendPeer() retry.Result {
+	q.record = nil
 	q.triedHosts = append(q.triedHosts, q.dest.addr)
 	q.server = q.dest.addr.String()
 	res, outcome := q.exchange(q.s.peers, q.outgoing(q.peerHeader(), q.dest), func() {})
+	q.leaveRecord()
 	q.s.stats.Attempt(q.service, q.dest.region, outcomeName(outcome))
 	return res
 }
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -22,7 +22,7 @@
 	var local admit.Estimate
 	usable := false
 	if svc != nil && q.allows(q.s.fleet.LocalRegion()) {
-		local.Score, local.First, usable = svc.Table.Expect(&q.pick, now)
+		local.Score, local.First, usable = svc.Table.Expect(q.pickRequest(svc, now), now)
 	}
 	q.localExpected = local.First
 	demand := q.demand(svc, remaining)
@@ -38,7 +38,7 @@
 	if ref := q.checkLate(demand, local.First); ref != nil {
 		return pick.Choice{}, false, ref
 	}
-	c, ok := svc.Table.Pick(&q.pick, now)
+	c, ok := svc.Table.Pick(q.pickRequest(svc, now), now)
 	if !ok {
 		return pick.Choice{}, false, q.refuseNoServer(svc, now)
 	}
@@ -84,6 +84,10 @@
 func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
 	q.expected = first
 	wait, late := d.TooLate(first)
+	if q.pick.Pinned {
+		// The caller has the first events already, and no other server can go on.
+		late = late && first >= d.Remaining
+	}
 	if !late {
 		return nil
 	}
@@ -99,7 +103,7 @@
 	var best destination
 	var estimate admit.Estimate
 	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
+		if !q.allows(r.Region) || !q.versionIn(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
 			continue
 		}
 		e := d.RemoteEstimate(r.Wait, r.Cached(q.pick.Parts))
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -59,6 +59,10 @@
 	}
 	delete(h, headerOutcome)
 	delete(h, headerFraming)
+	delete(h, headerVersion)
+	if q.forwarded {
+		setVersion(h, q.choice.Version)
+	}
 	// A nil value keeps net/http from adding a detected type.
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
@@ -76,6 +76,9 @@
 	for _, name := range platform.ReservedHeaders {
 		delete(h, name)
 	}
+	for _, name := range peerHeaders {
+		delete(h, name)
+	}
 	h[headerRoute] = []string{q.encodeRoute()}
 	h[headerService] = []string{q.service}
 	h[headerTimeout] = []string{formatMillis(q.remaining())}
@@ -87,6 +90,12 @@
 	if q.probe {
 		h[headerProbe] = []string{"1"}
 	}
+	if q.recorded {
+		h[headerRecorded] = []string{"1"}
+	}
+	if q.pick.Pinned {
+		setVersion(h, q.pick.Version)
+	}
 	q.setResume(h)
 	return h
 }
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -54,6 +54,10 @@
 	}
 	q.forwardedOrg = h.Get(headerOrg)
 	q.probe = h.Get(headerProbe) != ""
+	q.recorded = h.Get(headerRecorded) != ""
+	if version, ok := parseVersion(h); ok {
+		q.pin(version)
+	}
 	q.route = &spec.Route{Attempts: 1}
 	if goal := h.Get(headerGoal); goal != "" {
 		if q.route.Goal, ok = platform.ParseMillis(goal); !ok {
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -33,6 +33,8 @@
 	reasonServerLimit     = "servers limit requests"
 	reasonPoison          = "prompt part crashes servers"
 	reasonPoisonRequest   = "request crashes servers"
+	reasonVersionGone     = "no server of the stream's version"
+	reasonVersionUnknown  = "version of the stream unknown"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -42,6 +42,7 @@
 // Relay serves requests of callers and of other hosts.
 type Relay struct {
 	fleet   *fleet.Fleet
+	records Records
 	log     *logs.Logger
 	stats   *stats.Metrics
 	servers *send.Client
@@ -66,9 +67,10 @@
 
 // Options sets up a Relay.
 type Options struct {
-	Fleet *fleet.Fleet
-	Log   *logs.Logger
-	Stats *stats.Metrics
+	Fleet   *fleet.Fleet
+	Records Records
+	Log     *logs.Logger
+	Stats   *stats.Metrics
 	// MaxRunning bounds the requests in progress.
 	MaxRunning int64
 	// MaxBodyBytes bounds the memory for bodies of requests and responses.
@@ -81,7 +83,7 @@
 // New returns a relay.
 func New(opts Options) *Relay {
 	return &Relay{
-		fleet: opts.Fleet, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
+		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
 		bodyMemory: byteLimit{max: opts.MaxBodyBytes},
 		servers:    send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
 	}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -16,6 +16,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -23,17 +24,19 @@
 // Headers between hosts. They carry the decisions of the first host, which is
 // the one that received the request from its caller.
 const (
-	headerRoute    = "Yuccalb-Route"   // flags of the route, see encodeRoute
-	headerService  = "Yuccalb-Service" // the service that serves the request
-	headerOrg      = "Yuccalb-Org"     // the organisation, if any
-	headerTimeout  = "Yuccalb-Millis"  // remaining time in milliseconds
-	headerPriority = "Yuccalb-Urgency" // the priority
-	headerGoal     = "Yuccalb-Goal"    // the route's latency target for the first byte in ms
-	headerProbe    = "Yuccalb-Probe"   // set if the request tests a suspected part of prompts
-	headerOutcome  = "Yuccalb-Outcome" // on responses that the host generated itself
-	headerFraming  = "Yuccalb-Framing" // on responses whose server did not mark their end
-	outcomeNotRun  = "not-run"         // the request has not run
-	outcomeUnknown = "unknown"         // it may have run
+	headerRoute    = "Yuccalb-Route"    // flags of the route, see encodeRoute
+	headerService  = "Yuccalb-Service"  // the service that serves the request
+	headerOrg      = "Yuccalb-Org"      // the organisation, if any
+	headerTimeout  = "Yuccalb-Millis"   // remaining time in milliseconds
+	headerPriority = "Yuccalb-Urgency"  // the priority
+	headerGoal     = "Yuccalb-Goal"     // the route's latency target for the first byte in ms
+	headerProbe    = "Yuccalb-Probe"    // set if the request tests a suspected part of prompts
+	headerRecorded = "Yuccalb-Recorded" // set if an earlier attempt may have recorded the version of the stream
+	headerVersion  = "Yuccalb-Version"  // the only software version of servers allowed; on responses that of the server
+	headerOutcome  = "Yuccalb-Outcome"  // on responses that the host generated itself
+	headerFraming  = "Yuccalb-Framing"  // on responses whose server did not mark their end
+	outcomeNotRun  = "not-run"          // the request has not run
+	outcomeUnknown = "unknown"          // it may have run
 )
 
 // request is the state of one request.
@@ -85,6 +88,11 @@
 	// began is set once the response to the last attempt has begun, and connLost if
 	// the server closed the connection before the response ended, or refused it.
 	began, connLost bool
+	// record is that of the version of the stream, while it is being written. The flag
+	// recorded is set if an earlier attempt may have written one, and versionUnknown if
+	// the events that the caller has are of an unknown version.
+	record                   *ledger.Record
+	recorded, versionUnknown bool
 	// probe is set while the request may be sent although probePart, a part of its
 	// prompt or the whole request, is suspected.
 	probe     bool
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -76,6 +76,8 @@
 	if q.headerWritten {
 		return
 	}
+	q.awaitRecord()
+	q.pinResponse(resp)
 	q.headerWritten = true
 	length := resp.Length
 	if q.route.Resumable {
--- /dev/null
+++ b/internal/edge/relay/version.go
@@ -0,0 +1,186 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/ledger"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// maxRecordWait bounds the wait of a stream's first event for the record of its version. It
+// covers a call to a store in another region.
+const maxRecordWait = 400 * time.Millisecond
+
+// Records reads and writes at which software version streams began.
+type Records interface {
+	Add(attempt, version string) *ledger.Record
+	Version(ctx context.Context, attempt string) (string, ledger.Source, error)
+	Healthy(now time.Time) bool
+}
+
+// resumable reports whether the response is a stream that may go on at another server.
+func (q *request) resumable() bool { return q.route.Stream && q.route.Resumable }
+
+// pin allows only servers of a software version from now on.
+func (q *request) pin(version string) {
+	q.pick.Pinned = true
+	q.pick.Version = version
+}
+
+// pinTakeUp allows only servers of the version at which the stream began that the caller takes
+// up. It returns a refusal if this version is unknown or no longer serves: nothing can go
+// on then.
+func (q *request) pinTakeUp() *refusal {
+	if q.forwarded || !q.resumable() || q.lastEvent == "" {
+		return nil
+	}
+	version, source, ref := q.beganAt()
+	q.s.stats.TakeUp(q.service, source)
+	q.refusalInputs = append(q.refusalInputs, zap.String("began_at", version), zap.String("known_from", source))
+	if ref != nil {
+		return ref
+	}
+	q.pin(version)
+	return q.checkVersion()
+}
+
+// beganAt returns the version at which the stream began that the caller takes up, and where it
+// is known from.
+func (q *request) beganAt() (version, source string, ref *refusal) {
+	bases := q.s.fleet.Bases()
+	attempt := q.r.Header.Get(platform.HeaderResumes)
+	if attempt == "" {
+		if version, ok := bases.Only(q.service); ok {
+			return version, "only", nil
+		}
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+	}
+	version, from, err := q.s.records.Version(q.r.Context(), attempt)
+	if err != nil {
+		q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", attempt), zap.Error(err))
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+	}
+	if from != ledger.SourceNone {
+		return version, string(from), nil
+	}
+	// The store has lost records if it was restored from a copy, until hosts have written
+	// them again.
+	base, known := bases.Base(q.service)
+	if !known || !q.s.fleet.StoreSettled() {
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+	}
+	return base, "base", nil
+}
+
+// checkVersion returns a refusal if no server of the version serves in a region that the request
+// may be served in. There is no time at which the caller should come back.
+func (q *request) checkVersion() *refusal {
+	f := q.s.fleet
+	if q.allows(f.LocalRegion()) && f.ServesVersion(q.service, q.pick.Version, f.LocalRegion()) {
+		return nil
+	}
+	for _, region := range f.Regions() {
+		if q.allows(region) && f.ServesVersion(q.service, q.pick.Version, region) {
+			return nil
+		}
+	}
+	return &refusal{http.StatusServiceUnavailable, reasonVersionGone, 0}
+}
+
+// versionIn reports whether a region serves the version to which the request is pinned, if any.
+func (q *request) versionIn(region string) bool {
+	return !q.pick.Pinned || q.s.fleet.ServesVersion(q.service, q.pick.Version, region)
+}
+
+// pickRequest returns the request for the choice of a server. While versions can't be recorded,
+// streams begin at the base version if it serves, which needs no record.
+func (q *request) pickRequest(svc *fleet.Service, now time.Time) *pick.Request {
+	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
+		return &q.pick
+	}
+	base, ok := q.s.fleet.Bases().Base(q.service)
+	if !ok {
+		return &q.pick
+	}
+	r := q.pick
+	r.Pinned = true
+	r.Version = base
+	if _, _, ok := svc.Table.Expect(&r, now); !ok {
+		return &q.pick
+	}
+	return &r
+}
+
+// recordVersion begins to record at which version the stream begins, if it may begin with this
+// attempt and has to be recorded.
+func (q *request) recordVersion(version string) {
+	q.record = nil
+	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" {
+		return
+	}
+	if q.s.fleet.Bases().MustRecord(q.service, version, q.recorded) {
+		q.record = q.s.records.Add(q.id, version)
+		q.recorded = true
+	}
+}
+
+// leaveRecord leaves it to another host to record the version of the stream. With several
+// versions in service it may have done so even if the attempt fails.
+func (q *request) leaveRecord() {
+	if _, only := q.s.fleet.Bases().Only(q.service); !only {
+		q.recorded = true
+	}
+}
+
+// awaitRecord waits until the version of the stream is recorded. It is called before the first
+// event is passed on: from then on the caller may take the stream up.
+func (q *request) awaitRecord() {
+	if q.record == nil {
+		return
+	}
+	if !q.record.Wait(q.r.Context(), maxRecordWait) {
+		q.s.stats.Unrecorded(q.service)
+	}
+	q.record = nil
+}
+
+// pinResponse allows only servers of the version that has sent the first events to go on with
+// the stream. If another host does not name it, no server is allowed to.
+func (q *request) pinResponse(resp *send.Response) {
+	if !q.resumable() || q.pick.Pinned {
+		return
+	}
+	if !q.fromPeerHost() {
+		q.pin(q.choice.Version)
+		return
+	}
+	version, ok := parseVersion(resp.Header)
+	if !ok {
+		q.versionUnknown = true
+		return
+	}
+	q.pin(version)
+}
+
+// setVersion names a version in the header of a message to another host.
+func setVersion(h http.Header, version string) {
+	h[headerVersion] = []string{url.QueryEscape(version)}
+}
+
+// parseVersion returns the version that another host has named, and false if there is none.
+func parseVersion(h http.Header) (string, bool) {
+	values := h[headerVersion]
+	if len(values) != 1 {
+		return "", false
+	}
+	version, err := url.QueryUnescape(values[0])
+	return version, err == nil
+}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -34,6 +34,8 @@
 	limitedSends   *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
 	brokenOff      *prometheus.CounterVec
+	takeUps        *prometheus.CounterVec
+	unrecorded     *prometheus.CounterVec
 	store          *prometheus.CounterVec
 }
 
@@ -65,11 +67,17 @@
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_stream_ends_total", Help: "Streams that ended without an error, by service, framing (length, chunked or close) and place of the end (event: within an event, between: after one).",
 		}, []string{"service", "framing", "place"}),
+		takeUps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_take_ups_total", Help: "Streams that callers took up again, by service and where the version is known from at which they began (store, memory, base, only or unknown).",
+		}, []string{"service", "from"}),
+		unrecorded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_unrecorded_streams_total", Help: "Streams whose first event was passed on before the store had recorded their version, by service.",
+		}, []string{"service"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -122,6 +130,14 @@
 // BrokenOff records a request that its server broke off before the response had begun.
 func (m *Metrics) BrokenOff(service string) { m.brokenOff.WithLabelValues(service).Inc() }
 
+// TakeUp records that a caller takes a stream up again, and where the version is known from at
+// which it began.
+func (m *Metrics) TakeUp(service, from string) { m.takeUps.WithLabelValues(service, from).Inc() }
+
+// Unrecorded records that the first event of a stream was passed on before its version was
+// recorded.
+func (m *Metrics) Unrecorded(service string) { m.unrecorded.WithLabelValues(service).Inc() }
+
 // StreamEnd records the end of a stream that ended without an error.
 func (m *Metrics) StreamEnd(service, framing string, withinEvent bool) {
 	place := "between"
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -132,6 +132,9 @@
 	for _, s := range e.Suspects {
 		lines = append(lines, fmt.Sprint("p", s.Service, " ", s.Part, " ", s.Probes))
 	}
+	for _, b := range e.Bases {
+		lines = append(lines, fmt.Sprint("b", b.Service, " ", b.Version))
+	}
 	slices.Sort(lines)
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
 }
