Do not add the events of a server that begins a stream again

Callers got the first events of a stream twice: a server that was to resume it ignored Last-Event-Id and began again, and its events were added to those that the caller had.

The relay took whatever a second server sent for the rest of the stream.

Change: events with which a server resumes a stream, for the relay or for a caller that takes it up, are held back until one has an identifier; if it does not follow the last event, the attempt counts as broken and nothing of it is passed on. Events without any identifier are passed on at the end of the response. Gaps are not checked: identifiers need not be consecutive.

A server of the same version that generates other text under the right identifiers can't be noticed.

--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 )
 
@@ -67,6 +68,35 @@
 	s.comment = false
 }
 
+// Follows reports whether the events in b, with which a server resumes a stream, follow the one
+// with the identifier last. A server that does not know how to resume begins again, with an
+// identifier that is not greater or, if they are no numbers, the same. It returns false
+// for known if none of the events has an identifier. b must start at the start of a line.
+func Follows(b []byte, last string) (follows, known bool) {
+	first := firstID(b)
+	if first == "" {
+		return false, false
+	}
+	m, err1 := strconv.ParseUint(last, 10, 64)
+	n, err2 := strconv.ParseUint(first, 10, 64)
+	if err1 != nil || err2 != nil {
+		return first != last, true
+	}
+	return n > m, true
+}
+
+// firstID returns the identifier of the first event in b that has one, or an empty string.
+func firstID(b []byte) string {
+	for line := range bytes.FieldsFuncSeq(b, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			if id := strings.TrimSpace(string(value)); id != "" {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
 // LastID returns the identifier of the last event in b that has one, or an empty
 // string. b must start at the start of a line.
 func LastID(b []byte) string {
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -42,6 +42,7 @@
 	reasonNoAnswer        = "no answer"
 	reasonServerError     = "server error"
 	reasonTruncated       = "response cut"
+	reasonBegunAgain      = "stream begun again"
 	reasonEndUnknown      = "end of response unknown"
 	reasonDisconnected    = "caller left"
 )
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/stream"
@@ -32,6 +34,9 @@
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
 	var events stream.Scanner
+	whole := 0 // length of the events at the start of buf that are whole
+	last := q.lastEvent
+	checked := last == "" // whether the events go on after the last one
 	for {
 		if len(buf) >= maxEvent {
 			return q.classifyTruncation(errEventTooLong, q.truncationResult())
@@ -43,14 +48,25 @@
 		n, err := resp.Read(buf[held:cap(buf)])
 		buf = buf[:held+n]
 		if end := events.Scan(buf[held:]); end > 0 {
+			whole = held + end
+		}
+		if whole > 0 && !checked {
+			follows, known := stream.Follows(buf[:whole], last)
+			if known && !follows {
+				return q.streamBegunAgain(last)
+			}
+			checked = known || errors.Is(err, io.EOF)
+		}
+		if whole > 0 && checked {
 			onFirstByte()
 			if events.Ended() {
 				q.recordBegun()
 			}
-			if werr := q.writeEvents(resp, buf[:held+end], control); werr != nil {
+			if werr := q.writeEvents(resp, buf[:whole], control); werr != nil {
 				return retry.Done, pick.Aborted
 			}
-			buf = append(buf[:0], buf[held+end:]...)
+			buf = append(buf[:0], buf[whole:]...)
+			whole = 0
 		}
 		if errors.Is(err, io.EOF) {
 			return q.endStream(resp, len(buf) > 0, onFirstByte)
@@ -61,6 +77,14 @@
 	}
 }
 
+// streamBegunAgain ends an attempt whose server was to go on after the event last, and began the
+// stream again: its events do not fit those that the caller has.
+func (q *request) streamBegunAgain(last string) (retry.Result, pick.Outcome) {
+	q.reason = reasonBegunAgain
+	q.s.log.Requests.Warn("stream begun again", zap.String("id", q.id), zap.String("server", q.server), zap.String("last_event", last))
+	return q.truncationResult(), pick.Broken
+}
+
 // truncationResult returns the result of a truncated stream.
 func (q *request) truncationResult() retry.Result {
 	if q.headerWritten {
