Begin streams at the base version while their versions can't be recorded

Callers got streams joined from two versions after the store had been away: streams began at v1.1 while it was down, all hosts were killed, and the streams were taken for ones of the base version.

While the store took no records, a host preferred the base version only if it served in its own region, and it noticed that the store was away only when a call had failed, after up to a second; first events whose record took longer than 0.4 s were passed on all the same.

If neither works, the stream is passed on and counted in yuccalb_unrecorded_streams_total: refusing it would take service from callers for a case that needs all hosts to end within the stream's two seconds.

Also: the soak's numbers of hosts, servers and callers are flags, and one of its link faults delays data by a second.

Conclusion: the invariant that a stream without a record began at the base version holds while the store is away, but for streams in their first half second when it goes.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -30,13 +30,14 @@
 	soakSeeds = flag.Int("soak", 1, "number of seeds of the soak, from 1 on unless -soak.first is set")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
 	soakTime  = flag.Duration("soak.time", 12*time.Second, "time that each seed of the soak runs")
+
+	soakHosts   = flag.Int("soak.hosts", 4, "number of hosts of the soak")
+	soakServers = flag.Int("soak.servers", 4, "number of servers of the soak")
+	soakCallers = flag.Int("soak.callers", 8, "number of callers of the soak")
 )
 
 const (
-	soakHosts   = 4
-	soakEvents  = 5 // of a resumable stream
-	soakServers = 4
-	soakCallers = 8
+	soakEvents = 5 // of a resumable stream
 	// soakRevoke is the time within which a revoked key must stop working.
 	soakRevoke = 3 * time.Second
 	// slack is added to time bounds to allow for a busy machine.
@@ -118,7 +119,7 @@
 	}
 	s.rotateKey()
 	t.Cleanup(s.crashed.Wait) // after the servers are closed
-	for i := range soakServers {
+	for i := range *soakServers {
 		s.born = append(s.born, &atomic.Int64{})
 		s.down = append(s.down, &atomic.Bool{})
 		s.releases = append(s.releases, &atomic.Int64{})
@@ -129,7 +130,7 @@
 		s.serverProxies = append(s.serverProxies, s.proxy(srv.Addr()))
 		s.register(i)
 	}
-	for i := range soakHosts {
+	for i := range *soakHosts {
 		s.storeProxies = append(s.storeProxies, s.proxy(s.store.Addr()))
 		front := local.Addr(s.t)
 		s.hostProxies = append(s.hostProxies, s.proxy(front))
@@ -213,7 +214,7 @@
 		defer s.mu.Unlock()
 		s.putConfig()
 	})
-	for i := range soakServers {
+	for i := range *soakServers {
 		time.AfterFunc(s.jitter(rewriteDelay), func() { s.register(i) })
 	}
 }
@@ -227,7 +228,7 @@
 	s.waitServing()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range soakCallers {
+	for i := range *soakCallers {
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), uint64(i)))
 		callers.Go(func() { s.sendRequests(i, rng, stop) })
 	}
@@ -350,7 +351,7 @@
 func (s *soak) injectFault() {
 	host := s.rng.IntN(len(s.hosts))
 	h := s.hosts[host]
-	i := s.rng.IntN(soakServers)
+	i := s.rng.IntN(*soakServers)
 	if s.snapshot == nil || s.rng.IntN(4) == 0 {
 		s.snapshot, s.snapshotAt = s.store.Copy(), time.Now()
 	}
@@ -386,8 +387,15 @@
 	default:
 		// Connection faults are more frequent, so that several are active at once.
 		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
-			{}, {}, {Delay: 200 * time.Millisecond}, {Reset: true}, {HoldForth: true}, {HoldBack: true}, {HoldForth: true, HoldBack: true},
-		}[s.rng.IntN(7)])
+			{},
+			{},
+			{Delay: 200 * time.Millisecond},
+			{Reset: true},
+			{HoldForth: true},
+			{HoldBack: true},
+			{HoldForth: true, HoldBack: true},
+			{Delay: time.Second}, // a slow link, on which callers and hosts give up
+		}[s.rng.IntN(8)])
 	}
 }
 
--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -41,7 +41,7 @@
 	{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000},
 	{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 5000},
 	{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 5000},
-	{Prefix: "/resume/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 1, TimeoutMS: 5000},
+	{Prefix: "/resume/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 2, TimeoutMS: 5000},
 	{Prefix: "/home-b/", Service: "desk", Kind: "safe", TimeoutMS: 2000, Regions: []string{"b"}},
 	{Prefix: "/order-b/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Regions: []string{"b"}},
 	{Prefix: "/chat-b/", Service: "desk", Kind: "stream", TimeoutMS: 5000, Regions: []string{"b"}},
--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -421,3 +421,39 @@
 		}
 	}
 }
+
+// TestStoreAwayAtBegin guards against streams that begin at a version which can't be recorded
+// because the store has just gone away, while the base version serves, be it in another region:
+// after all hosts were killed, they would be taken for streams of the base.
+func TestStoreAwayAtBegin(t *testing.T) {
+	cl := newCluster(t)
+	for _, site := range []string{"a1", "a1", "b1"} {
+		cl.host(site)
+	}
+	first := cl.addVersion("v1")
+	for _, e := range cl.hosts {
+		cl.warmUp(e)
+	}
+	cl.addVersion("v2")
+	cl.removeServers(first[:2]) // v1 serves in region b only
+	cl.begin(12)
+	cl.store.SetFault(func(r *http.Request) int {
+		if r.URL.Path == "/-/kv-txn" || r.URL.Path == "/-/kv-lease" {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+	var list []attempt
+	for range 8 {
+		list = append(list, cl.begin(3)...)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if n := len(ofVersion(list, "v2")); n > 2 {
+		t.Errorf("%d of %d streams began at a version that is not recorded", n, len(list))
+	}
+	cl.store.SetFault(nil)
+	cl.restart()
+	if r := cl.resumeAll(list); r.joined > 2 {
+		t.Errorf("of %d streams: %+v", len(list), r)
+	}
+}
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -37,8 +37,11 @@
 	maxKept  = 8192
 	// eraInterval is how often it is checked whether the store was restored.
 	eraInterval = 250 * time.Millisecond
-	// unhealthyTime is how long the store counts as unable to write after a failure.
+	// unhealthyTime is how long the store counts as unable to write after a failure, and
+	// slowTime the age of a record from which on it does before the call has failed. It is
+	// above flushInterval and a call to another region.
 	unhealthyTime = 2 * time.Second
+	slowTime      = 350 * time.Millisecond
 )
 
 // Store is the platform's store.
@@ -53,7 +56,6 @@
 type Record struct {
 	platform.Stream
 	added time.Time
-	once  sync.Once
 	done  chan struct{} // closed once it is written
 }
 
@@ -99,6 +101,8 @@
 	// versions those of them by attempt.
 	kept     []*Record
 	versions map[string]*Record
+	// open are the records that are not written yet, and not given up.
+	open     map[*Record]bool
 	era      int64 // of the store at the last check
 	lease    platform.Lease
 	leasedAt time.Time // zero if there is no lease
@@ -109,7 +113,7 @@
 func New(opts Options) *Ledger {
 	l := &Ledger{
 		opts: opts, kick: make(chan struct{}, 1), writers: make(chan struct{}, maxWriters),
-		versions: make(map[string]*Record), era: opts.Store.Era(),
+		versions: make(map[string]*Record), open: make(map[*Record]bool), era: opts.Store.Era(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.done.Go(l.run)
@@ -131,6 +135,7 @@
 	l.mu.Lock()
 	l.pending = append(l.pending, r)
 	full := len(l.pending) == platform.MaxStreams
+	l.open[r] = true
 	l.keep(r)
 	first := len(l.pending) == 1
 	l.mu.Unlock()
@@ -164,7 +169,15 @@
 func (l *Ledger) Healthy(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Sub(l.failedAt) > unhealthyTime
+	if now.Sub(l.failedAt) <= unhealthyTime {
+		return false
+	}
+	for r := range l.open {
+		if now.Sub(r.added) > slowTime {
+			return false
+		}
+	}
+	return true
 }
 
 // Source is where the version of a stream is known from.
@@ -290,6 +303,8 @@
 		l.pending = l.pending[1:]
 		if newest := l.versions[r.Attempt]; newest == nil || newest == r {
 			batch = append(batch, r)
+		} else {
+			delete(l.open, r)
 		}
 	}
 	return batch
@@ -301,9 +316,7 @@
 	defer cancel()
 	err := l.put(ctx, batch)
 	if err == nil {
-		for _, r := range batch {
-			r.once.Do(func() { close(r.done) })
-		}
+		l.close(batch)
 		return
 	}
 	l.opts.Log.Warn("streams not recorded", zap.Int("streams", len(batch)), zap.Error(err))
@@ -323,12 +336,27 @@
 	for _, r := range batch {
 		if now.Sub(r.added) <= retryTime {
 			l.pending = append(l.pending, r)
+		} else {
+			delete(l.open, r)
 		}
 	}
 	l.mu.Unlock()
 	l.wake()
 }
 
+// close tells those who wait for records that they are written. After a restore of the store a
+// record may be written twice.
+func (l *Ledger) close(batch []*Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range batch {
+		if l.open[r] {
+			delete(l.open, r)
+			close(r.done)
+		}
+	}
+}
+
 // put writes records under the current lease.
 func (l *Ledger) put(ctx context.Context, batch []*Record) error {
 	lease, err := l.currentLease(ctx)
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -15,14 +15,25 @@
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 )
 
-// choose picks a server of the local region, and returns true, or a remote
-// region.
+// choose picks a server of the local region, and returns true, or a remote region. It prefers
+// servers at which streams need no record while none can be written.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
+	q.target = q.avoidRecords(now)
+	c, local, ref := q.chooseTarget(now, remaining)
+	if ref == nil || q.target == &q.pick {
+		return c, local, ref
+	}
+	q.target = &q.pick
+	return q.chooseTarget(now, remaining)
+}
+
+// chooseTarget is choose for q.target.
+func (q *request) chooseTarget(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	svc := q.s.fleet.Service(q.service)
 	var local admit.Estimate
 	usable := false
 	if svc != nil && q.allows(q.s.fleet.LocalRegion()) {
-		local.Score, local.First, usable = svc.Table.Expect(q.pickRequest(svc, now), now)
+		local.Score, local.First, usable = svc.Table.Expect(q.target, now)
 	}
 	q.localExpected = local.First
 	demand := q.demand(svc, remaining)
@@ -38,7 +49,7 @@
 	if ref := q.checkLate(demand, local.First); ref != nil {
 		return pick.Choice{}, false, ref
 	}
-	c, ok := svc.Table.Pick(q.pickRequest(svc, now), now)
+	c, ok := svc.Table.Pick(q.target, now)
 	if !ok {
 		return pick.Choice{}, false, q.refuseNoServer(svc, now)
 	}
@@ -55,7 +66,7 @@
 	if svc == nil {
 		return ref
 	}
-	if w, ok := svc.Table.ShortestWait(&q.pick, now); ok {
+	if w, ok := svc.Table.ShortestWait(q.target, now); ok {
 		ref.reason = reasonRetryAfter
 		if w.Limited {
 			ref.reason = reasonServerLimit
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -93,8 +93,8 @@
 	if q.recorded {
 		h[headerRecorded] = []string{"1"}
 	}
-	if q.pick.Pinned {
-		setVersion(h, q.pick.Version)
+	if q.target.Pinned {
+		setVersion(h, q.target.Version)
 	}
 	q.setResume(h)
 	return h
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -34,6 +34,7 @@
 	reasonPoison          = "prompt part crashes servers"
 	reasonPoisonRequest   = "request crashes servers"
 	reasonVersionGone     = "no server of the stream's version"
+	reasonNotRecorded     = "version of the stream not recorded"
 	reasonVersionUnknown  = "version of the stream unknown"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -57,6 +57,7 @@
 	body         []byte
 	reserved     reservation // for the body
 	pick         pick.Request
+	target       *pick.Request // for the choice of a server in the last attempt: pick, or a stricter one
 	parts        []poison.Part // of the prompt, without the last one
 	wholePart    poison.Part   // see whole, 0 before the first call
 	tokensStated bool
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -62,6 +62,9 @@
 			if events.Ended() {
 				q.recordBegun()
 			}
+			if !q.awaitRecord() {
+				return retry.ServerError, pick.Aborted
+			}
 			if werr := q.writeEvents(resp, buf[:whole], control); werr != nil {
 				return retry.Done, pick.Aborted
 			}
@@ -100,7 +103,6 @@
 	if q.headerWritten {
 		return
 	}
-	q.awaitRecord()
 	q.pinResponse(resp)
 	q.headerWritten = true
 	length := resp.Length
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -4,12 +4,12 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
-	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
@@ -48,8 +48,11 @@
 	if ref != nil {
 		return ref
 	}
+	if !q.serves(version) {
+		return &refusal{http.StatusServiceUnavailable, reasonVersionGone, 0} // there is no time to come back
+	}
 	q.pin(version)
-	return q.checkVersion()
+	return nil
 }
 
 // beganAt returns the version at which the stream began that the caller takes up, and where it
@@ -80,42 +83,32 @@
 	return base, "base", nil
 }
 
-// checkVersion returns a refusal if no server of the version serves in a region that the request
-// may be served in. There is no time at which the caller should come back.
-func (q *request) checkVersion() *refusal {
-	f := q.s.fleet
-	if q.allows(f.LocalRegion()) && f.ServesVersion(q.service, q.pick.Version, f.LocalRegion()) {
-		return nil
-	}
-	for _, region := range f.Regions() {
-		if q.allows(region) && f.ServesVersion(q.service, q.pick.Version, region) {
-			return nil
-		}
-	}
-	return &refusal{http.StatusServiceUnavailable, reasonVersionGone, 0}
+// serves reports whether servers of a version serve in a region that the request may be served
+// in.
+func (q *request) serves(version string) bool {
+	return slices.ContainsFunc(q.s.fleet.Regions(), func(region string) bool {
+		return q.allows(region) && q.s.fleet.ServesVersion(q.service, version, region)
+	})
 }
 
-// versionIn reports whether a region serves the version to which the request is pinned, if any.
+// versionIn reports whether a region serves the version to which the attempt is pinned, if any.
 func (q *request) versionIn(region string) bool {
-	return !q.pick.Pinned || q.s.fleet.ServesVersion(q.service, q.pick.Version, region)
+	return !q.target.Pinned || q.s.fleet.ServesVersion(q.service, q.target.Version, region)
 }
 
-// pickRequest returns the request for the choice of a server. While versions can't be recorded,
-// streams begin at the base version if it serves, which needs no record.
-func (q *request) pickRequest(svc *fleet.Service, now time.Time) *pick.Request {
+// avoidRecords returns the request for the choice of a server, which allows only servers of the
+// base version if this host can't record another one and the base serves anywhere.
+func (q *request) avoidRecords(now time.Time) *pick.Request {
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
 		return &q.pick
 	}
 	base, ok := q.s.fleet.Bases().Base(q.service)
-	if !ok {
+	if !ok || !q.serves(base) {
 		return &q.pick
 	}
 	r := q.pick
 	r.Pinned = true
 	r.Version = base
-	if _, _, ok := svc.Table.Expect(&r, now); !ok {
-		return &q.pick
-	}
 	return &r
 }
 
@@ -123,7 +116,7 @@
 // attempt and has to be recorded.
 func (q *request) recordVersion(version string) {
 	q.record = nil
-	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" {
+	if !q.resumable() || q.headerWritten || q.lastEvent != "" {
 		return
 	}
 	if q.s.fleet.Bases().MustRecord(q.service, version, q.recorded) {
@@ -140,16 +133,26 @@
 	}
 }
 
-// awaitRecord waits until the version of the stream is recorded. It is called before the first
-// event is passed on: from then on the caller may take the stream up.
-func (q *request) awaitRecord() {
+// awaitRecord waits until the version of the stream is recorded, before the first event is passed
+// on: from then on the caller may take the stream up. It reports whether the event may be. If
+// the record takes too long, another attempt follows at the base version, as far as the
+// rules for retries allow it.
+func (q *request) awaitRecord() bool {
 	if q.record == nil {
-		return
-	}
-	if !q.record.Wait(q.r.Context(), maxRecordWait) {
-		q.s.stats.Unrecorded(q.service)
+		return true
 	}
+	record := q.record
 	q.record = nil
+	if record.Wait(q.r.Context(), maxRecordWait) || cancelled(q.r.Context()) {
+		return true
+	}
+	next := q.avoidRecords(time.Now())
+	if next.Pinned && next.Version != record.Version && q.retryable() {
+		q.reason = reasonNotRecorded
+		return false
+	}
+	q.s.stats.Unrecorded(q.service)
+	return true
 }
 
 // pinResponse allows only servers of the version that has sent the first events to go on with
