Take streams up at the service that began them where a route is split

Callers of a route whose requests are divided among services got the rest of a stream from another service than its beginning, or a refusal.

Cause: without a shared prefix the service follows from the attempt's identifier, and a take-up has one of its own.

Change: a take-up uses the identifier of the attempt that it resumes.

Conclusion: a route that is moved to another service between the attempt and its take-up still leads to the new service: the record does not hold the service.

--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -42,6 +42,7 @@
 	{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 5000},
 	{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 5000},
 	{Prefix: "/resume/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 2, TimeoutMS: 5000},
+	{Prefix: "/split/", Service: "desk", Split: []string{"shop"}, Kind: "stream", Resumable: true, Attempts: 2, TimeoutMS: 5000},
 	{Prefix: "/home-b/", Service: "desk", Kind: "safe", TimeoutMS: 2000, Regions: []string{"b"}},
 	{Prefix: "/order-b/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Regions: []string{"b"}},
 	{Prefix: "/chat-b/", Service: "desk", Kind: "stream", TimeoutMS: 5000, Regions: []string{"b"}},
@@ -51,7 +52,7 @@
 
 // config returns a configuration with the given version and API keys.
 func config(version int, keys ...string) plattest.Config {
-	return plattest.Config{Version: version, Routes: routes, Keys: keys, Org: orgName, Rate: 1e6, Burst: 1e6, Services: []string{"desk"}}
+	return plattest.Config{Version: version, Routes: routes, Keys: keys, Org: orgName, Rate: 1e6, Burst: 1e6, Services: []string{"desk", "shop"}}
 }
 
 // newCluster starts a store with version 1 of the configuration. It marks the test
--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -47,7 +47,7 @@
 				return false
 			}
 			x.Chunk(versionEvent(version, id))
-			if first == 1 && id == heldAfter && strings.HasPrefix(x.RequestURI, "/resume/") {
+			if first == 1 && id == heldAfter && !strings.HasPrefix(x.RequestURI, "/ask/") {
 				<-x.Closed
 				return false
 			}
@@ -141,12 +141,18 @@
 // begin begins n streams, at all hosts in turn. Their callers lose the connection after
 // heldAfter events.
 func (cl *cluster) begin(n int) []attempt {
+	cl.t.Helper()
+	return cl.beginAt("/resume/x", n)
+}
+
+// beginAt is begin on a path.
+func (cl *cluster) beginAt(path string, n int) []attempt {
 	cl.t.Helper()
 	var list []attempt
 	for i := range n {
 		id := nextID()
 		conn := cl.dial(cl.hosts[i%len(cl.hosts)])
-		if _, err := conn.Write([]byte(post("/resume/x", id).Bytes(id))); err != nil {
+		if _, err := conn.Write([]byte(post(path, id).Bytes(id))); err != nil {
 			cl.t.Fatal(err)
 		}
 		list = append(list, attempt{id, cl.readVersion(conn), heldAfter})
@@ -457,3 +463,24 @@
 		t.Errorf("of %d streams: %+v", len(list), r)
 	}
 }
+
+// TestTakeUpOnSplitRoute guards against streams that go on at another service because their route
+// divides requests among services by the identifier of the attempt.
+func TestTakeUpOnSplitRoute(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	for _, service := range []string{"desk", "shop"} {
+		s := origin.New(t, versioned(service))
+		cl.store.PutEntry(plattest.Server{ID: service + "-a1", Service: service, Site: "a1", Addr: s.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
+		cl.eventually("list of servers", func() bool { return e.fleet.ServesVersion(service, "v1", "a") })
+	}
+	for _, a := range cl.beginAt("/split/x", 12) {
+		call := a.resume()
+		call.Path = "/split/x"
+		resp := cl.do(e, call)
+		wantStatus(t, resp, http.StatusOK)
+		if services, _ := parseEvents(resp.Body); !services[a.version] || len(services) != 1 {
+			t.Errorf("the stream began at %s and went on at %v", a.version, services)
+		}
+	}
+}
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -173,11 +173,15 @@
 }
 
 // hash returns the value that distributes requests over the targets of a route.
-// Requests with the same prompt prefix go to the same target.
+// Requests with the same prompt prefix go to the same target, and so does a stream that the
+// caller takes up.
 func (q *request) hash() uint64 {
 	if prefix := q.pick.Prefix(); prefix != 0 {
 		return prefix
 	}
+	if q.takeUp() {
+		return xxhash.Sum64String(q.r.Header.Get(platform.HeaderResumes))
+	}
 	return xxhash.Sum64String(q.id)
 }
 
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -29,6 +29,9 @@
 // resumable reports whether the response is a stream that may go on at another server.
 func (q *request) resumable() bool { return q.route.Stream && q.route.Resumable }
 
+// takeUp reports whether the caller takes a stream up again.
+func (q *request) takeUp() bool { return !q.forwarded && q.resumable() && q.lastEvent != "" }
+
 // pin allows only servers of a software version from now on.
 func (q *request) pin(version string) {
 	q.pick.Pinned = true
@@ -39,7 +42,7 @@
 // up. It returns a refusal if this version is unknown or no longer serves: nothing can go
 // on then.
 func (q *request) pinTakeUp() *refusal {
-	if q.forwarded || !q.resumable() || q.lastEvent == "" {
+	if !q.takeUp() {
 		return nil
 	}
 	version, source, ref := q.beganAt()
