Do not begin a stream again whose events have no identifiers

Callers got the first events of such a stream twice or more within one response: after a break it was sent to another server without an event to go on after, which began it again.

Cause: found by reading for the class of servers that begin again. A break after the first event was taken for one that can be resumed whether or not the caller has an identifier.

Change: once events were passed on, another attempt follows only if one of them had an identifier.

Figures: TestStreamWithoutIDs got three first events on the code before, and one and a broken connection now; the other tests of streams in edge/entry pass.

Conclusion: fixed.

--- a/internal/edge/entry/again_test.go
+++ b/internal/edge/entry/again_test.go
@@ -44,3 +44,23 @@
 		})
 	}
 }
+
+// TestStreamWithoutIDs guards against a stream whose events have no identifiers, so that no server
+// can go on with it, and which begins again within the same response when it breaks off.
+func TestStreamWithoutIDs(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	for i := range 3 {
+		cl.server(fmt.Sprint("s", i), "a1", func(x *origin.Exchange) bool {
+			x.StartStream()
+			x.Chunk("data: part 1\n\n")
+			time.Sleep(10 * time.Millisecond)
+			return isWarmUp(x) && x.EndStream()
+		})
+	}
+	cl.warmUp(e)
+	resp := cl.do(e, post("/ask/x", "1"))
+	if resp.Body != "data: part 1\n\n" || resp.Err == nil {
+		t.Errorf("status %d, error %v, body %q", resp.Status, resp.Err, resp.Body)
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -63,8 +63,8 @@
 // mayRetry reports whether another attempt follows, and withdraws it from the
 // retry budget.
 func (q *request) mayRetry(res retry.Result, svc *fleet.Service) bool {
-	if q.headerWritten && q.versionUnknown {
-		return false
+	if q.eventsPassed && (q.versionUnknown || q.lastEvent == "") {
+		return false // no server can go on with what the caller has
 	}
 	if q.remaining() <= 0 || cancelled(q.r.Context()) || !q.rules().Allows(res, q.tally) {
 		return false
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -72,6 +72,7 @@
 	triedHosts    []netip.AddrPort
 	reason        string
 	headerWritten bool      // the response header was written to the caller
+	eventsPassed  bool      // events of a stream were written as well
 	firstByte     time.Time // when the first byte of the response was received
 	// lastAttempt is when the last attempt before the first byte began, and sentAt when
 	// the last one did.
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -150,6 +150,7 @@
 		q.finish("left", resp.Status)
 		return err
 	}
+	q.eventsPassed = q.eventsPassed || q.began
 	if id := stream.LastID(b); id != "" {
 		q.lastEvent = id
 	}
