State the tests of crashes and of take-ups once each

Cause: the tests of prompt parts and of whole requests that crash servers stood twice, and so did the checks of streams whose version has left.

Change: crashCase and testOutlivesHosts serve for both; the restart of testOutlivesHosts starts both hosts again, at their addresses and not as the first ones, where one new host was started before. checkResumed and checkLeft hold the checks of take-ups.

--- a/internal/edge/entry/deadly_test.go
+++ b/internal/edge/entry/deadly_test.go
@@ -1,11 +1,7 @@
 package entry
 
 import (
-	"context"
-	"fmt"
-	"net/http"
 	"testing"
-	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/platform"
@@ -35,76 +31,17 @@
 		{"stream after its first event", post("/chat/x", "dead"), post("/chat/x", "fine"), true},
 		{"resumable stream after its first event", post("/ask/x", "dead"), post("/ask/x", "fine"), true},
 	} {
-		t.Run(tt.name, func(t *testing.T) { testDeadlyRequest(t, tt.dead, tt.good, tt.late) })
+		t.Run(tt.name, func(t *testing.T) {
+			crashCase{nth: 3, late: tt.late, dead: same(tt.dead), good: same(tt.good)}.run(t)
+		})
 	}
 }
 
-func testDeadlyRequest(t *testing.T, dead, good line.Call, late bool) {
-	cl := newCluster(t)
-	hosts := []*Entry{cl.host("a1"), cl.host("a1"), cl.host("b1")}
-	f := newFragile(cl)
-	f.late = late
-	for i := range 3 {
-		f.add(fmt.Sprintf("sa%d", i), "a1")
-		f.add(fmt.Sprintf("sb%d", i), "b1")
-	}
-	began := time.Now()
-	var served, sound int
-	var last line.Response
-	for i := 0; f.since(3) < contactTime+4*time.Second; i++ {
-		if time.Since(began) > 40*time.Second {
-			t.Fatalf("%d crashes within 40 s, want 3", f.count())
-		}
-		e := hosts[i%len(hosts)]
-		if i%7 == 0 {
-			last = cl.do(e, dead)
-		}
-		resp := cl.do(e, good)
-		if f.since(3) > contactTime {
-			sound++
-			if resp.Status == http.StatusOK && resp.Err == nil {
-				served++
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	if n := f.lateCrashes(3); n > 3 {
-		t.Errorf("%d servers crashed later than %v after the third crash, want at most 3", n, contactTime)
-	}
-	if served*10 < sound*9 {
-		t.Errorf("%d of %d other requests were served", served, sound)
-	}
-	if last.Status != http.StatusServiceUnavailable || last.Header.Get("Retry-After") == "" {
-		t.Errorf("the request got status %d at last, error %v", last.Status, last.Err)
-	}
-}
+// same returns a function that returns a call each time.
+func same(c line.Call) func() line.Call { return func() line.Call { return c } }
 
 // TestRequestRefusedAfterRestart guards against hosts that, after all of them have restarted,
 // send a request again that is known to make servers crash.
 func TestRequestRefusedAfterRestart(t *testing.T) {
-	cl := newCluster(t)
-	old := []*Entry{cl.host("a1"), cl.host("a1")}
-	f := newFragile(cl)
-	for i := range 3 {
-		f.add(fmt.Sprintf("s%d", i), "a1")
-	}
-	dead := post("/order/x", "dead")
-	cl.eventually("suspicion", func() bool {
-		return cl.do(old[0], dead).Status == http.StatusServiceUnavailable && old[1].fleet.SuspectedParts() > 0
-	})
-	cl.eventually("record in the store", func() bool { return cl.store.Count("yuccalb/suspects/") == 1 })
-	cl.eventually("all servers run", f.recovered)
-	crashes := f.count()
-	cl.hosts = nil
-	for _, e := range old {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel() // no request is in progress
-		_ = e.Close(ctx)
-	}
-	e := cl.host("a1")
-	wantStatus(t, cl.do(e, dead), http.StatusServiceUnavailable)
-	if n := f.count(); n != crashes {
-		t.Errorf("%d servers crashed after the restart", n-crashes)
-	}
-	wantStatus(t, cl.do(e, post("/order/x", "fine")), http.StatusOK)
+	testOutlivesHosts(t, post("/order/x", "dead"), post("/order/x", "fine"))
 }
--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -143,13 +142,22 @@
 	return post(path, text).With(platform.HeaderPrompt, text).With(platform.HeaderTokens, "2000,20")
 }
 
-// TestPromptPartCrashesServers guards against servers that crash one after the other at
-// requests with the same part of a prompt. Such requests come at all hosts; others share
-// their other parts and their caller, and must be served.
-func TestPromptPartCrashesServers(t *testing.T) {
+// crashCase is a test of servers that crash at some requests, which come at all hosts of two
+// regions, while others come as well.
+type crashCase struct {
+	// nth is the number of the crash after which all hosts must know the requests within
+	// contactTime. With late, servers crash after the first event of a stream.
+	nth  int
+	late bool
+	// dead returns a request that makes servers crash, and good one that must be served.
+	dead, good func() line.Call
+}
+
+func (c crashCase) run(t *testing.T) {
 	cl := newCluster(t)
 	hosts := []*Entry{cl.host("a1"), cl.host("a1"), cl.host("b1")}
 	f := newFragile(cl)
+	f.late = c.late
 	for i := range 3 {
 		f.add(fmt.Sprintf("sa%d", i), "a1")
 		f.add(fmt.Sprintf("sb%d", i), "b1")
@@ -157,16 +165,16 @@
 	began := time.Now()
 	var served, sound int
 	var last line.Response
-	for i := 0; f.since(5) < contactTime+4*time.Second; i++ {
+	for i := 0; f.since(c.nth) < contactTime+4*time.Second; i++ {
 		if time.Since(began) > 40*time.Second {
-			t.Fatalf("%d crashes within 40 s, want 5", f.count())
+			t.Fatalf("%d crashes within 40 s, want %d", f.count(), c.nth)
 		}
 		e := hosts[i%len(hosts)]
 		if i%7 == 0 {
-			last = cl.do(e, prompt("/chat/x", "guide", "dead"))
+			last = cl.do(e, c.dead())
 		}
-		resp := cl.do(e, prompt("/chat/x", "guide", "other"))
-		if f.since(5) > contactTime {
+		resp := cl.do(e, c.good())
+		if f.since(c.nth) > contactTime {
 			sound++
 			if resp.Status == http.StatusOK && resp.Err == nil {
 				served++
@@ -174,20 +182,37 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if n := f.lateCrashes(5); n > 3 {
-		t.Errorf("%d servers crashed later than %v after the fifth crash, want at most 3", n, contactTime)
+	if n := f.lateCrashes(c.nth); n > 3 {
+		t.Errorf("%d servers crashed later than %v after crash %d, want at most 3", n, contactTime, c.nth)
 	}
 	if served*10 < sound*9 {
-		t.Errorf("%d of %d requests with the same first part were served", served, sound)
+		t.Errorf("%d of %d other requests were served", served, sound)
 	}
 	if last.Status != http.StatusServiceUnavailable || last.Header.Get("Retry-After") == "" {
-		t.Errorf("the last request with the part got status %d, error %v", last.Status, last.Err)
+		t.Errorf("the last request that makes servers crash got status %d, error %v", last.Status, last.Err)
 	}
 }
 
+// TestPromptPartCrashesServers guards against servers that crash one after the other at
+// requests with the same part of a prompt. Others share their other parts and their caller,
+// and must be served.
+func TestPromptPartCrashesServers(t *testing.T) {
+	crashCase{
+		nth:  5,
+		dead: func() line.Call { return prompt("/chat/x", "guide", "dead") },
+		good: func() line.Call { return prompt("/chat/x", "guide", "other") },
+	}.run(t)
+}
+
 // TestSuspicionOutlivesHosts guards against hosts that, after all of them have restarted,
 // send requests again with a part that is known to make servers crash.
 func TestSuspicionOutlivesHosts(t *testing.T) {
+	testOutlivesHosts(t, prompt("/chat/x", "guide", "dead"), prompt("/chat/x", "guide", "other"))
+}
+
+// testOutlivesHosts tests that a request that makes servers crash is refused after all hosts
+// have restarted, and another one is not.
+func testOutlivesHosts(t *testing.T, dead, good line.Call) {
 	cl := newCluster(t)
 	old := []*Entry{cl.host("a1"), cl.host("a1")}
 	f := newFragile(cl)
@@ -195,24 +220,17 @@
 		f.add(fmt.Sprintf("s%d", i), "a1")
 	}
 	cl.eventually("suspicion", func() bool {
-		return cl.do(old[0], prompt("/chat/x", "guide", "dead")).Status == http.StatusServiceUnavailable && old[1].fleet.SuspectedParts() > 0
+		return cl.do(old[0], dead).Status == http.StatusServiceUnavailable && old[1].fleet.SuspectedParts() > 0
 	})
 	cl.eventually("record in the store", func() bool { return cl.store.Count("yuccalb/suspects/") == 1 })
 	cl.eventually("all servers run", f.recovered)
 	crashes := f.count()
-	cl.hosts = nil
-	for _, e := range old {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel() // no request is in progress
-		_ = e.Close(ctx)
-	}
-	e := cl.host("a1")
-	resp := cl.do(e, prompt("/chat/x", "guide", "dead"))
-	wantStatus(t, resp, http.StatusServiceUnavailable)
+	cl.restart()
+	wantStatus(t, cl.do(cl.hosts[0], dead), http.StatusServiceUnavailable)
 	if n := f.count(); n != crashes {
 		t.Errorf("%d servers crashed after the restart", n-crashes)
 	}
-	wantStatus(t, cl.do(e, prompt("/chat/x", "guide", "other")), http.StatusOK)
+	wantStatus(t, cl.do(cl.hosts[0], good), http.StatusOK)
 }
 
 // TestWrongSuspicionProbed guards against a wrong suspicion that never ends: the part is
--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -223,21 +223,40 @@
 	return out
 }
 
-// twoVersions starts hosts in two regions with servers of v1, and of v2 once the streams that
-// it returns first have begun. The second list of streams began at both versions.
-func twoVersions(t *testing.T) (cl *cluster, old, mixed []attempt, first, second []string) {
+// twoVersions starts hosts in two regions with servers of v1, and later servers of v2 as well. It
+// returns streams that began before and after that, and the identifiers of the servers of
+// each version.
+func twoVersions(t *testing.T) (cl *cluster, all []attempt, first, second []string) {
 	cl = newCluster(t)
 	for _, site := range []string{"a1", "a1", "b1"} {
 		cl.host(site)
 	}
 	first = cl.addVersion("v1")
-	old = cl.begin(12)
+	old := cl.begin(12)
 	second = cl.addVersion("v2")
-	mixed = cl.begin(40)
+	mixed := cl.begin(40)
 	if len(ofVersion(mixed, "v1")) < 5 || len(ofVersion(mixed, "v2")) < 5 {
 		t.Fatalf("streams began at %v", mixed)
 	}
-	return cl, append(old, mixed...), mixed, first, second
+	return cl, append(old, mixed...), first, second
+}
+
+// checkResumed takes streams up and checks that nine of ten go on, all at their version.
+func (cl *cluster) checkResumed(list []attempt) {
+	cl.t.Helper()
+	if r := cl.resumeAll(list); r.joined > 0 || r.complete < len(list)*9/10 {
+		cl.t.Errorf("of %d streams: %+v", len(list), r)
+	}
+}
+
+// checkLeft takes up streams of a version that has left, which must be refused, and those of the
+// version that is kept.
+func (cl *cluster) checkLeft(list []attempt, left, kept string) {
+	cl.t.Helper()
+	if r := cl.resumeAll(ofVersion(list, left)); r.joined > 0 || r.complete > 0 {
+		cl.t.Errorf("streams of the version that left: %+v", r)
+	}
+	cl.checkResumed(ofVersion(list, kept))
 }
 
 // TestStreamResumedAtVersion guards against streams that a host resumes, within one response,
@@ -319,19 +338,15 @@
 // region, and that go on at another version than the one that began them, or not at all
 // although servers of their version serve.
 func TestTakeUp(t *testing.T) {
-	cl, all, _, _, _ := twoVersions(t)
-	if r := cl.resumeAll(all); r.joined > 0 || r.complete < len(all)*9/10 {
-		t.Errorf("of %d streams: %+v", len(all), r)
-	}
+	cl, all, _, _ := twoVersions(t)
+	cl.checkResumed(all)
 }
 
 // TestTakeUpAfterRestart guards against the same after all hosts were killed.
 func TestTakeUpAfterRestart(t *testing.T) {
-	cl, all, _, _, _ := twoVersions(t)
+	cl, all, _, _ := twoVersions(t)
 	cl.restart()
-	if r := cl.resumeAll(all); r.joined > 0 || r.complete < len(all)*9/10 {
-		t.Errorf("of %d streams: %+v", len(all), r)
-	}
+	cl.checkResumed(all)
 }
 
 // TestTakeUpAfterOldLeft guards against streams that go on at the only version left, at which
@@ -339,41 +354,29 @@
 func TestTakeUpAfterOldLeft(t *testing.T) {
 	for name, restart := range map[string]bool{"hosts run": false, "all hosts restart": true} {
 		t.Run(name, func(t *testing.T) {
-			cl, all, _, first, _ := twoVersions(t)
+			cl, all, first, _ := twoVersions(t)
 			cl.removeServers(first)
 			if restart {
 				cl.restart()
 			}
-			if r := cl.resumeAll(ofVersion(all, "v1")); r.joined > 0 || r.complete > 0 {
-				t.Errorf("streams of the version that left: %+v", r)
-			}
-			kept := ofVersion(all, "v2")
-			if r := cl.resumeAll(kept); r.joined > 0 || r.complete < len(kept)*9/10 {
-				t.Errorf("of %d streams of the other version: %+v", len(kept), r)
-			}
+			cl.checkLeft(all, "v1", "v2")
 		})
 	}
 }
 
 // TestTakeUpAfterNewLeft guards against the same after the newer version was withdrawn.
 func TestTakeUpAfterNewLeft(t *testing.T) {
-	cl, all, _, _, second := twoVersions(t)
+	cl, all, _, second := twoVersions(t)
 	cl.removeServers(second)
 	cl.restart()
-	if r := cl.resumeAll(ofVersion(all, "v2")); r.joined > 0 || r.complete > 0 {
-		t.Errorf("streams of the version that left: %+v", r)
-	}
-	kept := ofVersion(all, "v1")
-	if r := cl.resumeAll(kept); r.joined > 0 || r.complete < len(kept)*9/10 {
-		t.Errorf("of %d streams of the other version: %+v", len(kept), r)
-	}
+	cl.checkLeft(all, "v2", "v1")
 }
 
 // TestTakeUpStoreAway guards against streams that go on at another version, or whose callers
 // wait, because the store that holds the records is away; and against streams that begin at a
 // version that can't be recorded while the base version serves.
 func TestTakeUpStoreAway(t *testing.T) {
-	cl, all, _, _, _ := twoVersions(t)
+	cl, all, _, _ := twoVersions(t)
 	cl.restart() // so that hosts remember nothing
 	away := func(r *http.Request) int {
 		if strings.Contains(r.URL.String(), "attempts") || r.URL.Path == "/-/kv-txn" || r.URL.Path == "/-/kv-lease" {
@@ -394,9 +397,7 @@
 		t.Errorf("streams began at %v", during)
 	}
 	cl.store.SetFault(nil)
-	if r := cl.resumeAll(all); r.joined > 0 || r.complete < len(all)*9/10 {
-		t.Errorf("of %d streams: %+v once the store was back", len(all), r)
-	}
+	cl.checkResumed(all)
 }
 
 // TestTakeUpWithoutName guards against a caller that does not name the attempt that it resumes
@@ -418,7 +419,7 @@
 // TestTakeUpOfUnknownStream guards against a caller that names an attempt of which no host
 // knows, and that is then never answered; it began, if at all, at the base version.
 func TestTakeUpOfUnknownStream(t *testing.T) {
-	cl, _, _, _, _ := twoVersions(t)
+	cl, _, _, _ := twoVersions(t)
 	for range 8 {
 		resp := cl.do(cl.hosts[0], attempt{id: nextID(), last: heldAfter}.resume())
 		wantStatus(t, resp, http.StatusOK)
