--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -14,12 +14,12 @@
 // broke off the first of them.
 type broken struct {
 	at    time.Time
-	parts map[Part]mark
+	parts map[Part]brokenPart
 }
 
-// mark is the greatest position of a part in the requests that have it, and when the last of
+// brokenPart is the greatest position of a part in the requests that have it, and when the last of
 // them was sent.
-type mark struct {
+type brokenPart struct {
 	position int
 	sent     time.Time
 }
@@ -65,7 +65,7 @@
 		if len(d.pending) >= maxPending {
 			return nil, false
 		}
-		b = &broken{at: now, parts: make(map[Part]mark)}
+		b = &broken{at: now, parts: make(map[Part]brokenPart)}
 		d.pending[p] = b
 		first = true
 	}
