Report single crashes of requests for 5 s only

Cause: since whole requests count, each server that ends leaves up to 64 requests that came once. All frames held 32 crashes of them for five minutes, and each evaluation sorted up to 1,024.

Change: a single crash under a part is reported for 5 s, which several frames repeat; a part with more crashes as long as before. An evaluation looks only at parts with enough crashes.

Figures: TestReportsAfterManyCrashes: 32 crashes in the report 6 s after the last one before, the 2 of the request that came again now. The tests of core/poison pass.

--- a/internal/core/poison/evaluate.go
+++ b/internal/core/poison/evaluate.go
@@ -14,7 +14,7 @@
 	explained := d.explained()
 	var changes []Change
 	for {
-		list := d.candidates(explained, now)
+		list := d.candidates(explained, partThreshold, now)
 		i := slices.IndexFunc(list, candidate.suspicious)
 		if i < 0 {
 			return changes
@@ -76,10 +76,13 @@
 }
 
 // candidates returns the parts that are not suspected and have crashes that are not
-// explained, the likeliest cause first.
-func (d *Detector) candidates(explained causes, now time.Time) []candidate {
+// explained, the likeliest cause first. It leaves out those with fewer crashes than least.
+func (d *Detector) candidates(explained causes, least int, now time.Time) []candidate {
 	var list []candidate
 	for part, c := range d.crashed {
+		if len(c.list) < least {
+			continue // most have one crash
+		}
 		n, shared := d.countCrashes(part, explained, now)
 		if n > 0 && d.suspects[part] == nil {
 			list = append(list, candidate{c, part, n, shared, d.begun.at(part)})
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -67,10 +67,13 @@
 // crashes the newest: others have received the older ones before.
 func (d *Detector) reportCrashes(s Scope, now time.Time) []Crash {
 	explained := d.explained()
-	list := d.candidates(explained, now)
+	list := d.candidates(explained, 1, now)
 	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.n, a.n), b.last.Compare(a.last)) })
 	var out []Crash
 	for _, c := range list {
+		if !c.reported(now) {
+			continue
+		}
 		for _, x := range c.list {
 			if len(out) >= maxReportedCrashes {
 				return out
@@ -83,9 +86,21 @@
 	return out
 }
 
-// watchTime is how long after a crash other hosts are told when a response to a request
-// with one of its parts has begun.
-const watchTime = time.Minute
+const (
+	// watchTime is how long after a crash other hosts are told when a response to a
+	// request with one of its parts has begun.
+	watchTime = time.Minute
+	// repeatTime is how long a single crash under a part is repeated in reports, so that
+	// lost ones have no effect. A process that ends takes up to 64 requests with it,
+	// most of which come only once.
+	repeatTime = 5 * time.Second
+)
+
+// reported reports whether other hosts need to know of the crashes.
+func (c *crashes) reported(now time.Time) bool {
+	age := now.Sub(c.last)
+	return age <= repeatTime || len(c.list) > 1 && age <= crashTTL
+}
 
 // reportBegun returns when responses have begun to requests with the parts about which other
 // hosts need to know: those that are or were suspected, and those with recent crashes.
@@ -103,7 +118,7 @@
 		add(part)
 	}
 	for part, c := range d.crashed {
-		if now.Sub(c.last) <= watchTime && d.suspects[part] == nil && d.cleared[part].at.IsZero() {
+		if now.Sub(c.last) <= watchTime && c.reported(now) && d.suspects[part] == nil && d.cleared[part].at.IsZero() {
 			add(part)
 		}
 	}
--- a/internal/core/poison/request_test.go
+++ b/internal/core/poison/request_test.go
@@ -205,3 +205,26 @@
 		t.Errorf("%d requests are remembered", n)
 	}
 }
+
+// TestReportsAfterManyCrashes guards against reports that are full for minutes after many servers
+// have ended by themselves, of requests that came once; one that came again stays in them.
+func TestReportsAfterManyCrashes(t *testing.T) {
+	d := NewDetector()
+	for i := range 28 {
+		requests := [][]Part{{sound(1000 + i)}}
+		if i%14 == 0 {
+			requests = append(requests, []Part{deadly})
+		}
+		for j := range 15 {
+			requests = append(requests, []Part{sound(20*i + j)})
+		}
+		crashAt(d, i, float64(i)/2, requests...)
+	}
+	if r := d.Report(Own, at(14.5)); len(r.Crashes) != maxReportedCrashes {
+		t.Errorf("%d crashes in the report at first", len(r.Crashes))
+	}
+	r := d.Report(Own, at(14).Add(repeatTime+time.Second))
+	if len(r.Crashes) != 2 || r.Crashes[0].Part != deadly || r.Crashes[1].Part != deadly {
+		t.Errorf("report %+v later", r)
+	}
+}
