--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -473,7 +473,9 @@
 	for _, service := range []string{"desk", "shop"} {
 		s := origin.New(t, versioned(service))
 		cl.store.PutEntry(plattest.Server{ID: service + "-a1", Service: service, Site: "a1", Addr: s.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
-		cl.eventually("list of servers", func() bool { return e.fleet.ServesVersion(service, "v1", func(region string) bool { return region == "a" }) })
+		cl.eventually("list of servers", func() bool {
+			return e.fleet.ServesVersion(service, "v1", func(region string) bool { return region == "a" })
+		})
 	}
 	for _, a := range cl.beginAt("/split/x", 12) {
 		call := a.resume()
