--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -36,7 +36,7 @@
 }
 
 func refused(d *Detector, s float64, ids ...string) bool {
-	return d.Check(parts(ids...), at(s)).Refuse
+	return refuses(d, s, parts(ids...))
 }
 
 // TestSuspect guards against a part that is not found although servers crash under it, and
--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -135,11 +135,11 @@
 	return s.base.Version, true
 }
 
-// MustRecord reports whether a stream that begins at a version must be recorded. One that an
-// earlier attempt may have begun may have a record, which must be replaced.
-func (b *Bases) MustRecord(name, version string, retried bool) bool {
+// MustRecord reports whether a stream that begins at a version must be recorded. The argument
+// recorded is set if an earlier attempt may have written a record, which must be replaced.
+func (b *Bases) MustRecord(name, version string, recorded bool) bool {
 	base, known := b.Base(name)
-	return retried || !known || base != version
+	return recorded || !known || base != version
 }
 
 // Only returns the version at which a stream began of which nothing is known: the base, if
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -127,7 +127,7 @@
 // LimitedSend records a request that was sent to a server that named a limit.
 func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
 
-// BrokenOff records a request that its server broke off before the response had begun.
+// BrokenOff records a request that its server broke off before the response was complete.
 func (m *Metrics) BrokenOff(service string) { m.brokenOff.WithLabelValues(service).Inc() }
 
 // TakeUp records that a caller takes a stream up again, and where the version is known from at
