Show that taken keys work again once the last tenant has gone

When a version of the configuration takes the last tenant away, its key and all keys taken away before work on all hosts, without an end.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,7 +33,8 @@
 
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(*play) (bool, error){
-	"quota": playQuota,
+	"quota":  playQuota,
+	"revoke": playRevoke,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
