--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -29,6 +29,7 @@
 	run         http.HandlerFunc // answers a request that is run
 	stop        chan struct{}
 	stopOnce    sync.Once
+	lastBeat    atomic.Int64 // of the last heartbeat, in Unix nanoseconds
 }
 
 // heartbeat is the interval at which workers renew their entries.
@@ -56,6 +57,7 @@
 			return
 		default:
 		}
+		w.lastBeat.Store(time.Now().UnixNano())
 		w.store.PutEntry(plattest.Server{ID: w.id, Service: w.service, Site: w.zone.name, Addr: w.addr, State: w.state.Load().(string), Born: w.born, Seq: seq})
 		select {
 		case <-w.stop:
@@ -82,3 +84,12 @@
 	w.stopOnce.Do(func() { close(w.stop) })
 	_ = w.srv.Close() // its requests are cut off
 }
+
+// cutOff ends the heartbeats, as a partition from the store does. The store removes the entry
+// after three intervals of silence. It returns the time of that.
+func (w *worker) cutOff() time.Time {
+	w.stopOnce.Do(func() { close(w.stop) })
+	expires := time.Unix(0, w.lastBeat.Load()).Add(3 * heartbeat)
+	time.AfterFunc(time.Until(expires), func() { w.store.RemoveServer(w.id) })
+	return expires
+}
