Give each stand-in of the review a port of its own and end processes on a signal

Two of about 40 starts of a trial with random ports had found a host not ready after 20 s, with four trials at once on a busy machine; the cause was not traced. 100 starts alone, in four trials at once, found none.

--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -56,7 +58,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("make temporary folder: %w", err)
 	}
-	return &deployment{dir: dir, store: plattest.NewStore(cleaner{}), zones: zones}, nil
+	d := &deployment{dir: dir, store: plattest.NewStore(cleaner{}), zones: zones}
+	d.closeOnSignal()
+	return d, nil
+}
+
+// closeOnSignal ends all processes if this one is told to stop.
+func (d *deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(exitFailed)
+	}()
 }
 
 // Ports are taken from below those that the kernel gives to outgoing connections.
@@ -65,6 +80,9 @@
 	numPorts  = 15000
 )
 
+// givenPorts are the ports that freeAddr has returned.
+var givenPorts sync.Map
+
 // freeAddr returns a loopback address that is free for TCP and UDP.
 func freeAddr() (netip.AddrPort, error) {
 	for range 200 {
@@ -77,7 +95,9 @@
 		_ = l.Close() // the port is only looked for
 		if err == nil {
 			_ = u.Close() // the same
-			return addr, nil
+			if _, given := givenPorts.LoadOrStore(addr.Port(), true); !given {
+				return addr, nil
+			}
 		}
 	}
 	return netip.AddrPort{}, errors.New("no free port found")
@@ -138,7 +158,6 @@
 	h.cmd.Env = []string{"YUCCALB_NODE_FILE=" + h.settings, "PATH=" + os.Getenv("PATH")}
 	h.cmd.Stdout = h.log
 	h.cmd.Stderr = h.log
-	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", h.name, err)
 	}
