Show that a pause that a server requested is forgotten with its service

A server that answers 503 with Retry-After gets requests again within that time after a version of the configuration has left its service out and the next one has brought it back.

--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -6,8 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
 const (
@@ -32,12 +30,11 @@
 // drainPlay is the state of playDrain.
 type drainPlay struct {
 	*play
-	store   *plattest.Store
-	version int
-	mu      sync.Mutex
-	sent    map[string]time.Time
-	by      map[string]*leaver // the worker that ran a request
-	late    int
+	*operator
+	mu   sync.Mutex
+	sent map[string]time.Time
+	by   map[string]*leaver // the worker that ran a request
+	late int
 }
 
 // leaver is a worker that leaves in a round.
@@ -48,21 +45,6 @@
 	passed time.Time
 }
 
-// putConfig writes the next version, with all routes on one service. It names no other service
-// if only is set.
-func (d *drainPlay) putConfig(service string, only bool) {
-	services := []string{"blue", "green"}
-	if only {
-		services = []string{service}
-	}
-	d.version += 3
-	d.store.PutConfig(plattest.Config{
-		Version: d.version, Services: services,
-		Routes: []plattest.Route{{Prefix: "/order/", Service: service, Kind: "unsafe", Attempts: 1, TimeoutMS: 4000}},
-	})
-	d.record("the store acknowledges version %d: /order/ goes to %s, services %v", d.version, service, services)
-}
-
 // serve returns the handler of a worker, which leaves if l is set and says so.
 func (d *drainPlay) serve(l *leaver) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -72,7 +54,7 @@
 			d.by[id] = l
 			if sent := d.sent[id]; !l.passed.IsZero() && sent.Sub(l.passed) > drainBound {
 				d.late++
-				d.record("request %s reaches %s, sent %.3f s after an answer with Server-Leaving was passed on", id, l.id, sent.Sub(l.passed).Seconds())
+				d.play.record("request %s reaches %s, sent %.3f s after an answer with Server-Leaving was passed on", id, l.id, sent.Sub(l.passed).Seconds())
 			}
 			d.mu.Unlock()
 			if l.leaving.Load() {
@@ -99,7 +81,7 @@
 		d.mu.Unlock()
 		a := c.send(h.front, http.MethodPost, "/order/2f", id, nil, "one board", 4*time.Second)
 		if a.status != http.StatusOK {
-			d.record("client gets %d for request %s, error %v", a.status, id, a.err)
+			d.play.record("client gets %d for request %s, error %v", a.status, id, a.err)
 			continue
 		}
 		if a.header.Get("Server-Leaving") == "" {
@@ -108,7 +90,7 @@
 		d.mu.Lock()
 		if l := d.by[id]; l.passed.IsZero() {
 			l.passed = time.Now()
-			d.record("client gets the first answer with Server-Leaving of %s, to request %s", l.id, id)
+			d.play.record("client gets the first answer with Server-Leaving of %s, to request %s", l.id, id)
 		}
 		d.mu.Unlock()
 	}
@@ -123,7 +105,7 @@
 		return false, err
 	}
 	defer dep.close()
-	d := &drainPlay{play: p, store: dep.store, sent: make(map[string]time.Time), by: make(map[string]*leaver)}
+	d := &drainPlay{play: p, operator: &operator{play: p, store: dep.store}, sent: make(map[string]time.Time), by: make(map[string]*leaver)}
 	d.putConfig("blue", false)
 	for i := range 2 * drainStaying {
 		name := []string{"blue", "green"}[i%2]
@@ -170,7 +152,7 @@
 	at := time.Now()
 	l.leaving.Store(true)
 	expires := w.cutOff()
-	d.record("%s leaves; it is cut off from the store, which removes its entry %.3f s from now", id, expires.Sub(at).Seconds())
+	d.play.record("%s leaves; it is cut off from the store, which removes its entry %.3f s from now", id, expires.Sub(at).Seconds())
 	if d.trouble {
 		time.Sleep(time.Until(at.Add(drainMoved)))
 		d.putConfig("green", true)
@@ -178,7 +160,7 @@
 		d.putConfig("blue", false)
 	}
 	time.Sleep(time.Until(at.Add(drainEnds)))
-	d.record("%s ends", id)
+	d.play.record("%s ends", id)
 	w.close()
 	time.Sleep(time.Until(began.Add(drainRound)))
 	return nil
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,6 +34,7 @@
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(*play) (bool, error){
 	"drain":  playDrain,
+	"pause":  playPause,
 	"quota":  playQuota,
 	"revoke": playRevoke,
 }
