--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -41,19 +41,26 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
-// run plays the case named by the first argument with the record named by the second.
+// Values of the second argument: whether the disruption is played or left out.
+const (
+	withDisruption    = "with"
+	withoutDisruption = "without"
+)
+
+// run plays the case named by the first argument, with or without its disruption as the second
+// one says, and writes the record named by the third.
 func run(args []string) int {
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
+	if len(args) != 3 || cases[args[0]] == nil || args[1] != withDisruption && args[1] != withoutDisruption {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE with|without RECORD")
 		return exitFailed
 	}
-	f, err := os.Create(args[1])
+	f, err := os.Create(args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "stand:", err)
 		return exitFailed
 	}
 	defer func() { _ = f.Close() }() // a short record shows in the file
-	p := &play{file: f, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	p := &play{file: f, began: time.Now(), trouble: args[1] == withDisruption}
 	p.record("case %s, disruption %v", args[0], p.trouble)
 	broken, err := cases[args[0]](p)
 	switch {
