Count the calls of both clients of servers in their connection pools

Change: Pools registers calls (Begin, End) and its Close rejects, waits and closes. No behaviour changes: errors and their texts stay, Close of both clients waits as before. Measured: go test -race of adapt/engine, adapt/plain, daemon/serve and daemon/target passes.

--- a/internal/adapt/engine/chat.go
+++ b/internal/adapt/engine/chat.go
@@ -44,12 +44,12 @@
 // Chat sends a request and returns its stream when the response header has been
 // read. The stream must be closed. It fails when ctx ends. The error is an *Error.
 func (c *Client) Chat(ctx context.Context, call Call) (*Stream, error) {
-	if err := c.beginCall(); err != nil {
+	if err := c.pools.Begin(); err != nil {
 		return nil, &Error{Addr: call.Addr, Kind: KindInvalid, Err: err}
 	}
 	s, err := c.chat(ctx, call)
 	if err != nil {
-		c.endCall()
+		c.pools.End()
 		return nil, err
 	}
 	return s, nil
--- a/internal/adapt/engine/client.go
+++ b/internal/adapt/engine/client.go
@@ -10,10 +10,8 @@
 package engine
 
 import (
-	"errors"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 )
 
@@ -26,9 +24,6 @@
 	maxReport = 1 << 20
 )
 
-// errClosed is the cause of errors of calls after Close.
-var errClosed = errors.New("client is closed")
-
 // Options are the settings of a Client. The zero value is ready for use.
 type Options struct {
 	// Dial opens connections; nil means TCP.
@@ -39,10 +34,6 @@
 type Client struct {
 	pools    *Pools
 	unpooled *http.Transport
-
-	mu     sync.Mutex
-	closed bool
-	calls  sync.WaitGroup
 }
 
 // New returns a client.
@@ -57,25 +48,4 @@
 
 // Close rejects new calls, waits for the calls and streams in progress without
 // interrupting them, and closes all connections.
-func (c *Client) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.calls.Wait()
-	c.pools.Close()
-	return nil
-}
-
-// beginCall registers a call in progress, unless the client is closed. endCall must
-// follow.
-func (c *Client) beginCall() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return errClosed
-	}
-	c.calls.Add(1)
-	return nil
-}
-
-func (c *Client) endCall() { c.calls.Done() }
+func (c *Client) Close() error { return c.pools.Close() }
--- a/internal/adapt/engine/order.go
+++ b/internal/adapt/engine/order.go
@@ -25,10 +25,10 @@
 // engine that rejects a stale fencing token responds with status 409 and X-Run: no;
 // Error.Stale reports that. The error is an *Error.
 func (c *Client) Order(ctx context.Context, addr netip.AddrPort, o Order, timeout time.Duration, check func() error) error {
-	if err := c.beginCall(); err != nil {
+	if err := c.pools.Begin(); err != nil {
 		return &Error{Addr: addr, Kind: KindInvalid, Err: err}
 	}
-	defer c.endCall()
+	defer c.pools.End()
 	body, err := json.Marshal(o)
 	if err != nil {
 		return &Error{Addr: addr, Kind: KindInvalid, Err: err}
--- a/internal/adapt/engine/poll.go
+++ b/internal/adapt/engine/poll.go
@@ -95,10 +95,10 @@
 // poll sends a short request without a body. It accepts status codes from 200 to
 // 299 and extraStatus.
 func (c *Client) poll(ctx context.Context, method string, addr netip.AddrPort, path string, extraStatus int) ([]byte, error) {
-	if err := c.beginCall(); err != nil {
+	if err := c.pools.Begin(); err != nil {
 		return nil, &Error{Addr: addr, Kind: KindInvalid, Err: err}
 	}
-	defer c.endCall()
+	defer c.pools.End()
 	p := NewProgress(ctx, pollTimeout)
 	defer p.Stop()
 	id := "poll-" + rand.Text()
--- a/internal/adapt/engine/pools.go
+++ b/internal/adapt/engine/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,14 +22,21 @@
 	maxHeader = 64 << 10
 )
 
+// errClosed is the cause of errors of calls after Close.
+var errClosed = errors.New("client is closed")
+
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Pools holds a connection pool per address. It is safe for concurrent use.
+// Pools holds a connection pool per address and counts the calls in progress. It is
+// safe for concurrent use.
 type Pools struct {
 	dial  DialFunc
-	mu    sync.Mutex
-	pools map[netip.AddrPort]*http.Transport
+	calls sync.WaitGroup
+
+	mu     sync.Mutex
+	pools  map[netip.AddrPort]*http.Transport
+	closed bool
 }
 
 // NewPools returns empty pools. A nil dial means TCP.
@@ -39,6 +47,21 @@
 	return &Pools{dial: dial, pools: make(map[netip.AddrPort]*http.Transport)}
 }
 
+// Begin registers a call in progress. It returns an error after Close. End must
+// follow if it returns nil.
+func (p *Pools) Begin() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errClosed
+	}
+	p.calls.Add(1)
+	return nil
+}
+
+// End ends a call that Begin registered.
+func (p *Pools) End() { p.calls.Done() }
+
 // Get returns the transport for calls that may reuse a connection to addr.
 func (p *Pools) Get(addr netip.AddrPort) *http.Transport {
 	p.mu.Lock()
@@ -83,8 +106,13 @@
 	}
 }
 
-// Close closes all idle connections. It does not wait for calls in progress.
-func (p *Pools) Close() {
+// Close rejects new calls, waits for the calls in progress without interrupting
+// them, and closes all connections.
+func (p *Pools) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.calls.Wait()
 	p.mu.Lock()
 	pools := p.pools
 	p.pools = make(map[netip.AddrPort]*http.Transport)
@@ -92,4 +120,5 @@
 	for _, tr := range pools {
 		tr.CloseIdleConnections()
 	}
+	return nil
 }
--- a/internal/adapt/engine/stream.go
+++ b/internal/adapt/engine/stream.go
@@ -95,7 +95,7 @@
 		}
 		s.progress.Stop()
 		s.body.Close()
-		s.client.endCall()
+		s.client.pools.End()
 	})
 	return nil
 }
--- a/internal/adapt/plain/client.go
+++ b/internal/adapt/plain/client.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/adapt/engine"
@@ -31,8 +30,6 @@
 	DefaultTimeout = 30 * time.Second
 )
 
-var errClosed = errors.New("client is closed")
-
 // Options are the settings of a Client. The zero value is ready for use.
 type Options struct {
 	// Dial opens connections; nil means TCP.
@@ -46,10 +43,6 @@
 	pools    *engine.Pools
 	unpooled *http.Transport
 	limit    int64
-
-	mu     sync.Mutex
-	closed bool
-	calls  sync.WaitGroup
 }
 
 // New returns a client.
@@ -66,14 +59,7 @@
 
 // Close rejects new calls, waits for the calls in progress, and closes all
 // connections.
-func (c *Client) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.calls.Wait()
-	c.pools.Close()
-	return nil
-}
+func (c *Client) Close() error { return c.pools.Close() }
 
 // Call is one request to one plain service.
 type Call struct {
@@ -117,10 +103,10 @@
 }
 
 func (c *Client) do(ctx context.Context, call Call) (*Response, *engine.Error) {
-	if err := c.beginCall(); err != nil {
+	if err := c.pools.Begin(); err != nil {
 		return nil, invalid(call, err)
 	}
-	defer c.calls.Done()
+	defer c.pools.End()
 	if err := checkPath(call.Path); err != nil {
 		return nil, invalid(call, err)
 	}
@@ -165,17 +151,6 @@
 	}, nil
 }
 
-// beginCall registers a call.
-func (c *Client) beginCall() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return errClosed
-	}
-	c.calls.Add(1)
-	return nil
-}
-
 // closeIdleOnStall closes the idle connections to the server if e is a stall, and
 // returns e.
 func (c *Client) closeIdleOnStall(e *engine.Error) *engine.Error {
