--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -164,20 +164,29 @@
 // readVersion reads a response up to the event heldAfter and returns the version that wrote it.
 func (cl *cluster) readVersion(conn *line.Conn) string {
 	cl.t.Helper()
+	version, ok := readVersion(conn)
+	if !ok {
+		cl.t.Fatalf("no event %d", heldAfter)
+	}
+	return version
+}
+
+// readVersion is the method of this name. It returns false if the response ends before.
+func readVersion(conn *line.Conn) (string, bool) {
 	if err := conn.SetReadDeadline(time.Now().Add(readyWait)); err != nil {
-		cl.t.Fatal(err)
+		return "", false
 	}
 	var text string
 	buf := make([]byte, 1024)
 	for {
 		_, rest, ok := strings.Cut(text, fmt.Sprintf("id: %d\ndata: ", heldAfter))
 		if version, _, whole := strings.Cut(rest, "\n\n"); ok && whole {
-			return version
+			return version, true
 		}
 		n, err := conn.Read(buf)
 		text += string(buf[:n])
-		if err != nil {
-			cl.t.Fatalf("%v after %q", err, text)
+		if err != nil || strings.HasPrefix(text, "HTTP/1.1 5") {
+			return "", false
 		}
 	}
 }
