Log the streams that are passed on without a record

The logs show where a stream is taken up and from what its version is known, but not whether it was recorded before its first event; the metric counts by service.

Change: a line with the identifier and the version. No decision changes.

--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -152,6 +152,7 @@
 		return false
 	}
 	q.s.stats.Unrecorded(q.service)
+	q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
 	return true
 }
 
