Do not pass a stream on whose version other hosts can't find

Callers saw: streams that went on at another software version, although they named the attempt that began them (ORDER).

Cause: a stream without a record counts as one of the base version. A host that could not write a record within 0.4 s passed the first event on all the same if no other attempt was allowed: always for a forwarded request, and without a retry budget. A host that knew that it can't write still sent streams to other versions once the base version was busy. Another host, which reaches the store, finds no record and takes the stream up at the base. The class: an absent record was taken for a statement, while hosts acted that could not state anything.

Change: the event waits 1 s longer if no attempt can follow, then the attempt fails. While a host can't write, its streams begin at the base or at a host of another region, which may be able to; others are refused as not run. Only if no server of the base is listed at all, nobody can take the stream for one of the base, and it is passed on as before.

Ruled out: taking base streams up only while the store is well (the host that takes it up can't see that another one can't write).

--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -15,16 +15,27 @@
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 )
 
-// choose picks a server of the local region, and returns true, or a remote region. It prefers
-// servers at which streams need no record while none can be written.
+// choose picks a server of the local region, and returns true, or a remote region. While this
+// host can't record streams, it allows only servers at which they need no record, or hosts of
+// another region, which may be able to.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.target = q.avoidRecords(now)
 	c, local, ref := q.chooseTarget(now, remaining)
 	if ref == nil || q.target == &q.pick {
 		return c, local, ref
 	}
+	ref.reason = reasonNotRecorded
+	if q.forwarded {
+		return c, local, ref
+	}
 	q.target = &q.pick
-	return q.chooseTarget(now, remaining)
+	demand := q.demand(q.s.fleet.Service(q.service), remaining)
+	dest, remote, ok := q.bestRemote(demand)
+	if !ok {
+		return c, local, ref
+	}
+	q.dest = dest
+	return c, false, q.checkLate(demand, remote.First)
 }
 
 // chooseTarget is choose for q.target.
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -62,8 +62,8 @@
 			if events.Ended() {
 				q.recordBegun()
 			}
-			if !q.awaitRecord() {
-				return retry.ServerError, pick.Aborted
+			if res, ok := q.awaitRecord(); !ok {
+				return res, pick.Aborted
 			}
 			if werr := q.writeEvents(resp, buf[:whole], control); werr != nil {
 				return retry.Done, pick.Aborted
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
@@ -18,6 +19,10 @@
 // covers a call to a store in another region.
 const maxRecordWait = 400 * time.Millisecond
 
+// maxLastWait is how much longer the event waits if no other attempt can follow. Callers give a
+// stream up after 2 s without an event.
+const maxLastWait = time.Second
+
 // Records reads and writes at which software version streams began.
 type Records interface {
 	Add(attempt, version string) *ledger.Record
@@ -96,22 +101,30 @@
 	return !q.target.Pinned || q.s.fleet.ServesVersion(q.service, q.target.Version, func(r string) bool { return r == region })
 }
 
-// avoidRecords returns the request for the choice of a server, which allows only servers of the
-// base version if this host can't record another one and the base serves anywhere.
+// avoidRecords returns the request for the choice of a server, which allows only servers at which
+// the stream may begin without a record while this host can't write records.
 func (q *request) avoidRecords(now time.Time) *pick.Request {
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
 		return &q.pick
 	}
-	base, ok := q.s.fleet.Bases().Base(q.service)
-	if !ok || !q.serves(base) {
+	version, only := q.withoutRecord()
+	if !only {
 		return &q.pick
 	}
 	r := q.pick
 	r.Pinned = true
-	r.Version = base
+	r.Version = version
 	return &r
 }
 
+// withoutRecord returns the only version at which a stream may begin without a record: the base,
+// for which hosts that find no record take it. It returns false if no server of the base is
+// listed, so that such a stream can't be taken up at all.
+func (q *request) withoutRecord() (version string, only bool) {
+	base, ok := q.s.fleet.Bases().Base(q.service)
+	return base, ok && q.s.fleet.ListsVersion(q.service, base)
+}
+
 // recordVersion begins to record at which version the stream begins, if it may begin with this
 // attempt and has to be recorded.
 func (q *request) recordVersion(version string) {
@@ -134,26 +147,32 @@
 }
 
 // awaitRecord waits until the version of the stream is recorded, before the first event is passed
-// on: from then on the caller may take the stream up. It reports whether the event may be. If
-// the record takes too long, another attempt follows at the base version, as far as the
-// rules for retries allow it.
-func (q *request) awaitRecord() bool {
+// on: from then on the caller may take the stream up. It returns false if the event must not be
+// passed on, with what becomes of the attempt: if the record takes too long, another attempt
+// follows at the base version, as far as the rules for retries allow it.
+func (q *request) awaitRecord() (retry.Result, bool) {
 	if q.record == nil {
-		return true
+		return 0, true
 	}
 	record := q.record
 	q.record = nil
-	if record.Wait(q.r.Context(), maxRecordWait) || cancelled(q.r.Context()) {
-		return true
+	ctx := q.r.Context()
+	if record.Wait(ctx, maxRecordWait) || cancelled(ctx) {
+		return 0, true
+	}
+	if base, only := q.withoutRecord(); !only || base == record.Version {
+		q.s.stats.Unrecorded(q.service)
+		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
+		return 0, true
+	}
+	q.reason = reasonNotRecorded
+	if q.retryable() {
+		return retry.ServerError, false
 	}
-	next := q.avoidRecords(time.Now())
-	if next.Pinned && next.Version != record.Version && q.retryable() {
-		q.reason = reasonNotRecorded
-		return false
+	if record.Wait(ctx, min(maxLastWait, q.remaining())) {
+		return 0, true
 	}
-	q.s.stats.Unrecorded(q.service)
-	q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
-	return true
+	return retry.Unknown, false
 }
 
 // pinResponse allows only servers of the version that has sent the first events to go on with
