Show in logs and metrics what allows a retry, and why none follows

Nothing told which retries were withdrawn from the budget, which were made without one, and by how many hosts a host divides it, so that the hypotheses could not be told apart. No change of logic: Tally.Withdraw says why it allows an attempt.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// Limit returns the most retries that the budget holds.
+func (b *Budget) Limit() float64 { return float64(b.limitUnits()) / unitsPerRetry }
+
+// Available returns the retries that the budget holds.
+func (b *Budget) Available() float64 { return float64(b.available.Load()) / unitsPerRetry }
+
 // limitUnits returns the limit in units.
 func (b *Budget) limitUnits() int64 {
 	if n := b.limit.Load(); n > 0 {
--- a/internal/core/retry/rules.go
+++ b/internal/core/retry/rules.go
@@ -60,8 +60,3 @@
 	}
 	return false
 }
-
-// Withdraw takes the next attempt from the budget and reports whether it may be
-// made. It needs no budget while no attempt has reached a server, or if b is
-// nil.
-func (t Tally) Withdraw(b *Budget) bool { return b == nil || t.Sends == 0 || b.Withdraw() }
--- a/internal/core/retry/rules_test.go
+++ b/internal/core/retry/rules_test.go
@@ -44,16 +44,16 @@
 // servers refuse connections.
 func TestTallyWithdraw(t *testing.T) {
 	var b Budget
-	if !(Tally{Tries: 1}).Withdraw(&b) {
+	if !(Tally{Tries: 1}).Withdraw(&b).Permitted() {
 		t.Error("attempt rejected after one that established no connection")
 	}
-	if (Tally{Tries: 1, Sends: 1}).Withdraw(&b) {
+	if (Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
 		t.Error("retry of a sent request admitted by an empty budget")
 	}
 	for range int(1 / DefaultRatio) {
 		b.Deposit()
 	}
-	if !(Tally{Tries: 1, Sends: 1}).Withdraw(&b) {
+	if !(Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
 		t.Error("retry of a sent request rejected within the budget")
 	}
 }
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -35,6 +35,8 @@
 	"server limits requests":   "server",
 	"server ended its limit":   "server",
 
+	"retry budget": "retries",
+
 	"prompt part suspected": "prompts",
 	"prompt part cleared":   "prompts",
 	"request suspected":     "requests",
@@ -42,7 +44,7 @@
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "prompts", "requests", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "retries", "prompts", "requests", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -92,6 +92,9 @@
 	mu       sync.Mutex // guards changes of tables and listedAt
 	listedAt time.Time  // of the first list of entries
 
+	// retryHosts is the number of hosts among which the retry budget is divided.
+	retryHosts atomic.Int64
+
 	// position is that of this host in the order of its region's hosts.
 	position atomic.Int64
 
@@ -224,7 +227,7 @@
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
 		ReportInterval: spread.Interval(len(names)),
 	}
-	retries := retryShare * float64(f.opts.Retries) / float64(f.hosts(v, now))
+	retries := f.retryPart(v, now)
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
@@ -254,6 +257,20 @@
 	}
 }
 
+// retryPart returns the part of the retry budget that this host may hold for each service,
+// and logs changes.
+func (f *Fleet) retryPart(v *track.View, now time.Time) float64 {
+	n := f.hosts(v, now)
+	part := retryShare * float64(f.opts.Retries) / float64(n)
+	if f.retryHosts.Swap(int64(n)) != int64(n) {
+		f.opts.Log.Info("retry budget", zap.Int("hosts", n), zap.Float64("part", part))
+	}
+	return part
+}
+
+// RetryHosts returns the number of hosts among which the retry budget is divided.
+func (f *Fleet) RetryHosts() int64 { return f.retryHosts.Load() }
+
 // hosts returns the number of local hosts that are registered or reachable, and remote
 // ones that are registered or listed in a report.
 func (f *Fleet) hosts(v *track.View, now time.Time) int {
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -63,16 +63,29 @@
 // mayRetry reports whether another attempt follows, and withdraws it from the
 // retry budget.
 func (q *request) mayRetry(res retry.Result, svc *fleet.Service) bool {
+	if cancelled(q.r.Context()) {
+		return false
+	}
 	if q.eventsPassed && (q.versionUnknown || q.lastEvent == "") {
-		return false // no server can go on with what the caller has
+		return q.granted(retry.DeniedByRules) // no server can go on with what the caller has
 	}
-	if q.remaining() <= 0 || cancelled(q.r.Context()) || !q.rules().Allows(res, q.tally) {
-		return false
+	if !q.rules().Allows(res, q.tally) {
+		return q.granted(retry.DeniedByRules)
+	}
+	if q.remaining() <= 0 {
+		return q.granted(retry.DeniedByTime)
 	}
 	if res == retry.ServerError {
 		return true // retryable has withdrawn it already
 	}
-	return q.tally.Withdraw(retryBudget(svc))
+	return q.granted(q.tally.Withdraw(retryBudget(svc)))
+}
+
+// granted records whether another attempt may follow, and why, and returns it.
+func (q *request) granted(g retry.Grant) bool {
+	q.grant = g
+	q.s.stats.Grant(q.service, string(g), g.Permitted())
+	return g.Permitted()
 }
 
 // rules returns the retry rules of the route.
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -138,11 +138,17 @@
 // retryable reports whether another attempt may follow an error response of a
 // server, and withdraws it from the retry budget.
 func (q *request) retryable() bool {
-	if q.forwarded || q.remaining() < minRetryTime || !q.rules().Allows(retry.ServerError, q.tally) {
-		return false
+	if q.forwarded || !q.rules().Allows(retry.ServerError, q.tally) {
+		return q.granted(retry.DeniedByRules)
+	}
+	if q.remaining() < minRetryTime {
+		return q.granted(retry.DeniedByTime)
 	}
 	b := retryBudget(q.s.fleet.Service(q.service))
-	return b != nil && b.Withdraw()
+	if b == nil {
+		return q.granted(retry.DeniedByBudget)
+	}
+	return q.granted(q.tally.Withdraw(b))
 }
 
 // minRetryTime is the least remaining time for a retry after an error response.
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -69,6 +69,7 @@
 
 	admittedCost  float64 // taken from the rate limit of the organisation
 	tally         retry.Tally
+	grant         retry.Grant // of the last attempt after the first, or why there is no other
 	triedHosts    []netip.AddrPort
 	reason        string
 	headerWritten bool      // the response header was written to the caller
@@ -278,6 +279,9 @@
 	if !q.firstByte.IsZero() {
 		fields = append(fields, zap.Duration("first", q.firstByte.Sub(q.arrived)), zap.Duration("retried_for", q.lastAttempt.Sub(q.arrived)), zap.Duration("read", q.choice.PrefillTime))
 	}
+	if q.grant != "" {
+		fields = append(fields, zap.String("retry", string(q.grant)))
+	}
 	if q.choice.Limited {
 		fields = append(fields, zap.Float64("limit", q.choice.Limit))
 	}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -31,6 +31,8 @@
 	firstByteParts *prometheus.HistogramVec
 	response       *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	retriesDenied  *prometheus.CounterVec
 	limitedSends   *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
 	brokenOff      *prometheus.CounterVec
@@ -58,6 +60,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_attempts_total", Help: "Requests sent, by service, place (local or the region) and outcome.",
 		}, []string{"service", "place", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_retries_total", Help: "Attempts after the first one, by service and what allowed them (budget, free or no budget).",
+		}, []string{"service", "by"}),
+		retriesDenied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_retries_denied_total", Help: "Failed attempts that none followed, by service and reason (rules, time or budget exhausted).",
+		}, []string{"service", "reason"}),
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
 		}, []string{"service"}),
@@ -77,7 +85,7 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -124,6 +132,16 @@
 	m.attempts.WithLabelValues(service, place, outcome).Inc()
 }
 
+// Grant records whether an attempt follows a failed one, and what allowed it or why none
+// does.
+func (m *Metrics) Grant(service, reason string, permitted bool) {
+	if permitted {
+		m.retries.WithLabelValues(service, reason).Inc()
+		return
+	}
+	m.retriesDenied.WithLabelValues(service, reason).Inc()
+}
+
 // LimitedSend records a request that was sent to a server that named a limit.
 func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
 
