Bound retries to services whose servers a host does not know

What callers saw: nothing; servers got up to four arrivals of a request. A host that has just started serves its callers by other regions until it has listed the servers and heard of its neighbours. The retry budget was a field of the service's table, which does not exist until then, and a missing budget allowed every retry (the class: absence read as permission). A list that fails keeps the host in that state for as long as it fails.

Budgets are now kept apart from the tables, for every service, and hold one retry until the host knows how many others there are. Withdraw has no case without a budget. A service that leaves a version and returns begins empty.

--- a/internal/core/retry/rules_test.go
+++ b/internal/core/retry/rules_test.go
@@ -77,3 +77,35 @@
 		t.Errorf("%d retries at once at %d hosts, want at most 54 and most of them", sum, hosts)
 	}
 }
+
+// TestBudgetsOfUnknownServices guards against services without a bound: those of which
+// the host knows nothing yet, and those that come back after they were left out.
+func TestBudgetsOfUnknownServices(t *testing.T) {
+	s := NewBudgets(0.2)
+	withdraw := func() (n int) {
+		for range 100 {
+			s.Of("desk").Deposit()
+		}
+		for s.Of("desk").Withdraw() {
+			n++
+		}
+		return n
+	}
+	if s.Of("desk").Withdraw() {
+		t.Error("retry without a request")
+	}
+	if n := withdraw(); n != 1 {
+		t.Errorf("%d retries at once before the hosts are known, want 1", n)
+	}
+	s.SetPart(7)
+	if n := withdraw(); n != 7 {
+		t.Errorf("%d retries at once, want 7", n)
+	}
+	s.Retain([]string{"shop"})
+	if s.Of("desk").Withdraw() {
+		t.Error("retry without a request to a service that came back")
+	}
+	if n := withdraw(); n != 7 {
+		t.Errorf("%d retries at once to a service that came back, want 7", n)
+	}
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -76,6 +76,7 @@
 	tracker      *track.Tracker
 	gossip       *gossip.Exchange
 	limiter      *share.Limiter
+	budgets      *retry.Budgets
 	homes        steer.HomeCounts
 	bases        resume.Bases
 	reports      reports
@@ -106,8 +107,6 @@
 // Service is the state of a service in the local region.
 type Service struct {
 	Table *pick.Table
-	// Budget bounds the retries to the service.
-	Budget *retry.Budget
 	// Poison finds the parts of prompts that make the servers crash.
 	Poison *poison.Detector
 	// Goals are those of the recent requests to the service at this host.
@@ -117,7 +116,7 @@
 // New returns a fleet that exchanges its state over e. It is idle until Start is
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
-	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First)}
+	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio)}
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
@@ -217,6 +216,7 @@
 		f.listedAt = now
 	}
 	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
+	f.updateBudgets(v, now)
 	if !f.joined.Load() {
 		return
 	}
@@ -227,13 +227,11 @@
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
 		ReportInterval: spread.Interval(len(names)),
 	}
-	retries := f.retryPart(v, now)
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
-			s = f.newService(svc)
+			s = newService(svc)
 		}
-		s.Budget.SetLimit(retries)
 		var list []spec.Server
 		for _, e := range v.Usable() {
 			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
@@ -248,26 +246,33 @@
 	f.limiter.Retain(f.limiterPeers(v, now))
 }
 
-func (f *Fleet) newService(svc spec.Service) *Service {
+func newService(svc spec.Service) *Service {
 	seed := uint64(time.Now().UnixNano())
 	return &Service{
 		Poison: poison.NewDetector(),
 		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
-		Budget: &retry.Budget{Ratio: retryShare * f.opts.RetryRatio},
 	}
 }
 
-// retryPart returns the part of the retry budget that this host may hold for each service,
-// and logs changes.
-func (f *Fleet) retryPart(v *track.View, now time.Time) float64 {
+// updateBudgets sets the part of the retry budgets that this host may hold, and logs
+// changes.
+func (f *Fleet) updateBudgets(v *track.View, now time.Time) {
 	n := f.hosts(v, now)
 	part := retryShare * float64(f.opts.Retries) / float64(n)
 	if f.retryHosts.Swap(int64(n)) != int64(n) {
 		f.opts.Log.Info("retry budget", zap.Int("hosts", n), zap.Float64("part", part))
 	}
-	return part
+	f.budgets.SetPart(part)
+	var services []string
+	for _, svc := range v.Snapshot.Services {
+		services = append(services, svc.Name)
+	}
+	f.budgets.Retain(services)
 }
 
+// RetryBudget returns the budget that bounds the retries to a service.
+func (f *Fleet) RetryBudget(service string) *retry.Budget { return f.budgets.Of(service) }
+
 // RetryHosts returns the number of hosts among which the retry budget is divided.
 func (f *Fleet) RetryHosts() int64 { return f.retryHosts.Load() }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -8,15 +8,13 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
-	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 )
 
 // serve makes attempts until the request has ended.
 func (q *request) serve() {
-	svc := q.s.fleet.Service(q.service)
 	// Only the first host deposits for the request in its retry budget.
-	if svc != nil && !q.forwarded {
-		svc.Budget.Deposit()
+	if !q.forwarded {
+		q.budget().Deposit()
 	}
 	if ref := q.pinTakeUp(); ref != nil {
 		q.refuse(ref)
@@ -32,7 +30,7 @@
 		if res == retry.Done {
 			return
 		}
-		if ref == nil && q.mayRetry(res, svc) {
+		if ref == nil && q.mayRetry(res) {
 			q.logRetry(res)
 			continue
 		}
@@ -62,7 +60,7 @@
 
 // mayRetry reports whether another attempt follows, and withdraws it from the
 // retry budget.
-func (q *request) mayRetry(res retry.Result, svc *fleet.Service) bool {
+func (q *request) mayRetry(res retry.Result) bool {
 	if cancelled(q.r.Context()) {
 		return false
 	}
@@ -78,7 +76,7 @@
 	if res == retry.ServerError {
 		return true // retryable has withdrawn it already
 	}
-	return q.granted(q.tally.Withdraw(retryBudget(svc)))
+	return q.granted(q.tally.Withdraw(q.budget()))
 }
 
 // granted records whether another attempt may follow, and why, and returns it.
@@ -93,13 +91,8 @@
 	return retry.Rules{Idempotent: q.route.Idempotent, Resumable: q.route.Resumable, Attempts: q.route.Attempts, Forwarded: q.forwarded}
 }
 
-// retryBudget returns the retry budget of svc, or nil if svc is nil.
-func retryBudget(svc *fleet.Service) *retry.Budget {
-	if svc == nil {
-		return nil
-	}
-	return svc.Budget
-}
+// budget returns the retry budget of the service.
+func (q *request) budget() *retry.Budget { return q.s.fleet.RetryBudget(q.service) }
 
 // answerFailed ends a request that gets no further attempt. If part of the response was
 // written, it aborts that response.
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -144,11 +144,7 @@
 	if q.remaining() < minRetryTime {
 		return q.granted(retry.DeniedByTime)
 	}
-	b := retryBudget(q.s.fleet.Service(q.service))
-	if b == nil {
-		return q.granted(retry.DeniedByBudget)
-	}
-	return q.granted(q.tally.Withdraw(b))
+	return q.granted(q.tally.Withdraw(q.budget()))
 }
 
 // minRetryTime is the least remaining time for a retry after an error response.
