Divide the retry budget in core/retry, and add a failing test of hosts that disagree

The division moves out of fleet unchanged, so that it can be tested by itself: each host divides by the hosts that it knows at the moment. The test plays cuts from the store and from other hosts, restarts and returns at three regions of one to three hosts, as each host sees them (entries for 10 s, reports of other regions for 20 s).

--- /dev/null
+++ b/internal/core/retry/division_test.go
@@ -0,0 +1,153 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// divisionHost is a host of TestDivisionOfDisagreeingHosts.
+type divisionHost struct {
+	name     string
+	region   int
+	store    bool      // whether the host reaches the store
+	group    int       // it reaches the hosts of the same group
+	renewed  time.Time // when it last reached the store
+	listed   time.Time // when its list was known to be current, zero if it has none
+	list     []*divisionHost
+	heard    map[*divisionHost]time.Time
+	division Division
+	budget   Budget
+}
+
+// restart begins a process that knows nothing.
+func (h *divisionHost) restart() {
+	h.listed, h.list, h.heard = time.Time{}, nil, make(map[*divisionHost]time.Time)
+	h.division = Division{}
+	h.budget = Budget{Ratio: 0.16}
+	h.budget.SetLimit(firstPart)
+}
+
+// look updates what the host knows of the others and what it may hold, and fills its budget.
+func (h *divisionHost) look(all []*divisionHost, now time.Time, regions int) {
+	for _, o := range all {
+		if o.group == h.group {
+			h.heard[o] = now
+			if o.store || o.listed.After(h.listed) {
+				h.readList(all, now, o)
+			}
+		}
+	}
+	if h.listed.IsZero() {
+		return // it serves nobody
+	}
+	m := Members{Regions: regions, ListAge: now.Sub(h.listed)}
+	known := make(map[*divisionHost]bool)
+	for _, o := range h.list {
+		known[o] = true
+	}
+	for o, at := range h.heard {
+		known[o] = known[o] || o.region == h.region && o.group == h.group || o.region != h.region && now.Sub(at) <= 20*time.Second
+	}
+	for o := range known {
+		if o.region != h.region {
+			m.Remote++
+			continue
+		}
+		m.Local = append(m.Local, o.name)
+		if o.group == h.group {
+			m.Reachable++
+		}
+	}
+	h.budget.SetLimit(h.division.Part(0.8*54, m, now))
+	for range 400 {
+		h.budget.Deposit()
+	}
+}
+
+// readList takes the list of registered hosts from the store, or the last one that o has.
+func (h *divisionHost) readList(all []*divisionHost, now time.Time, o *divisionHost) {
+	if !o.store {
+		h.list, h.listed = o.list, o.listed
+		return
+	}
+	h.list, h.listed = nil, now
+	for _, x := range all {
+		if now.Sub(x.renewed) <= 10*time.Second {
+			h.list = append(h.list, x)
+		}
+	}
+}
+
+// TestDivisionOfDisagreeingHosts guards against hosts that know different ones of the others,
+// since they are cut off from these or from the store or have just started, and hold more
+// retries in sum than all hosts may make at once.
+func TestDivisionOfDisagreeingHosts(t *testing.T) {
+	const seeds, allowed = 300, 54.0
+	above, most := 0, 0.0
+	for seed := range uint64(seeds) {
+		held := mostHeld(rand.New(rand.NewPCG(seed, 41)))
+		most = max(most, held)
+		if held > allowed {
+			above++
+		}
+	}
+	if above > 0 {
+		t.Errorf("the hosts hold up to %.1f retries, %v allowed; %d of %d seeds", most, allowed, above, seeds)
+	}
+}
+
+// mostHeld returns the most retries that the hosts of three regions hold in three minutes.
+func mostHeld(rng *rand.Rand) (most float64) {
+	const regions, step = 3, 500 * time.Millisecond
+	var all []*divisionHost
+	for region := range regions {
+		for range 1 + rng.IntN(3) {
+			h := &divisionHost{name: fmt.Sprint("h", len(all)), region: region, store: true}
+			h.restart()
+			all = append(all, h)
+		}
+	}
+	begin := time.Unix(0, 0)
+	for now := begin; now.Before(begin.Add(3 * time.Minute)); now = now.Add(step) {
+		if now.After(begin.Add(15*time.Second)) && rng.IntN(10) == 0 {
+			disturb(all, rng)
+		}
+		for _, h := range all {
+			if h.store {
+				h.renewed = now
+			}
+		}
+		sum := 0.0
+		for _, h := range all {
+			h.look(all, now, regions)
+			sum += h.budget.Available()
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// disturb cuts a host or a region off from the store and the others, lets it come back, or
+// restarts it.
+func disturb(all []*divisionHost, rng *rand.Rand) {
+	picked := all[rng.IntN(len(all))]
+	whole, kind := rng.IntN(2) == 0, rng.IntN(4)
+	for i, h := range all {
+		if h != picked && !(whole && h.region == picked.region) {
+			continue
+		}
+		switch kind {
+		case 0:
+			h.restart()
+		case 1:
+			h.store, h.group = false, 1+i
+			if whole {
+				h.group = 100 + h.region
+			}
+		default:
+			h.store, h.group = true, 0
+		}
+	}
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -159,7 +159,7 @@
 		_, rate := e.fleet.LimitedServers()
 		return rate
 	})
-	m.Gauge("yuccalb_retry_hosts", "Hosts among which the retry budget of each service is divided.", func() float64 { return float64(e.fleet.RetryHosts()) })
+	m.Gauge("yuccalb_retry_part", "Retries that the budget of each service may hold at this host.", e.fleet.RetryPart)
 	m.Gauge("yuccalb_suspected_parts", "Requests and parts of prompts that are suspected to make servers crash.", func() float64 { return float64(e.fleet.SuspectedParts()) })
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
 		n := 0
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -29,11 +29,6 @@
 // working. It covers the time between the check and the dispatch of a request.
 const keyAgeMargin = 400 * time.Millisecond
 
-// retryShare is the fraction of the allowed retries that hosts use. The rest is
-// reserved for calls that servers make on behalf of a retried request, which count
-// as retries too.
-const retryShare = 0.8
-
 // registerTime is the time after the start within which all hosts of a region that
 // restarted as a whole have registered and read each other's entries.
 const registerTime = 1500 * time.Millisecond
@@ -90,11 +85,12 @@
 	seeds    atomic.Pointer[[]netip.AddrPort]
 	stop     chan struct{} // ends keepRecords
 	done     sync.WaitGroup
-	mu       sync.Mutex // guards changes of tables and listedAt
+	mu       sync.Mutex // guards changes of tables and the fields below
 	listedAt time.Time  // of the first list of entries
-
-	// retryHosts is the number of hosts among which the retry budget is divided.
-	retryHosts atomic.Int64
+	// division gives this host its part of the retry budgets, in retries, the last of
+	// which is retryPart.
+	division  retry.Division
+	retryPart float64
 
 	// position is that of this host in the order of its region's hosts.
 	position atomic.Int64
@@ -253,35 +249,3 @@
 		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
 	}
 }
-
-// updateBudgets sets the part of the retry budgets that this host may hold, and logs
-// changes.
-func (f *Fleet) updateBudgets(v *track.View, now time.Time) {
-	n := f.hosts(v, now)
-	part := retryShare * float64(f.opts.Retries) / float64(n)
-	if f.retryHosts.Swap(int64(n)) != int64(n) {
-		f.opts.Log.Info("retry budget", zap.Int("hosts", n), zap.Float64("part", part))
-	}
-	f.budgets.SetPart(part)
-	var services []string
-	for _, svc := range v.Snapshot.Services {
-		services = append(services, svc.Name)
-	}
-	f.budgets.Retain(services)
-}
-
-// RetryBudget returns the budget that bounds the retries to a service.
-func (f *Fleet) RetryBudget(service string) *retry.Budget { return f.budgets.Of(service) }
-
-// RetryHosts returns the number of hosts among which the retry budget is divided.
-func (f *Fleet) RetryHosts() int64 { return f.retryHosts.Load() }
-
-// hosts returns the number of local hosts that are registered or reachable, and remote
-// ones that are registered or listed in a report.
-func (f *Fleet) hosts(v *track.View, now time.Time) int {
-	n := len(f.localNames(v, now))
-	for _, list := range f.remoteHosts() {
-		n += len(list)
-	}
-	return n
-}
