--- /dev/null
+++ b/internal/core/retry/grant.go
@@ -0,0 +1,31 @@
+package retry
+
+// Grant tells whether another attempt may be made, and why.
+type Grant string
+
+// Grants. Free needs no retry from the budget, since no attempt has reached a server;
+// Withdrawn took one. The others are reasons against another attempt: the rules of the
+// route, the time left, an exhausted budget.
+const (
+	Free      Grant = "free"
+	Withdrawn Grant = "budget"
+
+	DeniedByRules  Grant = "rules"
+	DeniedByTime   Grant = "time"
+	DeniedByBudget Grant = "budget exhausted"
+)
+
+// Permitted reports whether the attempt may be made.
+func (g Grant) Permitted() bool { return g == Free || g == Withdrawn }
+
+// Withdraw takes the next attempt from the budget. It needs none while no attempt has
+// reached a server.
+func (t Tally) Withdraw(b *Budget) Grant {
+	switch {
+	case t.Sends == 0:
+		return Free
+	case b.Withdraw():
+		return Withdrawn
+	}
+	return DeniedByBudget
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -29,11 +29,6 @@
 // working. It covers the time between the check and the dispatch of a request.
 const keyAgeMargin = 400 * time.Millisecond
 
-// retryShare is the fraction of the allowed retries that hosts use. The rest is
-// reserved for calls that servers make on behalf of a retried request, which count
-// as retries too.
-const retryShare = 0.8
-
 // registerTime is the time after the start within which all hosts of a region that
 // restarted as a whole have registered and read each other's entries.
 const registerTime = 1500 * time.Millisecond
@@ -76,6 +71,7 @@
 	tracker      *track.Tracker
 	gossip       *gossip.Exchange
 	limiter      *share.Limiter
+	budgets      *retry.Budgets
 	homes        steer.HomeCounts
 	bases        resume.Bases
 	reports      reports
@@ -89,8 +85,12 @@
 	seeds    atomic.Pointer[[]netip.AddrPort]
 	stop     chan struct{} // ends keepRecords
 	done     sync.WaitGroup
-	mu       sync.Mutex // guards changes of tables and listedAt
+	mu       sync.Mutex // guards changes of tables and the fields below
 	listedAt time.Time  // of the first list of entries
+	// division gives this host its part of the retry budgets, in retries, the last of
+	// which is retryPart.
+	division  retry.Division
+	retryPart float64
 
 	// position is that of this host in the order of its region's hosts.
 	position atomic.Int64
@@ -103,8 +103,6 @@
 // Service is the state of a service in the local region.
 type Service struct {
 	Table *pick.Table
-	// Budget bounds the retries to the service.
-	Budget *retry.Budget
 	// Poison finds the parts of prompts that make the servers crash.
 	Poison *poison.Detector
 	// Goals are those of the recent requests to the service at this host.
@@ -114,7 +112,7 @@
 // New returns a fleet that exchanges its state over e. It is idle until Start is
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
-	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First)}
+	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio)}
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
@@ -214,6 +212,7 @@
 		f.listedAt = now
 	}
 	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
+	f.updateBudgets(v, now)
 	if !f.joined.Load() {
 		return
 	}
@@ -224,13 +223,11 @@
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
 		ReportInterval: spread.Interval(len(names)),
 	}
-	retries := retryShare * float64(f.opts.Retries) / float64(f.hosts(v, now))
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
-			s = f.newService(svc)
+			s = newService(svc)
 		}
-		s.Budget.SetLimit(retries)
 		var list []spec.Server
 		for _, e := range v.Usable() {
 			if e.Service == svc.Name && f.Region(e.Site) == f.opts.Region {
@@ -245,21 +242,10 @@
 	f.limiter.Retain(f.limiterPeers(v, now))
 }
 
-func (f *Fleet) newService(svc spec.Service) *Service {
+func newService(svc spec.Service) *Service {
 	seed := uint64(time.Now().UnixNano())
 	return &Service{
 		Poison: poison.NewDetector(),
 		Table:  pick.NewTable(svc, rand.New(rand.NewPCG(seed, seed))),
-		Budget: &retry.Budget{Ratio: retryShare * f.opts.RetryRatio},
-	}
-}
-
-// hosts returns the number of local hosts that are registered or reachable, and remote
-// ones that are registered or listed in a report.
-func (f *Fleet) hosts(v *track.View, now time.Time) int {
-	n := len(f.localNames(v, now))
-	for _, list := range f.remoteHosts() {
-		n += len(list)
 	}
-	return n
 }
