Add a failing test of requests that come late in a planned stop

TestLateRequestsDuringDrain sends requests of each kind to a host that stops, directly and as another host forwards them, with short and long deadlines and with slow bodies.

--- /dev/null
+++ b/internal/edge/entry/drain_test.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/platform"
+	"github.com/yuccalb/yuccalb/platform/plattest"
+)
+
+// longRoutes are routes whose timeout exceeds the grace period of a host.
+var longRoutes = []plattest.Route{
+	{Prefix: "/safe/", Service: "desk", Kind: "safe", Attempts: 2, TimeoutMS: 10000},
+	{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 10000},
+	{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 10000},
+}
+
+// stopCase is a request to a host that stops while its servers take long.
+type stopCase struct {
+	path string
+	// forwarded requests come from another host.
+	forwarded bool
+	// deadline is that of the caller.
+	deadline time.Duration
+	// at is when the request is sent after the signal, and slow how long its body takes.
+	at, slow time.Duration
+}
+
+func (c stopCase) String() string {
+	return fmt.Sprintf("%s forwarded %v after %v, body %v, deadline %v", c.path, c.forwarded, c.at, c.slow, c.deadline)
+}
+
+// call returns the request, with the headers of the first host if it is forwarded.
+func (c stopCase) call() line.Call {
+	millis := fmt.Sprint(c.deadline.Milliseconds())
+	r := post(c.path, "1").With(platform.HeaderDeadline, millis)
+	if !c.forwarded {
+		return r
+	}
+	flags := map[string]string{"/safe/x": "idempotent", "/order/x": "sticky", "/chat/x": "stream"}[c.path]
+	return r.With("Yuccalb-Route", flags).With("Yuccalb-Service", "desk").With("Yuccalb-Millis", millis).With("Yuccalb-Urgency", "1")
+}
+
+// send sends the request to e and reads the response. It reports how long that took.
+func (c stopCase) send(cl *cluster, e *Entry, id string) (line.Response, time.Duration) {
+	addr := e.settings.Front
+	if c.forwarded {
+		addr = e.settings.Peer
+	}
+	conn, err := line.Dial(addr)
+	if err != nil {
+		return line.Response{Err: err}, 0
+	}
+	defer func() { _ = conn.Close() }() // the response was read
+	text := c.call().Bytes(id)
+	began := time.Now()
+	if c.slow > 0 {
+		if _, err := io.WriteString(conn, text[:len(text)-1]); err != nil {
+			return line.Response{Err: err}, 0
+		}
+		time.Sleep(c.slow)
+		text = text[len(text)-1:]
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		cl.t.Logf("%v: %v", c, err) // already refused
+	}
+	return conn.Receive(http.MethodPost), time.Since(began)
+}
+
+// TestLateRequestsDuringDrain guards against a stopping host that takes a request late,
+// directly or from another host, and cuts it without an answer at the end of its grace
+// period. Operators of such systems lost requests this way.
+func TestLateRequestsDuringDrain(t *testing.T) {
+	var cases []stopCase
+	for _, path := range []string{"/safe/x", "/order/x", "/chat/x"} {
+		for _, forwarded := range []bool{false, true} {
+			for at := 2500 * time.Millisecond; at < 5500*time.Millisecond; at += 700 * time.Millisecond {
+				for _, d := range []time.Duration{2 * time.Second, 9 * time.Second} {
+					cases = append(cases, stopCase{path: path, forwarded: forwarded, deadline: d, at: at})
+				}
+			}
+			early := stopCase{path: path, forwarded: forwarded, deadline: 9 * time.Second, at: 200 * time.Millisecond}
+			slow := early
+			slow.slow = 3 * time.Second
+			cases = append(cases, early, slow)
+		}
+	}
+	cl := newCluster(t)
+	cl.store.PutConfig(plattest.Config{Version: 2, Routes: longRoutes, Keys: []string{key}, Org: orgName, Rate: 1e6, Burst: 1e6, Services: []string{"desk"}})
+	e := cl.host("a1")
+	var slow atomic.Bool
+	s := cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		if slow.Load() {
+			select {
+			case <-time.After(7 * time.Second):
+			case <-x.Closed:
+				return false
+			}
+		}
+		if strings.HasPrefix(x.RequestURI, "/chat/") {
+			return slowStream(2, time.Millisecond)(x)
+		}
+		return ok(x)
+	})
+	for _, c := range cases { // so that short responses are expected
+		if c.slow == 0 && c.deadline == 9*time.Second {
+			if a, _ := c.send(cl, e, nextID()); a.Status != http.StatusOK {
+				t.Fatalf("%v: status %d, error %v", c, a.Status, a.Err)
+			}
+		}
+	}
+	slow.Store(true)
+	began := time.Now()
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(context.Background()) }()
+	var done sync.WaitGroup
+	for _, c := range cases {
+		done.Go(func() {
+			time.Sleep(time.Until(began.Add(c.at)))
+			id := nextID()
+			a, took := c.send(cl, e, id)
+			ran := 0
+			for _, x := range s.Seen() {
+				if x.ID() == id {
+					ran++
+				}
+			}
+			switch {
+			case a.Status == 0 && ran == 0 && !c.forwarded: // the host no longer listens
+			case a.Err != nil:
+				t.Errorf("%v: ran %d times, no answer after %v: %v", c, ran, took, a.Err)
+			case a.Status == http.StatusServiceUnavailable && (ran > 0 || a.Header.Get(platform.HeaderRetryAfter) == "" || !a.Close || took > c.slow+time.Second):
+				t.Errorf("%v: ran %d times, refused after %v: %+v", c, ran, took, a)
+			case ran == 0 && c.at+c.deadline < 5*time.Second:
+				t.Errorf("%v: refused although its deadline lies within the grace period", c)
+			}
+		})
+	}
+	done.Wait()
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
