Decide on each attempt during a planned stop in one place, and answer at its end

Callers saw a closed connection at the end of a host's grace period, for requests that a server was running, also for ones that must not run twice. Cause: requests that other hosts forward were taken up to the end without a check; the check of a caller's request came before its body was read, by an estimate, and was not repeated before the request or another attempt was sent; and nothing was answered at the end, since the connections were closed and the log said that the caller had left.

Responses close the connection also if the stop began after the request, and to other hosts.

Ruled out: direct requests without a slow body that come later than 2 s after the signal were bounded by their deadline before.

--- a/internal/edge/entry/drain_test.go
+++ b/internal/edge/entry/drain_test.go
@@ -22,6 +22,7 @@
 	{Prefix: "/safe/", Service: "desk", Kind: "safe", Attempts: 2, TimeoutMS: 10000},
 	{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 10000},
 	{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 10000},
+	{Prefix: "/open/", Service: "desk", Kind: "safe", TimeoutMS: 2000, Public: true},
 }
 
 // stopCase is a request to a host that stops while its servers take long.
@@ -150,3 +151,48 @@
 		t.Error(err)
 	}
 }
+
+// TestRetryDuringDrain guards against a stopping host that sends a failed request again
+// when too little time is left, and cuts it without an answer.
+func TestRetryDuringDrain(t *testing.T) {
+	cl := newCluster(t)
+	cl.store.PutConfig(plattest.Config{Version: 2, Routes: longRoutes, Keys: []string{key}, Org: orgName, Rate: 1e6, Burst: 1e6, Services: []string{"desk"}})
+	e := cl.host("a1")
+	var sent atomic.Int64
+	script := func(x *origin.Exchange) bool {
+		if x.RequestURI == "/open/x" {
+			return ok(x)
+		}
+		if sent.Add(1) == 2 {
+			time.Sleep(3500 * time.Millisecond)
+			return x.Reset()
+		}
+		select {
+		case <-time.After(2 * time.Second):
+		case <-x.Closed:
+			return false
+		}
+		return ok(x)
+	}
+	cl.server("s1", "a1", script)
+	cl.server("s2", "a1", script)
+	for range 20 { // fills the retry budget
+		wantStatus(t, cl.do(e, get("/open/x")), http.StatusOK)
+	}
+	c := stopCase{path: "/safe/x", deadline: 9 * time.Second}
+	if a, _ := c.send(cl, e, nextID()); a.Status != http.StatusOK {
+		t.Fatalf("status %d, error %v", a.Status, a.Err)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	if a, took := c.send(cl, e, nextID()); a.Status != http.StatusBadGateway {
+		t.Errorf("status %d after %v, error %v, want 502", a.Status, took, a.Err)
+	}
+	if n := sent.Load(); n != 2 {
+		t.Errorf("%d requests sent, want 2", n)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -22,6 +22,11 @@
 		q.refuse(ref)
 		return
 	}
+	// The body or a record may have taken long to read.
+	if ref := q.s.checkDrain(q); ref != nil {
+		q.refuse(ref)
+		return
+	}
 	for {
 		if cancelled(q.r.Context()) {
 			q.callerDisconnected()
@@ -32,6 +37,9 @@
 		if res == retry.Done {
 			return
 		}
+		if ref == nil {
+			ref = q.s.checkDrain(q)
+		}
 		if ref == nil && q.mayRetry(res, svc) {
 			q.logRetry(res)
 			continue
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -175,7 +175,7 @@
 // classifyTruncation classifies a response that ended early with err; res is the
 // result of the attempt.
 func (q *request) classifyTruncation(err error, res retry.Result) (retry.Result, pick.Outcome) {
-	if cancelled(q.r.Context()) {
+	if q.aborted() {
 		return res, pick.Aborted
 	}
 	q.connLost = connEnded(err)
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -19,7 +19,7 @@
 func (q *request) exchange(c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
 	q.began = false
 	q.connLost = false
-	resp, err := c.Do(q.r.Context(), req)
+	resp, err := c.Do(q.ctx, req)
 	if err != nil {
 		return q.classifyError(err, c, req)
 	}
@@ -64,7 +64,7 @@
 	}
 	if e.Stage == send.StageConnect {
 		q.connLost = errors.Is(err, syscall.ECONNREFUSED)
-		if cancelled(q.r.Context()) {
+		if q.aborted() {
 			return retry.NotRun, pick.Aborted
 		}
 		q.reason = reasonNoServer
@@ -74,7 +74,7 @@
 	q.connLost = connEnded(err)
 	q.tally.Sends++
 	q.tally.Ran++
-	if cancelled(q.r.Context()) {
+	if q.aborted() {
 		return retry.Unknown, pick.Aborted
 	}
 	q.reason = reasonConnBroken
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -34,6 +34,7 @@
 // response ends with its connection.
 func (q *request) writeHeader(resp *send.Response, length int64) {
 	q.copyHeader(resp)
+	q.closeIfDraining()
 	h := q.w.Header()
 	switch {
 	case q.endUnknown && q.forwarded:
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -75,6 +75,7 @@
 	if q.forwarded {
 		q.setPeerOutcome(ref.status)
 	}
+	q.closeIfDraining()
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(ref.status)
 	q.finish("refused", ref.status)
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -31,9 +31,6 @@
 	// defaultTimeout is the timeout of a route that sets none. Callers can only
 	// shorten it.
 	defaultTimeout = 30 * time.Second
-	// drainMargin is reserved at the end of a drain: net/http polls at intervals
-	// of up to 500 ms for the end of the last request.
-	drainMargin = 500 * time.Millisecond
 	// bodyTimeout is the least time allowed for reading a body. A longer header
 	// timeout of the configuration applies to the body as well.
 	bodyTimeout = 5 * time.Second
@@ -52,17 +49,10 @@
 	lastArrival      atomic.Int64
 	maxRunning       int64
 	disableKeepAlive func() bool
-	// draining is set when the host stops: responses then close the callers'
-	// connections, so that the next ones go to other hosts. Requests in progress
-	// are aborted at drainEnd, in Unix nanoseconds.
-	draining atomic.Bool
-	drainEnd atomic.Int64
-	// staleAt is when the lookup results that name this host have expired, in
-	// Unix nanoseconds. Callers that connect later use stale ones.
-	staleAt    atomic.Int64
-	lengths    length.Estimator
-	bodyMemory byteLimit
-	checks     sync.WaitGroup // of checks whether servers have ended
+	stop             *stopper
+	lengths          length.Estimator
+	bodyMemory       byteLimit
+	checks           sync.WaitGroup // of checks whether servers have ended
 }
 
 // Options sets up a Relay.
@@ -84,14 +74,15 @@
 func New(opts Options) *Relay {
 	return &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
-		bodyMemory: byteLimit{max: opts.MaxBodyBytes},
-		servers:    send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
+		stop: newStopper(), bodyMemory: byteLimit{max: opts.MaxBodyBytes},
+		servers: send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 }
 
 // Close closes idle connections and waits for the checks of servers, which take
 // endCheckTimeout at most. Requests in progress must have ended.
 func (s *Relay) Close() error {
+	s.stop.end()
 	s.checks.Wait()
 	if err := s.servers.Close(); err != nil {
 		return err
@@ -116,33 +107,6 @@
 	return s.running.Load() == 0 && time.Now().UnixNano()-s.lastArrival.Load() > int64(d)
 }
 
-// StartDrain makes callers close their connections. Requests whose responses are
-// expected to last beyond end are refused from now on. After staleAt, so are all
-// whose timeout lies beyond end: few requests arrive then, and other hosts can
-// serve them.
-func (s *Relay) StartDrain(staleAt, end time.Time) {
-	s.lastArrival.Store(time.Now().UnixNano())
-	s.staleAt.Store(staleAt.UnixNano())
-	s.drainEnd.Store(end.UnixNano())
-	s.draining.Store(true)
-}
-
-// checkDrain refuses a request that would be aborted at the end of a drain.
-func (s *Relay) checkDrain(q *request) *refusal {
-	if !s.draining.Load() {
-		return nil
-	}
-	took, ok := s.lengths.Expect(q.route.Name)
-	stale := q.arrived.After(time.Unix(0, s.staleAt.Load()))
-	if remaining := q.remaining(); !ok || stale || took > remaining {
-		took = remaining
-	}
-	if time.Now().Add(took + drainMargin).Before(time.Unix(0, s.drainEnd.Load())) {
-		return nil
-	}
-	return &refusal{http.StatusServiceUnavailable, reasonDraining, retryAfterElsewhere}
-}
-
 // ServeHTTP serves a caller's request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
@@ -151,11 +115,12 @@
 	// A chunked request may also have a Content-Length, which net/http ignores
 	// and hides. The bytes that follow on such a connection may be a smuggled
 	// request, so it is closed.
-	if s.draining.Load() || len(r.TransferEncoding) > 0 || s.disableKeepAlive() {
+	if len(r.TransferEncoding) > 0 || s.disableKeepAlive() {
 		w.Header().Set("Connection", "close")
 	}
 	q := s.newRequest(w, r)
 	defer q.reserved.release()
+	defer q.endAtStop()()
 	if s.running.Load() > s.maxRunning {
 		q.refuse(&refusal{http.StatusServiceUnavailable, reasonBusy, retryAfterHostState})
 		return
@@ -259,11 +224,16 @@
 	defer s.running.Add(-1)
 	q := s.newRequest(w, r)
 	defer q.reserved.release()
+	defer q.endAtStop()()
 	if err := q.fromPeer(); err != nil {
 		s.log.Error("invalid forwarded request", zap.String("id", q.id), zap.Error(err))
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if ref := s.checkDrain(q); ref != nil {
+		q.refuse(ref)
+		return
+	}
 	if ref := q.readBody(spec.Limits{}); ref != nil {
 		q.refuse(ref)
 		return
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"net/netip"
@@ -44,6 +45,8 @@
 	s *Relay
 	w http.ResponseWriter
 	r *http.Request
+	// ctx is that of the attempts, see endAtStop.
+	ctx context.Context
 
 	id      string
 	arrived time.Time
@@ -154,6 +157,9 @@
 	if err := control.SetReadDeadline(time.Now().Add(max(limits.HeaderTimeout, bodyTimeout))); err != nil {
 		q.s.log.Debug("read deadline for body not set", zap.String("id", q.id), zap.Error(err))
 	}
+	// The rest of a body that is still being read when the host ends its requests is not
+	// needed.
+	defer context.AfterFunc(q.ctx, func() { _ = control.SetReadDeadline(time.Now()) })()
 	var body bytes.Buffer
 	err := q.reserved.read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
@@ -163,6 +169,8 @@
 	case errors.Is(err, errNoMemory):
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
 		return &refusal{http.StatusServiceUnavailable, reasonBodyMemory, retryAfterHostState}
+	case err != nil && q.aborted():
+		return &refusal{http.StatusServiceUnavailable, reasonDraining, retryAfterElsewhere}
 	case err != nil:
 		return &refusal{http.StatusRequestTimeout, reasonBodyNotRead, 0}
 	}
@@ -235,9 +243,7 @@
 	}
 	log := q.s.log.Requests
 	if outcome == "served" {
-		if !q.forwarded {
-			q.s.lengths.Record(q.route.Name, took)
-		}
+		q.s.lengths.Record(q.lengthKey(), took)
 		log = q.s.log.Served
 	}
 	if e := log.Check(zap.InfoLevel, "request "+outcome); e != nil {
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -68,7 +68,7 @@
 		}
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
 	}
-	version, from, err := q.s.records.Version(q.r.Context(), attempt)
+	version, from, err := q.s.records.Version(q.ctx, attempt)
 	if err != nil {
 		q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", attempt), zap.Error(err))
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
@@ -143,9 +143,12 @@
 	}
 	record := q.record
 	q.record = nil
-	if record.Wait(q.r.Context(), maxRecordWait) || cancelled(q.r.Context()) {
+	if record.Wait(q.ctx, maxRecordWait) || cancelled(q.r.Context()) {
 		return true
 	}
+	if q.aborted() {
+		return false
+	}
 	next := q.avoidRecords(time.Now())
 	if next.Pinned && next.Version != record.Version && q.retryable() {
 		q.reason = reasonNotRecorded
