--- a/internal/fake/proc/proc.go
+++ b/internal/fake/proc/proc.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -96,6 +97,23 @@
 	return nil
 }
 
+// PeakMemory returns the largest memory in bytes that the running process has had in use.
+func (p *Process) PeakMemory() (int64, error) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read state of process: %w", err)
+	}
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	var kb int64
+	if _, err := fmt.Sscan(rest, &kb); err != nil {
+		return 0, fmt.Errorf("peak memory of process %d: %w", pid, err)
+	}
+	return kb << 10, nil
+}
+
 // Wait waits for the end of the process and returns its error.
 func (p *Process) Wait() error {
 	p.mu.Lock()
