--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -73,7 +73,7 @@
 		}
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
 	}
-	version, from, err := q.s.records.Version(q.r.Context(), attempt)
+	version, from, err := q.s.records.Version(q.ctx, attempt)
 	if err != nil {
 		q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", attempt), zap.Error(err))
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
@@ -156,10 +156,12 @@
 	}
 	record := q.record
 	q.record = nil
-	ctx := q.r.Context()
-	if record.Wait(ctx, maxRecordWait) || cancelled(ctx) {
+	if record.Wait(q.ctx, maxRecordWait) || cancelled(q.r.Context()) {
 		return 0, true
 	}
+	if q.aborted() {
+		return retry.Unknown, false
+	}
 	if base, only := q.withoutRecord(); !only || base == record.Version {
 		q.s.stats.Unrecorded(q.service)
 		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
@@ -169,7 +171,7 @@
 	if q.retryable() {
 		return retry.ServerError, false
 	}
-	if record.Wait(ctx, min(maxLastWait, q.remaining())) {
+	if record.Wait(q.ctx, min(maxLastWait, q.remaining())) {
 		return 0, true
 	}
 	return retry.Unknown, false
