Number the records of a stream's version

Callers saw: streams that went on at another software version (ORDER), with no fault in one case.

Cause: all attempts of a request wrote one record, and the last write held. It need not be that of the attempt that brought the first event: a host to which the request was forwarded, and which refused it, still wrote its record 120 ms later, after the host that served it; and the store may carry out a write without an answer seconds later. Besides, a host took for granted that another one records nothing if its own list named one version, which may be outdated. The class: the order of writes was taken for the order of what they state.

Change: each record has a number, which grows with the attempts of a request over all hosts, and a key of its own; the highest holds. A record is withdrawn if its attempt fails before it is being written, or when the store has refused it, so that an attempt at the base needs none then. A host tells the one that forwarded whether it has begun records; one that does not say so may have. A stream of the base is no longer passed on while the record of an earlier attempt may be written.

Ruled out: writes that expect the former revision, of which a batch fails as a whole if one does.

Hosts of the code before read records of number 0 only: while a fleet is updated, streams can be joined as before.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -135,6 +135,22 @@
 	return s.base.Version, true
 }
 
+// Unrecorded returns the only version at which a stream of a service may begin without a record:
+// the base, for which hosts that find no record take it. It returns false if no server of the
+// base is listed, so that such a stream can't be taken up at all.
+func (b *Bases) Unrecorded(name string) (version string, only bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[name]
+	switch {
+	case s == nil:
+		return "", false
+	case !s.known:
+		return s.most() // it becomes the base
+	}
+	return s.base.Version, s.versions[s.base.Version] > 0
+}
+
 // MustRecord reports whether a stream that begins at a version must be recorded. The argument
 // recorded is set if an earlier attempt may have written a record, which must be replaced.
 func (b *Bases) MustRecord(name, version string, recorded bool) bool {
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -110,3 +110,27 @@
 		})
 	}
 }
+
+// TestUnrecorded guards against streams that begin without a record at a version for which no host
+// takes them, and against none at all once the base has left.
+func TestUnrecorded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		servers []spec.Server
+		records []Base
+		want    string
+		only    bool
+	}{
+		"two versions":           {servers("v1", "v2", "v2"), []Base{base("v1", 3)}, "v1", true},
+		"the base unknown":       {servers("v1", "v2", "v2"), nil, "v2", true},
+		"the base has just left": {servers("v2", "v2"), []Base{base("v1", 3)}, "v1", false},
+		"no servers":             {nil, nil, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b Bases
+			b.Update(names, tt.servers, tt.records, start)
+			if v, only := b.Unrecorded("desk"); v != tt.want || only != tt.only {
+				t.Errorf("%q, %v", v, only)
+			}
+		})
+	}
+}
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -26,14 +26,6 @@
 	})
 }
 
-// ListsVersion reports whether a server of a service at a software version is listed in any
-// region, even if it is leaving.
-func (f *Fleet) ListsVersion(service, version string) bool {
-	return slices.ContainsFunc(f.View().Usable(), func(e spec.Server) bool {
-		return e.Service == service && e.Version == version
-	})
-}
-
 // StoreSettled reports whether the store holds all that hosts have written, as far as is known:
 // it was not restored from a copy lately.
 func (f *Fleet) StoreSettled() bool {
--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -15,7 +15,7 @@
 func TestLateWrite(t *testing.T) {
 	s := plattest.NewStore(t)
 	l := newLedger(t, s)
-	if !l.Add("before", "v1").Wait(t.Context(), wait) { // grants the lease
+	if !l.Add(stream("before", "v1", 0)).Wait(t.Context(), wait) { // grants the lease
 		t.Fatal("not written")
 	}
 	var late atomic.Bool
@@ -26,9 +26,9 @@
 		}
 		return 0
 	})
-	l.Add("id", "v2")
+	l.Add(stream("id", "v2", 0))
 	await.True(t, wait, "a write in progress", late.Load)
-	if !l.Add("id", "v1").Wait(t.Context(), wait) {
+	if !l.Add(stream("id", "v1", 1)).Wait(t.Context(), wait) {
 		t.Fatal("not written")
 	}
 	other := newLedger(t, s)
@@ -46,10 +46,10 @@
 func TestRecordOfOtherHost(t *testing.T) {
 	s := plattest.NewStore(t)
 	first, other := newLedger(t, s), newLedger(t, s)
-	busy := first.Add("busy", "v1") // the next record of this host is written with it
+	busy := first.Add(stream("busy", "v1", 0)) // the next record of this host is written with it
 	time.Sleep(flushInterval / 2)
-	refused := other.Add("id", "v2")
-	began := first.Add("id", "v1")
+	refused := other.Add(stream("id", "v2", 0))
+	began := first.Add(stream("id", "v1", 1))
 	for _, r := range []*Record{busy, began, refused} {
 		if !r.Wait(t.Context(), wait) {
 			t.Fatal("not written")
@@ -57,3 +57,34 @@
 	}
 	wantVersion(t, newLedger(t, s), "id", "v1", SourceStore)
 }
+
+// TestDrop guards against a record that is withdrawn and written all the same, and against one that
+// counts as withdrawn although the store may hold it.
+func TestDrop(t *testing.T) {
+	s := plattest.NewStore(t)
+	l := newLedger(t, s)
+	if r := l.Add(stream("pending", "v1", 0)); !l.Drop(r) {
+		t.Error("a pending record can't be withdrawn")
+	}
+	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
+	refused := l.Add(stream("refused", "v1", 0))
+	await.True(t, wait, "failure", func() bool { return !l.Healthy(time.Now()) })
+	if !l.Drop(refused) {
+		t.Error("a record that the store has refused can't be withdrawn")
+	}
+	s.SetFault(nil)
+	written := l.Add(stream("written", "v1", 0))
+	if !written.Wait(t.Context(), wait) || l.Drop(written) {
+		t.Error("a record was withdrawn that the store holds")
+	}
+	other := newLedger(t, s)
+	wantVersion(t, other, "pending", "", SourceNone)
+	wantVersion(t, other, "refused", "", SourceNone)
+	s.SetFault(func(*http.Request) int { return plattest.NoResponse })
+	calls := s.Calls(txnPath)
+	unsure := l.Add(stream("unsure", "v1", 0))
+	await.True(t, wait, "two writes", func() bool { return s.Calls(txnPath) >= calls+2 })
+	if l.Drop(unsure) {
+		t.Error("a record was withdrawn that the store may hold")
+	}
+}
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 	Era() int64
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
 	PutStreams(ctx context.Context, list []platform.Stream, l platform.Lease) error
-	StreamVersion(ctx context.Context, attempt string) (string, error)
+	Stream(ctx context.Context, attempt string) (platform.Stream, error)
 }
 
 // Record is a record that is being written.
@@ -57,6 +58,9 @@
 	platform.Stream
 	added time.Time
 	done  chan struct{} // closed once it is written
+	// taken is set while a call to write it is in progress, unsure once one has got no answer,
+	// and dropped once it is withdrawn.
+	taken, unsure, dropped bool
 }
 
 // Wait waits until the record is written, at most for d, and reports whether it is. It
@@ -130,8 +134,8 @@
 
 // Add records at which version an attempt begins a stream. The caller waits for it before it
 // passes on the first event.
-func (l *Ledger) Add(attempt, version string) *Record {
-	r := &Record{Stream: platform.Stream{Attempt: attempt, Version: version}, added: time.Now(), done: make(chan struct{})}
+func (l *Ledger) Add(stream platform.Stream) *Record {
+	r := &Record{Stream: stream, added: time.Now(), done: make(chan struct{})}
 	l.mu.Lock()
 	l.pending = append(l.pending, r)
 	full := len(l.pending) == platform.MaxStreams
@@ -145,6 +149,21 @@
 	return r
 }
 
+// Drop withdraws a record whose attempt has failed. It returns false if the store may hold it.
+func (l *Ledger) Drop(r *Record) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.taken || r.unsure {
+		return false
+	}
+	r.dropped = true
+	delete(l.open, r)
+	if l.versions[r.Attempt] == r {
+		delete(l.versions, r.Attempt)
+	}
+	return true
+}
+
 // keep remembers a record and forgets old ones.
 func (l *Ledger) keep(r *Record) {
 	for len(l.kept) > 0 && (len(l.kept) >= maxKept || r.added.Sub(l.kept[0].added) > keepTime) {
@@ -196,22 +215,22 @@
 func (l *Ledger) Version(ctx context.Context, attempt string) (string, Source, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	version, err := l.opts.Store.StreamVersion(ctx, attempt)
-	if errors.Is(err, platform.ErrNotFound) {
+	stored, err := l.opts.Store.Stream(ctx, attempt)
+	none := errors.Is(err, platform.ErrNotFound)
+	if none {
 		l.opts.Count("stream", nil)
 	} else {
 		l.opts.Count("stream", err)
 	}
-	if err == nil {
-		return version, SourceStore, nil
-	}
 	l.mu.Lock()
 	r := l.versions[attempt]
 	l.mu.Unlock()
 	switch {
+	case err == nil && (r == nil || r.Number <= stored.Number):
+		return stored.Version, SourceStore, nil
 	case r != nil:
-		return r.Stream.Version, SourceMemory, nil
-	case errors.Is(err, platform.ErrNotFound):
+		return r.Version, SourceMemory, nil
+	case none:
 		return "", SourceNone, nil
 	}
 	return "", "", err
@@ -258,7 +277,7 @@
 		now := time.Now()
 		l.pending = nil
 		for _, r := range l.kept {
-			if now.Sub(r.added) <= keepTime {
+			if now.Sub(r.added) <= keepTime && l.versions[r.Attempt] == r {
 				l.pending = append(l.pending, r)
 			}
 		}
@@ -292,8 +311,8 @@
 	}
 }
 
-// take removes the records of one call from the pending ones. It drops those that a later
-// attempt of the same request has replaced, so that they don't overwrite its record.
+// take removes the records of one call from the pending ones. It leaves out those that were
+// withdrawn, and those that a later attempt of the same request has replaced.
 func (l *Ledger) take() []*Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -301,7 +320,8 @@
 	for len(l.pending) > 0 && len(batch) < platform.MaxStreams {
 		r := l.pending[0]
 		l.pending = l.pending[1:]
-		if newest := l.versions[r.Attempt]; newest == nil || newest == r {
+		if newest := l.versions[r.Attempt]; !r.dropped && (newest == nil || newest == r) {
+			r.taken = true
 			batch = append(batch, r)
 		} else {
 			delete(l.open, r)
@@ -314,7 +334,12 @@
 func (l *Ledger) write(batch []*Record) {
 	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
 	defer cancel()
-	err := l.put(ctx, batch)
+	lease, err := l.currentLease(ctx)
+	refused := err != nil
+	if err == nil {
+		err = l.put(ctx, batch, lease)
+		refused = notDone(err)
+	}
 	if err == nil {
 		l.close(batch)
 		return
@@ -323,6 +348,10 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.failedAt = now
+	for _, r := range batch {
+		r.taken = false
+		r.unsure = r.unsure || !refused
+	}
 	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
 		l.leasedAt = time.Time{}
 	}
@@ -357,17 +386,20 @@
 	}
 }
 
-// put writes records under the current lease.
-func (l *Ledger) put(ctx context.Context, batch []*Record) error {
-	lease, err := l.currentLease(ctx)
-	if err != nil {
-		return err
-	}
+// notDone reports whether a call has failed so that the store has written nothing.
+func notDone(err error) bool {
+	var status *platform.StatusError
+	return errors.Is(err, platform.ErrNotFound) || errors.As(err, &status) &&
+		(status.Status == http.StatusServiceUnavailable || status.Status == http.StatusTooManyRequests)
+}
+
+// put writes records under a lease.
+func (l *Ledger) put(ctx context.Context, batch []*Record, lease platform.Lease) error {
 	list := make([]platform.Stream, len(batch))
 	for i, r := range batch {
 		list[i] = r.Stream
 	}
-	err = l.opts.Store.PutStreams(ctx, list, lease)
+	err := l.opts.Store.PutStreams(ctx, list, lease)
 	l.opts.Count("streams", err)
 	return err
 }
--- a/internal/edge/ledger/ledger_test.go
+++ b/internal/edge/ledger/ledger_test.go
@@ -28,6 +28,10 @@
 	return l
 }
 
+func stream(attempt, version string, number int) platform.Stream {
+	return platform.Stream{Attempt: attempt, Version: version, Number: number}
+}
+
 func wantVersion(t *testing.T, l *Ledger, attempt, version string, source Source) {
 	t.Helper()
 	v, from, err := l.Version(t.Context(), attempt)
@@ -44,7 +48,7 @@
 	const n = 100
 	var records []*Record
 	for i := range n {
-		records = append(records, a.Add(fmt.Sprint("id-", i), fmt.Sprint("v", i%3)))
+		records = append(records, a.Add(stream(fmt.Sprint("id-", i), fmt.Sprint("v", i%3), 0)))
 	}
 	for _, r := range records {
 		if !r.Wait(t.Context(), wait) {
@@ -66,9 +70,9 @@
 	s := plattest.NewStore(t)
 	l := newLedger(t, s)
 	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
-	l.Add("id", "v1")
+	l.Add(stream("id", "v1", 0))
 	await.True(t, wait, "failure", func() bool { return !l.Healthy(time.Now()) })
-	r := l.Add("id", "v2")
+	r := l.Add(stream("id", "v2", 1))
 	s.SetFault(nil)
 	if !r.Wait(t.Context(), wait) {
 		t.Fatal("not written")
@@ -83,7 +87,7 @@
 	s := plattest.NewStore(t)
 	a, b := newLedger(t, s), newLedger(t, s)
 	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
-	r := a.Add("id", "v1")
+	r := a.Add(stream("id", "v1", 0))
 	began := time.Now()
 	if r.Wait(t.Context(), 300*time.Millisecond) || time.Since(began) > time.Second {
 		t.Errorf("waited for %v", time.Since(began))
@@ -108,11 +112,11 @@
 func TestStoreRestored(t *testing.T) {
 	s := plattest.NewStore(t)
 	l := newLedger(t, s)
-	if !l.Add("first", "v1").Wait(t.Context(), wait) {
+	if !l.Add(stream("first", "v1", 0)).Wait(t.Context(), wait) {
 		t.Fatal("not written")
 	}
 	snapshot := s.Copy()
-	if !l.Add("second", "v2").Wait(t.Context(), wait) {
+	if !l.Add(stream("second", "v2", 0)).Wait(t.Context(), wait) {
 		t.Fatal("not written")
 	}
 	s.Restore(snapshot)
@@ -130,7 +134,7 @@
 	s := plattest.NewStore(t)
 	s.SetFault(func(*http.Request) int { return plattest.NoResponse })
 	l := New(Options{Store: platform.NewStore(s.Addr(), &http.Transport{}), Count: func(string, error) {}, Log: zap.NewNop()})
-	r := l.Add("id", "v1")
+	r := l.Add(stream("id", "v1", 0))
 	time.Sleep(2 * flushInterval)
 	began := time.Now()
 	_ = l.Close() // it returns no errors
@@ -150,7 +154,7 @@
 	l := newLedger(t, s)
 	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
 	for i := range 2 * maxKept {
-		l.Add(fmt.Sprint("id-", i), "v1")
+		l.Add(stream(fmt.Sprint("id-", i), "v1", 0))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -183,11 +183,12 @@
 
 // sendPeer sends the request to a host of a remote region.
 func (q *request) sendPeer() retry.Result {
-	q.record = nil
+	q.dropRecord()
+	q.peerRecorded = true // unless its response says otherwise
 	q.triedHosts = append(q.triedHosts, q.dest.addr)
 	q.server = q.dest.addr.String()
 	res, outcome := q.exchange(q.s.peers, q.outgoing(q.peerHeader(), q.dest), func() {})
-	q.leaveRecord()
+	q.recordsOfPeer()
 	q.s.stats.Attempt(q.service, q.dest.region, outcomeName(outcome))
 	return res
 }
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -25,6 +25,7 @@
 	}
 	defer func() { _ = resp.Close() }() // it returns no errors
 	q.recordFraming(resp)
+	q.parseRecorded(resp)
 	q.recordServerState(resp)
 	if o, notRun := q.notRun(resp); notRun {
 		q.tally.Sends++
@@ -63,6 +64,7 @@
 		e = &send.Error{Stage: send.StageWait, Err: err}
 	}
 	if e.Stage == send.StageConnect {
+		q.peerRecorded = false
 		q.connLost = errors.Is(err, syscall.ECONNREFUSED)
 		if cancelled(q.r.Context()) {
 			return retry.NotRun, pick.Aborted
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -60,8 +60,10 @@
 	delete(h, headerOutcome)
 	delete(h, headerFraming)
 	delete(h, headerVersion)
+	delete(h, headerRecorded)
 	if q.forwarded {
 		setVersion(h, q.choice.Version)
+		q.setRecorded(h)
 	}
 	// A nil value keeps net/http from adding a detected type.
 	if _, ok := h["Content-Type"]; !ok {
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -90,8 +90,8 @@
 	if q.probe {
 		h[headerProbe] = []string{"1"}
 	}
-	if q.recorded {
-		h[headerRecorded] = []string{"1"}
+	if q.records > 0 {
+		h[headerRecorded] = []string{strconv.Itoa(q.records)}
 	}
 	if q.target.Pinned {
 		setVersion(h, q.target.Version)
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -54,7 +54,12 @@
 	}
 	q.forwardedOrg = h.Get(headerOrg)
 	q.probe = h.Get(headerProbe) != ""
-	q.recorded = h.Get(headerRecorded) != ""
+	if text := h.Get(headerRecorded); text != "" {
+		if q.formerRecords, err = strconv.Atoi(text); err != nil {
+			return fmt.Errorf("header %s: %w", headerRecorded, err)
+		}
+		q.records = q.formerRecords
+	}
 	if version, ok := parseVersion(h); ok {
 		q.pin(version)
 	}
@@ -86,4 +91,6 @@
 		outcome = outcomeNotRun
 	}
 	q.w.Header().Set(headerOutcome, outcome)
+	q.dropRecord()
+	q.setRecorded(q.w.Header())
 }
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -31,7 +31,7 @@
 	headerPriority = "Yuccalb-Urgency"  // the priority
 	headerGoal     = "Yuccalb-Goal"     // the route's latency target for the first byte in ms
 	headerProbe    = "Yuccalb-Probe"    // set if the request tests a suspected part of prompts
-	headerRecorded = "Yuccalb-Recorded" // set if an earlier attempt may have recorded the version of the stream
+	headerRecorded = "Yuccalb-Recorded" // the least number for a record of the stream's version, if not 0; on responses how many the host began
 	headerVersion  = "Yuccalb-Version"  // the only software version of servers allowed; on responses that of the server
 	headerOutcome  = "Yuccalb-Outcome"  // on responses that the host generated itself
 	headerFraming  = "Yuccalb-Framing"  // on responses whose server did not mark their end
@@ -90,11 +90,14 @@
 	// began is set once the response to the last attempt has begun, and connLost if
 	// the server closed the connection before the response ended, or refused it.
 	began, connLost bool
-	// record is that of the version of the stream, while it is being written. The flag
-	// recorded is set if an earlier attempt may have written one, and versionUnknown if
-	// the events that the caller has are of an unknown version.
-	record                   *ledger.Record
-	recorded, versionUnknown bool
+	// record is that of the version of the stream, while it is being written. Attempts may
+	// have written records with numbers below records, of which the host that forwarded
+	// the request has given out those below formerRecords. The flag peerRecorded is set if
+	// the other host may have begun records in the last attempt, and versionUnknown if the
+	// events that the caller has are of an unknown version.
+	record                       *ledger.Record
+	records, formerRecords       int
+	peerRecorded, versionUnknown bool
 	// probe is set while the request may be sent although probePart, a part of its
 	// prompt or the whole request, is suspected.
 	probe     bool
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,7 +26,8 @@
 
 // Records reads and writes at which software version streams began.
 type Records interface {
-	Add(attempt, version string) *ledger.Record
+	Add(stream platform.Stream) *ledger.Record
+	Drop(r *ledger.Record) bool
 	Version(ctx context.Context, attempt string) (string, ledger.Source, error)
 	Healthy(now time.Time) bool
 }
@@ -107,7 +109,7 @@
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
 		return &q.pick
 	}
-	version, only := q.withoutRecord()
+	version, only := q.s.fleet.Bases().Unrecorded(q.service)
 	if !only {
 		return &q.pick
 	}
@@ -117,33 +119,49 @@
 	return &r
 }
 
-// withoutRecord returns the only version at which a stream may begin without a record: the base,
-// for which hosts that find no record take it. It returns false if no server of the base is
-// listed, so that such a stream can't be taken up at all.
-func (q *request) withoutRecord() (version string, only bool) {
-	base, ok := q.s.fleet.Bases().Base(q.service)
-	return base, ok && q.s.fleet.ListsVersion(q.service, base)
-}
-
 // recordVersion begins to record at which version the stream begins, if it may begin with this
 // attempt and has to be recorded.
 func (q *request) recordVersion(version string) {
-	q.record = nil
+	q.dropRecord()
 	if !q.resumable() || q.headerWritten || q.lastEvent != "" {
 		return
 	}
-	if q.s.fleet.Bases().MustRecord(q.service, version, q.recorded) {
-		q.record = q.s.records.Add(q.id, version)
-		q.recorded = true
+	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0) {
+		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records})
+		q.records++
 	}
 }
 
-// leaveRecord leaves it to another host to record the version of the stream. With several
-// versions in service it may have done so even if the attempt fails.
-func (q *request) leaveRecord() {
-	if _, only := q.s.fleet.Bases().Only(q.service); !only {
-		q.recorded = true
+// dropRecord withdraws the record of an attempt that brought no event, if it is not being written
+// yet.
+func (q *request) dropRecord() {
+	if q.record != nil && q.s.records.Drop(q.record) {
+		q.records--
 	}
+	q.record = nil
+}
+
+// peerRecords is more than the number of records that another host begins for one request.
+const peerRecords = 1000
+
+// recordsOfPeer leaves out the numbers of the records that the other host may have begun in the
+// last attempt.
+func (q *request) recordsOfPeer() {
+	if q.resumable() && q.peerRecorded {
+		q.records += peerRecords
+	}
+}
+
+// setRecorded states in a response to another host whether this one may have recorded the version
+// of the stream.
+func (q *request) setRecorded(h http.Header) {
+	h[headerRecorded] = []string{strconv.Itoa(q.records - q.formerRecords)}
+}
+
+// parseRecorded reads from a response of another host whether that has begun records. Hosts of
+// earlier versions do not say so.
+func (q *request) parseRecorded(resp *send.Response) {
+	q.peerRecorded = resp.Header.Get(headerRecorded) != "0"
 }
 
 // awaitRecord waits until the version of the stream is recorded, before the first event is passed
@@ -155,14 +173,16 @@
 		return 0, true
 	}
 	record := q.record
-	q.record = nil
 	ctx := q.r.Context()
 	if record.Wait(ctx, maxRecordWait) || cancelled(ctx) {
+		q.record = nil
 		return 0, true
 	}
-	if base, only := q.withoutRecord(); !only || base == record.Version {
+	base, only := q.s.fleet.Bases().Unrecorded(q.service)
+	if record.Number == 0 && (!only || base == record.Version) {
 		q.s.stats.Unrecorded(q.service)
 		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
+		q.record = nil
 		return 0, true
 	}
 	q.reason = reasonNotRecorded
@@ -170,6 +190,7 @@
 		return retry.ServerError, false
 	}
 	if record.Wait(ctx, min(maxLastWait, q.remaining())) {
+		q.record = nil
 		return 0, true
 	}
 	return retry.Unknown, false
