Do not go on with a stream by an outdated list of servers

Cause: if a caller names no attempt and the host's list holds one version, the host took this for the version of the stream. The list has no time: a host that stood still or can't reach the store has not read of the new servers. Nor does a current list show it: the last server of the version may have left. The class: a local view was used for a statement about the past of other hosts.

Change: streams that are recorded mark their service and version in the store, in the same call and under the same lease. Without a name, the base is taken only if the store names no other version, and the list none either. No stream goes on, named or not, for a caller or another host, while the list was last confirmed more than 3 s ago, counted with the time that the host stood still. Without a name and on a split route, the service is not known either: refused.

Evidence: TestTakeUpAtStaleHost and TestTakeUpAfterServerLeft, all streams joined before, pass.

Tests changed: TestOnly has the recorded versions as input, and an unknown base is no answer any more (stricter). TestTakeUpWithoutName waits until the base version is written, at most a second after the first start, since a caller without a name is refused until then (with a time to come back). TestBatches is unchanged: a call holds 28 records and up to 4 marks.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -158,15 +158,16 @@
 	return recorded || !known || base != version
 }
 
-// Only returns the version at which a stream began of which nothing is known: the base, if
-// all listed servers are of that version. Otherwise it returns false.
-func (b *Bases) Only(name string) (string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.services[name]
-	if s == nil || len(s.versions) != 1 {
+// Only returns the version at which a stream began of which nothing is known: the base, if no
+// server of another version is listed and no stream was recorded at one lately. The list alone
+// does not show it: it may be outdated, and servers may have come and gone.
+func (b *Bases) Only(name string, recorded []string) (string, bool) {
+	base, known := b.Base(name)
+	if !known || slices.ContainsFunc(recorded, func(v string) bool { return v != base }) {
 		return "", false
 	}
-	only, _ := s.most()
-	return only, !s.known || s.base.Version == only
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	versions := b.services[name].versions
+	return base, len(versions) == 1 && versions[base] > 0
 }
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -26,6 +26,10 @@
 	})
 }
 
+// ListAge returns the time since the list of servers was confirmed to be current. Suspensions of
+// the host count.
+func (f *Fleet) ListAge() time.Duration { return clock.Now() - f.tracker.State().EntriesConfirmed }
+
 // StoreSettled reports whether the store holds all that hosts have written, as far as is known:
 // it was not restored from a copy lately.
 func (f *Fleet) StoreSettled() bool {
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	// writeTimeout bounds a call for records, readTimeout the look-up of one.
 	writeTimeout = time.Second
 	readTimeout  = time.Second
+	// maxBatch bounds the records of a call. The rest of the call is for marks.
+	maxBatch = platform.MaxStreams - 4
 	// maxWriters bounds the calls in progress.
 	maxWriters = 4
 	// retryTime is how long a record is written again after failures: the stream may
@@ -49,8 +52,9 @@
 type Store interface {
 	Era() int64
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
-	PutStreams(ctx context.Context, list []platform.Stream, l platform.Lease) error
+	PutStreams(ctx context.Context, list []platform.Stream, marks []platform.Mark, l platform.Lease) error
 	Stream(ctx context.Context, attempt string) (platform.Stream, error)
+	MarkedVersions(ctx context.Context, service string) ([]string, error)
 }
 
 // Record is a record that is being written.
@@ -110,6 +114,8 @@
 	era      int64 // of the store at the last check
 	lease    platform.Lease
 	leasedAt time.Time // zero if there is no lease
+	// marks are the marks that the store holds under the lease.
+	marks    map[platform.Mark]bool
 	failedAt time.Time // of the last call
 }
 
@@ -138,7 +144,7 @@
 	r := &Record{Stream: stream, added: time.Now(), done: make(chan struct{})}
 	l.mu.Lock()
 	l.pending = append(l.pending, r)
-	full := len(l.pending) == platform.MaxStreams
+	full := len(l.pending) == maxBatch
 	l.open[r] = true
 	l.keep(r)
 	first := len(l.pending) == 1
@@ -236,6 +242,16 @@
 	return "", "", err
 }
 
+// Versions returns the versions at which streams of a service were recorded lately, by any host.
+// The error is that of the store.
+func (l *Ledger) Versions(ctx context.Context, service string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	versions, err := l.opts.Store.MarkedVersions(ctx, service)
+	l.opts.Count("versions", err)
+	return versions, err
+}
+
 // run writes the pending records in batches.
 func (l *Ledger) run() {
 	eras := time.NewTicker(eraInterval)
@@ -263,7 +279,7 @@
 func (l *Ledger) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pending) >= platform.MaxStreams
+	return len(l.pending) >= maxBatch
 }
 
 // checkEra writes the records again that the store may have lost in a restore.
@@ -317,7 +333,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var batch []*Record
-	for len(l.pending) > 0 && len(batch) < platform.MaxStreams {
+	for len(l.pending) > 0 && len(batch) < maxBatch {
 		r := l.pending[0]
 		l.pending = l.pending[1:]
 		if newest := l.versions[r.Attempt]; !r.dropped && (newest == nil || newest == r) {
@@ -393,17 +409,59 @@
 		(status.Status == http.StatusServiceUnavailable || status.Status == http.StatusTooManyRequests)
 }
 
-// put writes records under a lease.
+// put writes records under a lease, with the marks of their versions that it lacks.
 func (l *Ledger) put(ctx context.Context, batch []*Record, lease platform.Lease) error {
 	list := make([]platform.Stream, len(batch))
 	for i, r := range batch {
 		list[i] = r.Stream
 	}
-	err := l.opts.Store.PutStreams(ctx, list, lease)
+	marks := l.missingMarks(list, lease)
+	for len(list)+len(marks) > platform.MaxStreams {
+		n := min(len(marks), platform.MaxStreams)
+		if err := l.putStreams(ctx, nil, marks[:n], lease); err != nil {
+			return err
+		}
+		marks = marks[n:]
+	}
+	return l.putStreams(ctx, list, marks, lease)
+}
+
+// putStreams is a call of the store.
+func (l *Ledger) putStreams(ctx context.Context, list []platform.Stream, marks []platform.Mark, lease platform.Lease) error {
+	err := l.opts.Store.PutStreams(ctx, list, marks, lease)
 	l.opts.Count("streams", err)
+	if err == nil {
+		l.addMarks(marks, lease)
+	}
 	return err
 }
 
+// missingMarks returns the marks of records that the store does not hold under a lease.
+func (l *Ledger) missingMarks(list []platform.Stream, lease platform.Lease) []platform.Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var marks []platform.Mark
+	for _, r := range list {
+		m := platform.Mark{Service: r.Service, Version: r.Version}
+		if !(lease == l.lease && l.marks[m]) && !slices.Contains(marks, m) {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
+// addMarks notes the marks that were written under a lease.
+func (l *Ledger) addMarks(marks []platform.Mark, lease platform.Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lease != l.lease {
+		return
+	}
+	for _, m := range marks {
+		l.marks[m] = true
+	}
+}
+
 // currentLease returns the lease for new records. It obtains another one if that is too old.
 func (l *Ledger) currentLease(ctx context.Context) (platform.Lease, error) {
 	l.mu.Lock()
@@ -421,5 +479,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease, l.leasedAt = lease, asked
+	l.marks = make(map[platform.Mark]bool)
 	return lease, nil
 }
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -24,11 +24,17 @@
 // stream up after 2 s without an event.
 const maxLastWait = time.Second
 
+// maxListAge is the age from which on the list of servers is too old to choose one at which a stream
+// may go on: servers may have started again at another version under the same identifier. Lists
+// are read each second or two unless the host stands still or can't reach the store.
+const maxListAge = 3 * time.Second
+
 // Records reads and writes at which software version streams began.
 type Records interface {
 	Add(stream platform.Stream) *ledger.Record
 	Drop(r *ledger.Record) bool
 	Version(ctx context.Context, attempt string) (string, ledger.Source, error)
+	Versions(ctx context.Context, service string) ([]string, error)
 	Healthy(now time.Time) bool
 }
 
@@ -46,8 +52,12 @@
 
 // pinTakeUp allows only servers of the version at which the stream began that the caller takes
 // up. It returns a refusal if this version is unknown or no longer serves: nothing can go
-// on then.
+// on then. It refuses to go on with any stream while the list of servers is too old.
 func (q *request) pinTakeUp() *refusal {
+	if q.resumable() && q.lastEvent != "" && q.s.fleet.ListAge() > maxListAge {
+		q.refusalInputs = append(q.refusalInputs, zap.Duration("list_age", q.s.fleet.ListAge()))
+		return &refusal{http.StatusServiceUnavailable, reasonListOld, retryAfterBusy}
+	}
 	if !q.takeUp() {
 		return nil
 	}
@@ -67,25 +77,50 @@
 // beganAt returns the version at which the stream began that the caller takes up, and where it
 // is known from.
 func (q *request) beganAt() (version, source string, ref *refusal) {
-	bases := q.s.fleet.Bases()
 	attempt := q.r.Header.Get(platform.HeaderResumes)
 	if attempt == "" {
-		if version, ok := bases.Only(q.service); ok {
-			return version, "only", nil
-		}
-		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+		return q.beganUnnamed()
 	}
 	version, from, err := q.s.records.Version(q.r.Context(), attempt)
 	if err != nil {
-		q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", attempt), zap.Error(err))
-		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+		return q.beganUnknown(err)
 	}
 	if from != ledger.SourceNone {
 		return version, string(from), nil
 	}
-	// The store has lost records if it was restored from a copy, until hosts have written
-	// them again.
-	base, known := bases.Base(q.service)
+	return q.beganAtBase()
+}
+
+// beganUnnamed is beganAt for a caller that does not name the attempt.
+func (q *request) beganUnnamed() (version, source string, ref *refusal) {
+	if len(q.route.Targets) > 1 && q.pick.Prefix() == 0 {
+		// The service is not known either.
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+	}
+	recorded, err := q.s.records.Versions(q.r.Context(), q.service)
+	if err != nil {
+		return q.beganUnknown(err)
+	}
+	if _, source, ref = q.beganAtBase(); ref != nil {
+		return "", source, ref
+	}
+	version, only := q.s.fleet.Bases().Only(q.service, recorded)
+	if !only {
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+	}
+	return version, "only", nil
+}
+
+// beganUnknown is the result of beganAt if the store can't be read.
+func (q *request) beganUnknown(err error) (version, source string, ref *refusal) {
+	q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", q.r.Header.Get(platform.HeaderResumes)), zap.Error(err))
+	return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+}
+
+// beganAtBase is the result of beganAt if the store holds no record. It has lost records if it
+// was restored from a copy, until hosts have written them again.
+func (q *request) beganAtBase() (version, source string, ref *refusal) {
+	base, known := q.s.fleet.Bases().Base(q.service)
 	if !known || !q.s.fleet.StoreSettled() {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
 	}
@@ -127,7 +162,7 @@
 		return
 	}
 	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0) {
-		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records})
+		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records, Service: q.service})
 		q.records++
 	}
 }
