--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,8 @@
 	// writeTimeout bounds a call for records, readTimeout the look-up of one.
 	writeTimeout = time.Second
 	readTimeout  = time.Second
+	// maxBatch bounds the records of a call. The rest of the call is for marks.
+	maxBatch = platform.MaxStreams - 4
 	// maxWriters bounds the calls in progress.
 	maxWriters = 4
 	// retryTime is how long a record is written again after failures: the stream may
@@ -48,8 +52,9 @@
 type Store interface {
 	Era() int64
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
-	PutStreams(ctx context.Context, list []platform.Stream, l platform.Lease) error
-	StreamVersion(ctx context.Context, attempt string) (string, error)
+	PutStreams(ctx context.Context, list []platform.Stream, marks []platform.Mark, l platform.Lease) error
+	Stream(ctx context.Context, attempt string) (platform.Stream, error)
+	MarkedVersions(ctx context.Context, service string) ([]string, error)
 }
 
 // Record is a record that is being written.
@@ -57,6 +62,9 @@
 	platform.Stream
 	added time.Time
 	done  chan struct{} // closed once it is written
+	// taken is set while a call to write it is in progress, unsure once one has got no answer,
+	// and dropped once it is withdrawn.
+	taken, unsure, dropped bool
 }
 
 // Wait waits until the record is written, at most for d, and reports whether it is. It
@@ -106,6 +114,8 @@
 	era      int64 // of the store at the last check
 	lease    platform.Lease
 	leasedAt time.Time // zero if there is no lease
+	// marks are the marks that the store holds under the lease.
+	marks    map[platform.Mark]bool
 	failedAt time.Time // of the last call
 }
 
@@ -130,11 +140,11 @@
 
 // Add records at which version an attempt begins a stream. The caller waits for it before it
 // passes on the first event.
-func (l *Ledger) Add(attempt, version string) *Record {
-	r := &Record{Stream: platform.Stream{Attempt: attempt, Version: version}, added: time.Now(), done: make(chan struct{})}
+func (l *Ledger) Add(stream platform.Stream) *Record {
+	r := &Record{Stream: stream, added: time.Now(), done: make(chan struct{})}
 	l.mu.Lock()
 	l.pending = append(l.pending, r)
-	full := len(l.pending) == platform.MaxStreams
+	full := len(l.pending) == maxBatch
 	l.open[r] = true
 	l.keep(r)
 	first := len(l.pending) == 1
@@ -145,6 +155,21 @@
 	return r
 }
 
+// Drop withdraws a record whose attempt has failed. It returns false if the store may hold it.
+func (l *Ledger) Drop(r *Record) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.taken || r.unsure {
+		return false
+	}
+	r.dropped = true
+	delete(l.open, r)
+	if l.versions[r.Attempt] == r {
+		delete(l.versions, r.Attempt)
+	}
+	return true
+}
+
 // keep remembers a record and forgets old ones.
 func (l *Ledger) keep(r *Record) {
 	for len(l.kept) > 0 && (len(l.kept) >= maxKept || r.added.Sub(l.kept[0].added) > keepTime) {
@@ -196,27 +221,37 @@
 func (l *Ledger) Version(ctx context.Context, attempt string) (string, Source, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	version, err := l.opts.Store.StreamVersion(ctx, attempt)
-	if errors.Is(err, platform.ErrNotFound) {
+	stored, err := l.opts.Store.Stream(ctx, attempt)
+	none := errors.Is(err, platform.ErrNotFound)
+	if none {
 		l.opts.Count("stream", nil)
 	} else {
 		l.opts.Count("stream", err)
 	}
-	if err == nil {
-		return version, SourceStore, nil
-	}
 	l.mu.Lock()
 	r := l.versions[attempt]
 	l.mu.Unlock()
 	switch {
+	case err == nil && (r == nil || r.Number <= stored.Number):
+		return stored.Version, SourceStore, nil
 	case r != nil:
-		return r.Stream.Version, SourceMemory, nil
-	case errors.Is(err, platform.ErrNotFound):
+		return r.Version, SourceMemory, nil
+	case none:
 		return "", SourceNone, nil
 	}
 	return "", "", err
 }
 
+// Versions returns the versions at which streams of a service were recorded lately, by any host.
+// The error is that of the store.
+func (l *Ledger) Versions(ctx context.Context, service string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	versions, err := l.opts.Store.MarkedVersions(ctx, service)
+	l.opts.Count("versions", err)
+	return versions, err
+}
+
 // run writes the pending records in batches.
 func (l *Ledger) run() {
 	eras := time.NewTicker(eraInterval)
@@ -244,7 +279,7 @@
 func (l *Ledger) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pending) >= platform.MaxStreams
+	return len(l.pending) >= maxBatch
 }
 
 // checkEra writes the records again that the store may have lost in a restore.
@@ -258,7 +293,7 @@
 		now := time.Now()
 		l.pending = nil
 		for _, r := range l.kept {
-			if now.Sub(r.added) <= keepTime {
+			if now.Sub(r.added) <= keepTime && l.versions[r.Attempt] == r {
 				l.pending = append(l.pending, r)
 			}
 		}
@@ -292,16 +327,17 @@
 	}
 }
 
-// take removes the records of one call from the pending ones. It drops those that a later
-// attempt of the same request has replaced, so that they don't overwrite its record.
+// take removes the records of one call from the pending ones. It leaves out those that were
+// withdrawn, and those that a later attempt of the same request has replaced.
 func (l *Ledger) take() []*Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var batch []*Record
-	for len(l.pending) > 0 && len(batch) < platform.MaxStreams {
+	for len(l.pending) > 0 && len(batch) < maxBatch {
 		r := l.pending[0]
 		l.pending = l.pending[1:]
-		if newest := l.versions[r.Attempt]; newest == nil || newest == r {
+		if newest := l.versions[r.Attempt]; !r.dropped && (newest == nil || newest == r) {
+			r.taken = true
 			batch = append(batch, r)
 		} else {
 			delete(l.open, r)
@@ -314,7 +350,12 @@
 func (l *Ledger) write(batch []*Record) {
 	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
 	defer cancel()
-	err := l.put(ctx, batch)
+	lease, err := l.currentLease(ctx)
+	refused := err != nil
+	if err == nil {
+		err = l.put(ctx, batch, lease)
+		refused = notDone(err)
+	}
 	if err == nil {
 		l.close(batch)
 		return
@@ -323,6 +364,10 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.failedAt = now
+	for _, r := range batch {
+		r.taken = false
+		r.unsure = r.unsure || !refused
+	}
 	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRestored) {
 		l.leasedAt = time.Time{}
 	}
@@ -357,21 +402,66 @@
 	}
 }
 
-// put writes records under the current lease.
-func (l *Ledger) put(ctx context.Context, batch []*Record) error {
-	lease, err := l.currentLease(ctx)
-	if err != nil {
-		return err
-	}
+// notDone reports whether a call has failed so that the store has written nothing.
+func notDone(err error) bool {
+	var status *platform.StatusError
+	return errors.Is(err, platform.ErrNotFound) || errors.As(err, &status) &&
+		(status.Status == http.StatusServiceUnavailable || status.Status == http.StatusTooManyRequests)
+}
+
+// put writes records under a lease, with the marks of their versions that it lacks.
+func (l *Ledger) put(ctx context.Context, batch []*Record, lease platform.Lease) error {
 	list := make([]platform.Stream, len(batch))
 	for i, r := range batch {
 		list[i] = r.Stream
 	}
-	err = l.opts.Store.PutStreams(ctx, list, lease)
+	marks := l.missingMarks(list, lease)
+	for len(list)+len(marks) > platform.MaxStreams {
+		n := min(len(marks), platform.MaxStreams)
+		if err := l.putStreams(ctx, nil, marks[:n], lease); err != nil {
+			return err
+		}
+		marks = marks[n:]
+	}
+	return l.putStreams(ctx, list, marks, lease)
+}
+
+// putStreams is a call of the store.
+func (l *Ledger) putStreams(ctx context.Context, list []platform.Stream, marks []platform.Mark, lease platform.Lease) error {
+	err := l.opts.Store.PutStreams(ctx, list, marks, lease)
 	l.opts.Count("streams", err)
+	if err == nil {
+		l.addMarks(marks, lease)
+	}
 	return err
 }
 
+// missingMarks returns the marks of records that the store does not hold under a lease.
+func (l *Ledger) missingMarks(list []platform.Stream, lease platform.Lease) []platform.Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var marks []platform.Mark
+	for _, r := range list {
+		m := platform.Mark{Service: r.Service, Version: r.Version}
+		if !(lease == l.lease && l.marks[m]) && !slices.Contains(marks, m) {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
+// addMarks notes the marks that were written under a lease.
+func (l *Ledger) addMarks(marks []platform.Mark, lease platform.Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lease != l.lease {
+		return
+	}
+	for _, m := range marks {
+		l.marks[m] = true
+	}
+}
+
 // currentLease returns the lease for new records. It obtains another one if that is too old.
 func (l *Ledger) currentLease(ctx context.Context) (platform.Lease, error) {
 	l.mu.Lock()
@@ -389,5 +479,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease, l.leasedAt = lease, asked
+	l.marks = make(map[platform.Mark]bool)
 	return lease, nil
 }
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,10 +24,17 @@
 // stream up after 2 s without an event.
 const maxLastWait = time.Second
 
+// maxListAge is the age from which on the list of servers is too old to choose one at which a stream
+// may go on: servers may have started again at another version under the same identifier. Lists
+// are read each second or two unless the host stands still or can't reach the store.
+const maxListAge = 3 * time.Second
+
 // Records reads and writes at which software version streams began.
 type Records interface {
-	Add(attempt, version string) *ledger.Record
+	Add(stream platform.Stream) *ledger.Record
+	Drop(r *ledger.Record) bool
 	Version(ctx context.Context, attempt string) (string, ledger.Source, error)
+	Versions(ctx context.Context, service string) ([]string, error)
 	Healthy(now time.Time) bool
 }
 
@@ -44,8 +52,12 @@
 
 // pinTakeUp allows only servers of the version at which the stream began that the caller takes
 // up. It returns a refusal if this version is unknown or no longer serves: nothing can go
-// on then.
+// on then. It refuses to go on with any stream while the list of servers is too old.
 func (q *request) pinTakeUp() *refusal {
+	if q.resumable() && q.lastEvent != "" && q.s.fleet.ListAge() > maxListAge {
+		q.refusalInputs = append(q.refusalInputs, zap.Duration("list_age", q.s.fleet.ListAge()))
+		return &refusal{http.StatusServiceUnavailable, reasonListOld, retryAfterBusy}
+	}
 	if !q.takeUp() {
 		return nil
 	}
@@ -65,25 +77,50 @@
 // beganAt returns the version at which the stream began that the caller takes up, and where it
 // is known from.
 func (q *request) beganAt() (version, source string, ref *refusal) {
-	bases := q.s.fleet.Bases()
 	attempt := q.r.Header.Get(platform.HeaderResumes)
 	if attempt == "" {
-		if version, ok := bases.Only(q.service); ok {
-			return version, "only", nil
-		}
-		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+		return q.beganUnnamed()
 	}
 	version, from, err := q.s.records.Version(q.ctx, attempt)
 	if err != nil {
-		q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", attempt), zap.Error(err))
-		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+		return q.beganUnknown(err)
 	}
 	if from != ledger.SourceNone {
 		return version, string(from), nil
 	}
-	// The store has lost records if it was restored from a copy, until hosts have written
-	// them again.
-	base, known := bases.Base(q.service)
+	return q.beganAtBase()
+}
+
+// beganUnnamed is beganAt for a caller that does not name the attempt.
+func (q *request) beganUnnamed() (version, source string, ref *refusal) {
+	if len(q.route.Targets) > 1 && q.pick.Prefix() == 0 {
+		// The service is not known either.
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+	}
+	recorded, err := q.s.records.Versions(q.ctx, q.service)
+	if err != nil {
+		return q.beganUnknown(err)
+	}
+	if _, source, ref = q.beganAtBase(); ref != nil {
+		return "", source, ref
+	}
+	version, only := q.s.fleet.Bases().Only(q.service, recorded)
+	if !only {
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
+	}
+	return version, "only", nil
+}
+
+// beganUnknown is the result of beganAt if the store can't be read.
+func (q *request) beganUnknown(err error) (version, source string, ref *refusal) {
+	q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", q.r.Header.Get(platform.HeaderResumes)), zap.Error(err))
+	return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
+}
+
+// beganAtBase is the result of beganAt if the store holds no record. It has lost records if it
+// was restored from a copy, until hosts have written them again.
+func (q *request) beganAtBase() (version, source string, ref *refusal) {
+	base, known := q.s.fleet.Bases().Base(q.service)
 	if !known || !q.s.fleet.StoreSettled() {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
 	}
@@ -107,7 +144,7 @@
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
 		return &q.pick
 	}
-	version, only := q.withoutRecord()
+	version, only := q.s.fleet.Bases().Unrecorded(q.service)
 	if !only {
 		return &q.pick
 	}
@@ -117,33 +154,49 @@
 	return &r
 }
 
-// withoutRecord returns the only version at which a stream may begin without a record: the base,
-// for which hosts that find no record take it. It returns false if no server of the base is
-// listed, so that such a stream can't be taken up at all.
-func (q *request) withoutRecord() (version string, only bool) {
-	base, ok := q.s.fleet.Bases().Base(q.service)
-	return base, ok && q.s.fleet.ListsVersion(q.service, base)
-}
-
 // recordVersion begins to record at which version the stream begins, if it may begin with this
 // attempt and has to be recorded.
 func (q *request) recordVersion(version string) {
-	q.record = nil
+	q.dropRecord()
 	if !q.resumable() || q.headerWritten || q.lastEvent != "" {
 		return
 	}
-	if q.s.fleet.Bases().MustRecord(q.service, version, q.recorded) {
-		q.record = q.s.records.Add(q.id, version)
-		q.recorded = true
+	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0) {
+		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records, Service: q.service})
+		q.records++
 	}
 }
 
-// leaveRecord leaves it to another host to record the version of the stream. With several
-// versions in service it may have done so even if the attempt fails.
-func (q *request) leaveRecord() {
-	if _, only := q.s.fleet.Bases().Only(q.service); !only {
-		q.recorded = true
+// dropRecord withdraws the record of an attempt that brought no event, if it is not being written
+// yet.
+func (q *request) dropRecord() {
+	if q.record != nil && q.s.records.Drop(q.record) {
+		q.records--
 	}
+	q.record = nil
+}
+
+// peerRecords is more than the number of records that another host begins for one request.
+const peerRecords = 1000
+
+// recordsOfPeer leaves out the numbers of the records that the other host may have begun in the
+// last attempt.
+func (q *request) recordsOfPeer() {
+	if q.resumable() && q.peerRecorded {
+		q.records += peerRecords
+	}
+}
+
+// setRecorded states in a response to another host whether this one may have recorded the version
+// of the stream.
+func (q *request) setRecorded(h http.Header) {
+	h[headerRecorded] = []string{strconv.Itoa(q.records - q.formerRecords)}
+}
+
+// parseRecorded reads from a response of another host whether that has begun records. Hosts of
+// earlier versions do not say so.
+func (q *request) parseRecorded(resp *send.Response) {
+	q.peerRecorded = resp.Header.Get(headerRecorded) != "0"
 }
 
 // awaitRecord waits until the version of the stream is recorded, before the first event is passed
@@ -155,16 +208,18 @@
 		return 0, true
 	}
 	record := q.record
-	q.record = nil
 	if record.Wait(q.ctx, maxRecordWait) || cancelled(q.r.Context()) {
+		q.record = nil
 		return 0, true
 	}
 	if q.aborted() {
 		return retry.Unknown, false
 	}
-	if base, only := q.withoutRecord(); !only || base == record.Version {
+	base, only := q.s.fleet.Bases().Unrecorded(q.service)
+	if record.Number == 0 && (!only || base == record.Version) {
 		q.s.stats.Unrecorded(q.service)
 		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
+		q.record = nil
 		return 0, true
 	}
 	q.reason = reasonNotRecorded
@@ -172,6 +227,7 @@
 		return retry.ServerError, false
 	}
 	if record.Wait(q.ctx, min(maxLastWait, q.remaining())) {
+		q.record = nil
 		return 0, true
 	}
 	return retry.Unknown, false
