Keep the parts of the retry budget within the whole while hosts disagree

What servers saw: more retries at once than all hosts may make. Each host divided the budget by the hosts that it knew at the moment, of all regions, and only when its view of the store changed. Hosts that knew fewer (their region cut off for longer than reports are kept, others' leases lapsed, just started) held a greater part, while the others kept theirs. The class: a limit over all hosts that each divides by its own view.

core/retry.Division divides among the regions, whose number is a setting, and then among the hosts of the region known within a minute. The part is computed in each round of the exchange. At the first start of the whole system nothing has to be waited for.

The test now gives the division what its new interface asks for, and checks that at least 40 are held before the first fault.

--- a/internal/core/retry/division_test.go
+++ b/internal/core/retry/division_test.go
@@ -16,14 +16,13 @@
 	renewed  time.Time // when it last reached the store
 	listed   time.Time // when its list was known to be current, zero if it has none
 	list     []*divisionHost
-	heard    map[*divisionHost]time.Time
 	division Division
 	budget   Budget
 }
 
 // restart begins a process that knows nothing.
 func (h *divisionHost) restart() {
-	h.listed, h.list, h.heard = time.Time{}, nil, make(map[*divisionHost]time.Time)
+	h.listed, h.list = time.Time{}, nil
 	h.division = Division{}
 	h.budget = Budget{Ratio: 0.16}
 	h.budget.SetLimit(firstPart)
@@ -32,11 +31,8 @@
 // look updates what the host knows of the others and what it may hold, and fills its budget.
 func (h *divisionHost) look(all []*divisionHost, now time.Time, regions int) {
 	for _, o := range all {
-		if o.group == h.group {
-			h.heard[o] = now
-			if o.store || o.listed.After(h.listed) {
-				h.readList(all, now, o)
-			}
+		if o.group == h.group && (o.store || o.listed.After(h.listed)) {
+			h.readList(all, now, o)
 		}
 	}
 	if h.listed.IsZero() {
@@ -47,21 +43,17 @@
 	for _, o := range h.list {
 		known[o] = true
 	}
-	for o, at := range h.heard {
-		known[o] = known[o] || o.region == h.region && o.group == h.group || o.region != h.region && now.Sub(at) <= 20*time.Second
-	}
-	for o := range known {
-		if o.region != h.region {
-			m.Remote++
+	for _, o := range all {
+		if o.region != h.region || !known[o] && o.group != h.group {
 			continue
 		}
-		m.Local = append(m.Local, o.name)
+		m.Names = append(m.Names, o.name)
 		if o.group == h.group {
 			m.Reachable++
 		}
 	}
 	h.budget.SetLimit(h.division.Part(0.8*54, m, now))
-	for range 400 {
+	for h.budget.Available() < h.budget.Limit() {
 		h.budget.Deposit()
 	}
 }
@@ -87,7 +79,10 @@
 	const seeds, allowed = 300, 54.0
 	above, most := 0, 0.0
 	for seed := range uint64(seeds) {
-		held := mostHeld(rand.New(rand.NewPCG(seed, 41)))
+		calm, held := holdings(rand.New(rand.NewPCG(seed, 41)))
+		if calm < 40 {
+			t.Errorf("seed %d: the hosts hold only %.1f retries before the first fault", seed, calm)
+		}
 		most = max(most, held)
 		if held > allowed {
 			above++
@@ -98,14 +93,16 @@
 	}
 }
 
-// mostHeld returns the most retries that the hosts of three regions hold in three minutes.
-func mostHeld(rng *rand.Rand) (most float64) {
+// holdings returns the retries that the hosts of three regions hold before the first fault, and
+// the most that they hold in three minutes.
+func holdings(rng *rand.Rand) (calm, most float64) {
 	const regions, step = 3, 500 * time.Millisecond
 	var all []*divisionHost
 	for region := range regions {
 		for range 1 + rng.IntN(3) {
 			h := &divisionHost{name: fmt.Sprint("h", len(all)), region: region, store: true}
 			h.restart()
+			h.division.First = true
 			all = append(all, h)
 		}
 	}
@@ -113,6 +110,8 @@
 	for now := begin; now.Before(begin.Add(3 * time.Minute)); now = now.Add(step) {
 		if now.After(begin.Add(15*time.Second)) && rng.IntN(10) == 0 {
 			disturb(all, rng)
+		} else if now.Equal(begin.Add(15 * time.Second)) {
+			calm = most
 		}
 		for _, h := range all {
 			if h.store {
@@ -126,7 +125,7 @@
 		}
 		most = max(most, sum)
 	}
-	return most
+	return calm, most
 }
 
 // disturb cuts a host or a region off from the store and the others, lets it come back, or
--- a/internal/edge/fleet/budget.go
+++ b/internal/edge/fleet/budget.go
@@ -15,6 +15,15 @@
 // as retries too.
 const retryShare = 0.8
 
+// refreshBudgets updates the budgets: the part of this host changes with time as well.
+func (f *Fleet) refreshBudgets() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.View(); v.Snapshot != nil && v.Listed() {
+		f.updateBudgets(v, time.Now())
+	}
+}
+
 // updateBudgets sets the part of the retry budgets that this host may hold, and logs
 // changes.
 func (f *Fleet) updateBudgets(v *track.View, now time.Time) {
@@ -22,7 +31,7 @@
 	part := f.division.Part(retryShare*float64(f.opts.Retries), m, now)
 	if part != f.retryPart {
 		f.retryPart = part
-		f.opts.Log.Info("retry budget", zap.Int("hosts", len(m.Local)), zap.Int("remote_hosts", m.Remote), zap.Float64("part", part))
+		f.opts.Log.Info("retry budget", zap.Int("hosts", len(m.Names)), zap.Int("reachable", m.Reachable), zap.Duration("list_age", m.ListAge), zap.Float64("part", part))
 	}
 	f.budgets.SetPart(part)
 	var services []string
@@ -42,17 +51,13 @@
 	return f.retryPart
 }
 
-// budgetMembers returns the hosts among which the retry budgets are divided.
+// budgetMembers returns the hosts of the region, among which its retries are divided.
 func (f *Fleet) budgetMembers(v *track.View, now time.Time) retry.Members {
-	m := retry.Members{Local: f.localNames(v, now), Regions: f.regionCount()}
+	local, _ := f.reachable(now)
+	m := retry.Members{Names: f.localNames(v, now), Reachable: len(local) + 1, Regions: f.regionCount()}
 	if confirmed := f.tracker.State().EntriesConfirmed; confirmed > 0 {
 		m.ListAge = clock.Now() - confirmed
 	}
-	local, _ := f.reachable(now)
-	m.Reachable = len(local) + 1
-	for _, list := range f.remoteHosts() {
-		m.Remote += len(list)
-	}
 	return m
 }
 
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -112,7 +112,7 @@
 // New returns a fleet that exchanges its state over e. It is idle until Start is
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
-	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio)}
+	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio), division: retry.Division{First: opts.First}}
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -78,6 +78,7 @@
 		f.join()
 	}
 	f.updateRegistered()
+	f.refreshBudgets()
 	f.refresh()
 	now := time.Now()
 	local, remote := f.reachable(now)
