Bound the memory that endless responses hold

A host of 160 MB used 305 MB when its servers sent 63 kB of short fields in a head and stopped, and 178 MB with bodies without end, with 1000 callers at once: it would have been ended, and all its requests with it. Cause: a head was bounded by bytes only, and a short field takes many times its size; the memory for bodies counted what was read and not what was allocated for it, which is up to twice as much; a body that was passed on kept its first 256 kB until its end; and the buffer of a stream, up to 256 kB and more, was not counted at all.

A head has 256 lines at most now, and 64 heads of more than 8 kB at once. Buffers of bodies and of streams are allocated in steps that are reserved first; responses get three quarters of the memory, so that callers can still send their bodies. The body of a refusal is waited for 50 ms, not up to the deadline.

Ruled out, all bounded before (TestEndlessResponse in package send, two cases added): interim responses, trailers, sizes and extensions of chunks, responses to other requests, junk, empty lines and spaces.

--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -22,16 +22,11 @@
 	// is truncated.
 	maxBuffered = 256 << 10
 	// maxDrain bounds what is read of the body of a refusal to keep its
-	// connection, in bytes.
-	maxDrain = 16 << 10
+	// connection, in bytes, and drainTime how long that may take.
+	maxDrain  = 16 << 10
+	drainTime = 50 * time.Millisecond
 )
 
-// drainBody reads the rest of a short response, so that its connection can be
-// reused.
-func drainBody(resp *send.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // an error closes the connection
-}
-
 // success reports whether the status of a response is one of success.
 func success(resp *send.Response) bool { return resp.Status >= 200 && resp.Status < 300 }
 
@@ -80,7 +75,7 @@
 // status that promises nothing.
 func (q *request) replacePromise(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	onFirstByte()
-	drainBody(resp)
+	resp.Discard(maxDrain, drainTime)
 	q.reason = reasonServerError
 	if q.headerWritten {
 		return retry.Truncated, pick.Failed
@@ -95,11 +90,11 @@
 // relayBuffered reads a response and forwards it once it is complete.
 func (q *request) relayBuffered(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
-	v := reservation{limit: &q.s.bodyMemory}
+	v := q.s.responseMemory()
 	defer v.release()
 	err := v.read(&body, resp, maxBuffered)
 	if errors.Is(err, errTooLong) || errors.Is(err, errNoMemory) {
-		return q.relayUnbuffered(resp, &body, onFirstByte)
+		return q.relayUnbuffered(resp, &body, &v, onFirstByte)
 	}
 	if err != nil {
 		return q.classifyTruncation(err, retry.Unknown)
@@ -149,8 +144,8 @@
 const minRetryTime = 150 * time.Millisecond
 
 // relayUnbuffered forwards a response that exceeds maxBuffered or the memory for
-// bodies. Its first bytes are in head.
-func (q *request) relayUnbuffered(resp *send.Response, head *bytes.Buffer, onFirstByte func()) (retry.Result, pick.Outcome) {
+// bodies. Its first bytes are in head, whose memory is v.
+func (q *request) relayUnbuffered(resp *send.Response, head *bytes.Buffer, v *reservation, onFirstByte func()) (retry.Result, pick.Outcome) {
 	onFirstByte()
 	if success(resp) {
 		q.recordBegun()
@@ -159,8 +154,10 @@
 	q.writeHeader(resp, resp.Length)
 	q.headerWritten = true
 	_, err := q.w.Write(head.Bytes())
+	*head = bytes.Buffer{}
+	v.release()
 	if err == nil {
-		_, err = io.Copy(q.w, resp)
+		_, err = io.CopyBuffer(writer{q.w}, resp, make([]byte, copyBuffer))
 	}
 	if err != nil {
 		return q.classifyTruncation(err, retry.Truncated)
@@ -172,6 +169,10 @@
 	return retry.Done, pick.Served
 }
 
+// writer hides the other methods of an io.Writer, with which io.CopyBuffer would not use
+// its buffer.
+type writer struct{ io.Writer }
+
 // classifyTruncation classifies a response that ended early with err; res is the
 // result of the attempt.
 func (q *request) classifyTruncation(err error, res retry.Result) (retry.Result, pick.Outcome) {
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -30,7 +30,7 @@
 		q.tally.Sends++
 		q.reason = reasonNotRun
 		resp.Refused(q.id)
-		drainBody(resp)
+		resp.Discard(maxDrain, drainTime)
 		return retry.NotRun, o
 	}
 	q.tally.Sends++
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -99,6 +99,9 @@
 // Opened returns the number of connections opened to servers.
 func (s *Relay) Opened() int64 { return s.servers.Opened() }
 
+// BodyBytes returns the memory in bytes that bodies hold.
+func (s *Relay) BodyBytes() int64 { return s.bodyMemory.used.Load() }
+
 // Running returns the number of requests in progress.
 func (s *Relay) Running() int64 { return s.running.Load() }
 
--- a/internal/edge/relay/reserve.go
+++ b/internal/edge/relay/reserve.go
@@ -8,9 +8,13 @@
 	"sync/atomic"
 )
 
-// reserveStep is the number of bytes that are reserved at once, and the most that
-// one call reads into them.
-const reserveStep = 16 << 10
+const (
+	// firstReserve is the memory in bytes that is reserved for a body at first.
+	firstReserve = 4 << 10
+	// responseShare is the share of the memory for bodies that those of responses may
+	// use: a server that ends none of them must not keep callers from sending theirs.
+	responseShare = 0.75
+)
 
 var (
 	errNoMemory = errors.New("memory limit for bodies reached")
@@ -24,34 +28,51 @@
 	used atomic.Int64
 }
 
-// acquire reserves n bytes and reports whether the limit permits it.
-func (l *byteLimit) acquire(n int64) bool {
-	if l.used.Add(n) <= l.max {
-		return true
-	}
-	l.used.Add(-n)
-	return false
-}
-
 // reservation is the memory that one body holds of a byteLimit.
 type reservation struct {
 	limit *byteLimit
-	held  int64
+	// max bounds what all reservations together may hold when this one grows.
+	max  int64
+	held int64
+}
+
+// requestMemory returns a reservation for the body of a request.
+func (s *Relay) requestMemory() reservation {
+	return reservation{limit: &s.bodyMemory, max: s.bodyMemory.max}
+}
+
+// responseMemory returns a reservation for the body of a response.
+func (s *Relay) responseMemory() reservation {
+	return reservation{limit: &s.bodyMemory, max: int64(responseShare * float64(s.bodyMemory.max))}
+}
+
+// reserve raises the reservation to n bytes and reports whether the limit permits it.
+func (v *reservation) reserve(n int64) bool {
+	more := n - v.held
+	if v.limit.used.Add(more) > v.max {
+		v.limit.used.Add(-more)
+		return false
+	}
+	v.held = n
+	return true
 }
 
-// read appends the bytes of r up to its end to b. It reserves memory before it
-// reads, one reserveStep at a time, since the declared length of a body may be
-// false. The error is errNoMemory, errTooLong if b exceeds maxLen bytes, or that
-// of r; b then holds what was read before.
+// read appends the bytes of r up to its end to b, which must be empty at the first call.
+// It reserves memory before it reads, and twice as much each time it is full, since the
+// declared length of a body may be false. The error is errNoMemory, errTooLong if b
+// exceeds maxLen bytes, or that of r; b then holds what was read before.
 func (v *reservation) read(b *bytes.Buffer, r io.Reader, maxLen int64) error {
 	for {
-		if v.held-int64(b.Len()) < reserveStep {
-			if !v.limit.acquire(reserveStep) {
+		if b.Available() == 0 {
+			size := min(max(2*v.held, firstReserve), maxLen+1)
+			if !v.reserve(size) {
 				return errNoMemory
 			}
-			v.held += reserveStep
+			*b = *bytes.NewBuffer(append(make([]byte, 0, size), b.Bytes()...))
 		}
-		n, err := io.CopyN(b, r, min(reserveStep, maxLen+1-int64(b.Len())))
+		space := b.AvailableBuffer()
+		n, err := r.Read(space[:cap(space)])
+		b.Write(space[:n])
 		switch {
 		case int64(b.Len()) > maxLen:
 			return errTooLong
@@ -59,8 +80,6 @@
 			return nil
 		case err != nil:
 			return fmt.Errorf("read body: %w", err)
-		case n == 0:
-			return io.ErrNoProgress
 		}
 	}
 }
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -19,7 +19,8 @@
 	// maxEvent bounds an event of a stream in bytes. Only complete events are
 	// forwarded, so each is held in memory.
 	maxEvent = 256 << 10
-	// copyBuffer is the initial size of the buffer of a stream, in bytes.
+	// copyBuffer is the initial size of the buffer of a stream, and the size of that
+	// of a body which is not held, in bytes.
 	copyBuffer = 8 << 10
 )
 
@@ -33,6 +34,8 @@
 func (q *request) stream(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
+	v := q.s.responseMemory() // for what exceeds copyBuffer
+	defer v.release()
 	var events stream.Scanner
 	whole := 0 // length of the events at the start of buf that are whole
 	last := q.lastEvent
@@ -42,7 +45,11 @@
 			return q.classifyTruncation(errEventTooLong, q.truncationResult())
 		}
 		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
+			size := min(2*cap(buf), maxEvent)
+			if !v.reserve(int64(size - copyBuffer)) {
+				return q.classifyTruncation(errNoMemory, q.truncationResult())
+			}
+			buf = append(make([]byte, 0, size), buf...)
 		}
 		held := len(buf)
 		n, err := resp.Read(buf[held:cap(buf)])
@@ -68,7 +75,12 @@
 			if werr := q.writeEvents(resp, buf[:whole], control); werr != nil {
 				return retry.Done, pick.Aborted
 			}
-			buf = append(buf[:0], buf[whole:]...)
+			rest := buf[whole:]
+			if buf = buf[:0]; len(rest) < copyBuffer && v.held > 0 {
+				buf = make([]byte, 0, copyBuffer)
+				v.release()
+			}
+			buf = append(buf, rest...)
 			whole = 0
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/edge/send/bound_test.go
+++ b/internal/edge/send/bound_test.go
@@ -79,6 +79,8 @@
 		"status line":     {"", kilobyte},
 		"header line":     {ok + "A: ", kilobyte},
 		"header lines":    {ok, "A: " + kilobyte + "\r\n"},
+		"short lines":     {ok, "a:\r\n"},
+		"spaces":          {"", " "},
 		"empty lines":     {"", "\r\n\r\n"},
 		"informational":   {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 		"other responses": {"", "HTTP/1.1 200 OK\r\n" + idHeader + ": 2\r\nContent-Length: 1024\r\n\r\n" + kilobyte},
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -34,9 +34,8 @@
 )
 
 var (
-	errClosed      = errors.New("client is closed")
-	errStray       = errors.New("response belongs to another request")
-	errHeadTooLong = fmt.Errorf("response header exceeds %d bytes", maxHead)
+	errClosed = errors.New("client is closed")
+	errStray  = errors.New("response belongs to another request")
 )
 
 // Request is one request to one server.
@@ -64,6 +63,7 @@
 type Client struct {
 	dialer *net.Dialer
 	opened atomic.Int64
+	long   atomic.Int64 // long heads that are held
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -169,7 +169,7 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	c.opened.Add(1)
-	return newConn(nc, addr), nil
+	return newConn(nc, addr, &c.long), nil
 }
 
 // HasIdle reports whether there is an idle connection to addr that has not
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,8 +16,6 @@
 
 const (
 	readBuffer = 4 << 10
-	// maxHead bounds the status line and header of a response in bytes.
-	maxHead = 64 << 10
 	// maxRefused bounds the identifiers of refused requests that are remembered.
 	maxRefused = 32
 	// idleMargin is subtracted from a server's idle timeout, since the server may
@@ -38,38 +37,43 @@
 	// refused are the identifiers of requests that the server refused on this
 	// connection, the newest last.
 	refused []string
-	// inHead is set while a head is read; headLeft is how many more bytes it may
-	// have.
-	inHead   bool
-	headLeft int
+	// inHead is set while a head is read, whose limit is head.
+	inHead bool
+	head   headLimit
 }
 
-func newConn(c net.Conn, addr netip.AddrPort) *conn {
-	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle}
+// newConn returns a connection whose long heads are counted in long.
+func newConn(c net.Conn, addr netip.AddrPort, long *atomic.Int64) *conn {
+	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, head: headLimit{long: long}}
 	cn.br = bufio.NewReaderSize(cn, readBuffer)
 	return cn
 }
 
-// Read reads from the connection. It returns errHeadTooLong when a head exceeds
-// maxHead bytes.
+// Read reads from the connection. It returns an error when a head exceeds its limit.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.inHead {
 		return c.Conn.Read(p)
 	}
-	if c.headLeft <= 0 {
-		return 0, errHeadTooLong
+	n, err := c.Conn.Read(p)
+	if limit := c.head.add(p[:n]); limit != nil {
+		return 0, limit
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
 	return n, err
 }
 
 // readHead reads the status line and header of the response to req.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.begin()
+	buffered, _ := c.br.Peek(c.br.Buffered()) // can't fail
+	if err := c.head.add(buffered); err != nil {
+		return nil, err
+	}
 	c.inHead = true
-	c.headLeft = maxHead
 	resp, err := http.ReadResponse(c.br, req)
 	c.inHead = false
+	if err != nil && c.head.err != nil {
+		err = c.head.err // not that of the incomplete line
+	}
 	return resp, err
 }
 
--- a/internal/edge/send/fuzz_test.go
+++ b/internal/edge/send/fuzz_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 )
 
@@ -33,7 +34,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		cn := newConn(bytesConn{Reader: bytes.NewReader(b)}, netip.AddrPort{})
+		cn := newConn(bytesConn{Reader: bytes.NewReader(b)}, netip.AddrPort{}, &atomic.Int64{})
 		resp, err := readResponse(cn, &Request{Method: http.MethodGet, ID: "1", IDHeader: idHeader})
 		if err != nil {
 			return
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Framing is how a response marks the end of its body.
@@ -105,6 +106,14 @@
 	return n, err
 }
 
+// Discard reads the rest of a short body, so that the connection can be reused. A body of
+// n bytes or more, or one that lasts longer than d, closes it.
+func (r *Response) Discard(n int64, d time.Duration) {
+	if r.conn.SetReadDeadline(time.Now().Add(d)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, n)) // an error closes the connection
+	}
+}
+
 // Refused records that the server refused the request. A request with the same identifier
 // is not sent on the same connection: a faulty server may write the refusal once more, and
 // it could not be told from the response.
@@ -113,6 +122,7 @@
 // Close keeps the connection for later requests if the request was written and
 // the response was read completely, and closes it otherwise.
 func (r *Response) Close() error {
+	r.conn.head.release()
 	if !r.reusable() {
 		r.closeConn()
 		return nil
@@ -142,6 +152,7 @@
 
 // closeConn closes the connection.
 func (r *Response) closeConn() {
+	r.conn.head.release()
 	r.stop()
 	_ = r.conn.Close() // the response is not needed
 }
