Add tests of refusals without an end and of callers that stop reading

TestStoppedCaller fails: 3 s after the caller's deadline the server still sends, and 13 s after it the request still runs. TestRefusalWithoutEnd passes; with the wait for the end of a refusal as it was, up to the deadline, its case "slow" gets 503 (go test ./internal/edge/entry -run 'TestStoppedCaller|TestRefusalWithoutEnd', one run).

--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -112,3 +112,76 @@
 	}
 	wantStatus(t, cl.do(e, call), http.StatusOK)
 }
+
+// TestRefusalWithoutEnd guards against a host that waits for the end of a refusal until the
+// caller's deadline, although another server can serve the request.
+func TestRefusalWithoutEnd(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, next := range map[string]func(x *origin.Exchange) bool{
+		"stops": func(x *origin.Exchange) bool { <-x.Closed; return false },
+		"slow":  func(x *origin.Exchange) bool { time.Sleep(20 * time.Millisecond); return x.Send("x") },
+		"fast":  func(x *origin.Exchange) bool { return x.Send(kilobyte) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				if x.RequestURI == "/open/x" {
+					return ok(x)
+				}
+				x.Send(fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 1000000\r\n\r\n", platform.HeaderAttemptID, x.ID(), platform.HeaderNotRun))
+				for next(x) {
+				}
+				return false
+			})
+			cl.server("s2", "a1", ok)
+			for range 20 { // fills the retry budget
+				cl.do(e, get("/open/x"))
+			}
+			for range 6 {
+				began := time.Now()
+				wantStatus(t, cl.do(e, post("/order/x", "1")), http.StatusOK)
+				if took := time.Since(began); took > time.Second {
+					t.Errorf("response after %v, the deadline is 2 s", took)
+				}
+			}
+		})
+	}
+}
+
+// TestStoppedCaller guards against a caller that no longer reads an endless response and
+// thereby keeps its server and the memory for it beyond the deadline.
+func TestStoppedCaller(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, begin := range map[string]func(x *origin.Exchange){
+		"body":   func(x *origin.Exchange) { x.StartUnframed("HTTP/1.1", "Content-Type: image/png", "Content-Length: 1000000000") },
+		"events": func(x *origin.Exchange) { x.StartStream() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			ended := make(chan struct{}, 1)
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				begin(x)
+				text := kilobyte
+				if name == "events" {
+					text = fmt.Sprintf("%x\r\ndata: %s\n\n\r\n", len(kilobyte)+8, kilobyte)
+				}
+				for x.Send(text) {
+				}
+				ended <- struct{}{}
+				return false
+			})
+			conn := cl.dial(e)
+			if _, err := io.WriteString(conn, post("/chat/x", "1").With(platform.HeaderDeadline, "1000").Bytes(nextID())); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-ended:
+			case <-time.After(4 * time.Second):
+				t.Error("the server still sends 3 s after the caller's deadline")
+			}
+			cl.eventually("the request has ended", func() bool { return e.relay.Running() == 0 && e.relay.BodyBytes() == 0 })
+		})
+	}
+}
