End a response that its caller does not read in time

A caller that no longer reads, and keeps its connection, kept its request, the server's place and up to 256 kB of the memory for bodies for as long as it liked: the deadline bounds what is read from the server, and while the host waits for the caller nothing is read. Enough such callers make the host refuse all others for lack of memory.

Writes to a caller now fail 0.5 s after its deadline, or after the beginning of a response that is later than that. net/http then cancels the request as it does when a caller disconnects.

TestStoppedCaller: before, the server still sent 3 s after the deadline in both cases; after, both end (go test ./internal/edge/entry -run TestStoppedCaller).

--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -154,7 +154,9 @@
 func TestStoppedCaller(t *testing.T) {
 	kilobyte := strings.Repeat("x", 1<<10)
 	for name, begin := range map[string]func(x *origin.Exchange){
-		"body":   func(x *origin.Exchange) { x.StartUnframed("HTTP/1.1", "Content-Type: image/png", "Content-Length: 1000000000") },
+		"body": func(x *origin.Exchange) {
+			x.StartUnframed("HTTP/1.1", "Content-Type: image/png", "Content-Length: 1000000000")
+		},
 		"events": func(x *origin.Exchange) { x.StartStream() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"github.com/yuccalb/yuccalb/internal/edge/send"
@@ -35,6 +36,7 @@
 func (q *request) writeHeader(resp *send.Response, length int64) {
 	q.copyHeader(resp)
 	q.closeIfDraining()
+	q.boundWrites()
 	h := q.w.Header()
 	switch {
 	case q.endUnknown && q.forwarded:
@@ -52,6 +54,27 @@
 	q.w.WriteHeader(resp.Status)
 }
 
+// writeMargin is the time after the deadline, or after the beginning of a later response,
+// until which the caller must have read it.
+const writeMargin = 500 * time.Millisecond
+
+// boundWrites ends the response if its caller does not read it in time. The limit ends
+// with the next request on the connection.
+func (q *request) boundWrites() {
+	end := time.Now()
+	if q.deadline.After(end) {
+		end = q.deadline
+	}
+	q.setWriteDeadline(end.Add(writeMargin))
+}
+
+// setWriteDeadline sets the time at which writes to the caller fail.
+func (q *request) setWriteDeadline(at time.Time) {
+	if err := http.NewResponseController(q.w).SetWriteDeadline(at); err != nil {
+		q.s.log.Debug("write deadline not set", zap.String("id", q.id), zap.Error(err))
+	}
+}
+
 // copyHeader copies the end-to-end headers of a response to that of the caller.
 func (q *request) copyHeader(resp *send.Response) {
 	h := q.w.Header()
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -76,6 +76,7 @@
 		q.setPeerOutcome(ref.status)
 	}
 	q.closeIfDraining()
+	q.boundWrites()
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(ref.status)
 	q.finish("refused", ref.status)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -116,6 +116,7 @@
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
 	q := &request{s: s, reserved: s.requestMemory(), w: w, r: r, id: r.Header.Get(platform.HeaderAttemptID), arrived: time.Now(), lastEvent: r.Header.Get(platform.HeaderLastEventID)}
 	q.pick.Connected = s.servers.HasIdle
+	q.setWriteDeadline(time.Time{}) // that of the request before
 	return q
 }
 
