--- a/cmd/yuccalbe/server_test.go
+++ b/cmd/yuccalbe/server_test.go
@@ -21,6 +21,7 @@
 	faultUnframed // send a response that ends with its connection
 	faultCut      // the same, and end it early
 	faultPromise  // send a status that callers take for "not run"
+	faultEndless  // send a response without an end
 	numFaults
 )
 
@@ -45,6 +46,10 @@
 			return x.RefuseWith(lines...)
 		}
 		s.recordRun(x)
+		if fault == faultEndless {
+			x.SendEndless(origin.EndlessForms[s.endless.Add(1)%int64(len(origin.EndlessForms))], time.Millisecond)
+			return false
+		}
 		if strings.HasPrefix(x.URL.Path, "/ask/") {
 			return sendEvents(x, s.serverVersion(i), fault, lines)
 		}
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -100,6 +100,8 @@
 	snapshot   *plattest.Copy
 	snapshotAt time.Time
 	restores   int
+	// endless counts the responses without an end.
+	endless atomic.Int64
 
 	mu      sync.Mutex
 	runs    map[string]int    // number of runs by request identifier
--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -15,47 +15,44 @@
 
 // TestEndlessAnswer guards against a host that reads an endless header, event or
 // malformed response into memory or until the deadline, and against the failure
-// of other requests meanwhile.
+// of other requests meanwhile, also if another host passes the response on.
 func TestEndlessAnswer(t *testing.T) {
-	kilobyte := strings.Repeat("x", 1<<10)
-	for name, text := range map[string]string{
-		"head":   "A: " + kilobyte + "\r\n",
-		"event":  "400\r\n" + kilobyte + "\r\n",
-		"answer": kilobyte,
-	} {
-		t.Run(name, func(t *testing.T) {
-			cl := newCluster(t)
-			e := cl.host("a1")
-			ended := make(chan time.Time, 1)
-			cl.server("s1", "a1", func(x *origin.Exchange) bool {
-				if x.Method == http.MethodGet {
-					return ok(x)
-				}
-				switch name {
-				case "head":
-					x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n")
-				case "event":
-					x.StartStream()
-				}
-				for x.Send(text) {
-				}
-				ended <- time.Now()
-				return false
-			})
-			began := time.Now()
-			response := make(chan line.Response, 1)
-			conn := cl.dial(e)
-			go func() { response <- conn.Do(post("/chat/x", "1"), nextID()) }()
-			for range 10 {
-				wantStatus(t, cl.do(e, get("/safe/x")), http.StatusOK)
-			}
-			if a := <-response; a.Status == http.StatusOK && a.Err == nil || a.Status == http.StatusServiceUnavailable {
-				t.Errorf("status %d, error %v", a.Status, a.Err)
-			}
-			if took := (<-ended).Sub(began); took > 2*time.Second {
-				t.Errorf("the server's connection was closed after %v", took)
-			}
-		})
+	for _, name := range origin.EndlessForms {
+		for _, site := range []string{"a1", "b1"} {
+			t.Run(name+" "+site, func(t *testing.T) { testEndlessAnswer(t, name, site) })
+		}
+	}
+}
+
+// testEndlessAnswer sends a request to a host at a1 whose server is at the given site.
+func testEndlessAnswer(t *testing.T, name, site string) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	if site != "a1" {
+		cl.host(site)
+	}
+	ended := make(chan time.Time, 1)
+	cl.server("s1", site, func(x *origin.Exchange) bool {
+		if x.Method == http.MethodGet {
+			return ok(x)
+		}
+		x.SendEndless(name, 0)
+		ended <- time.Now()
+		return false
+	})
+	cl.eventually("served", func() bool { return cl.do(e, get("/safe/x")).Status == http.StatusOK })
+	began := time.Now()
+	response := make(chan line.Response, 1)
+	conn := cl.dial(e)
+	go func() { response <- conn.Do(post("/chat/x", "1"), nextID()) }()
+	for range 10 {
+		wantStatus(t, cl.do(e, get("/safe/x")), http.StatusOK)
+	}
+	if a := <-response; a.Status == http.StatusOK && a.Err == nil || a.Status == http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v", a.Status, a.Err)
+	}
+	if took := (<-ended).Sub(began); took > 2*time.Second {
+		t.Errorf("the server's connection was closed after %v", took)
 	}
 }
 
