--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -15,47 +15,44 @@
 
 // TestEndlessAnswer guards against a host that reads an endless header, event or
 // malformed response into memory or until the deadline, and against the failure
-// of other requests meanwhile.
+// of other requests meanwhile, also if another host passes the response on.
 func TestEndlessAnswer(t *testing.T) {
-	kilobyte := strings.Repeat("x", 1<<10)
-	for name, text := range map[string]string{
-		"head":   "A: " + kilobyte + "\r\n",
-		"event":  "400\r\n" + kilobyte + "\r\n",
-		"answer": kilobyte,
-	} {
-		t.Run(name, func(t *testing.T) {
-			cl := newCluster(t)
-			e := cl.host("a1")
-			ended := make(chan time.Time, 1)
-			cl.server("s1", "a1", func(x *origin.Exchange) bool {
-				if x.Method == http.MethodGet {
-					return ok(x)
-				}
-				switch name {
-				case "head":
-					x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n")
-				case "event":
-					x.StartStream()
-				}
-				for x.Send(text) {
-				}
-				ended <- time.Now()
-				return false
-			})
-			began := time.Now()
-			response := make(chan line.Response, 1)
-			conn := cl.dial(e)
-			go func() { response <- conn.Do(post("/chat/x", "1"), nextID()) }()
-			for range 10 {
-				wantStatus(t, cl.do(e, get("/safe/x")), http.StatusOK)
-			}
-			if a := <-response; a.Status == http.StatusOK && a.Err == nil || a.Status == http.StatusServiceUnavailable {
-				t.Errorf("status %d, error %v", a.Status, a.Err)
-			}
-			if took := (<-ended).Sub(began); took > 2*time.Second {
-				t.Errorf("the server's connection was closed after %v", took)
-			}
-		})
+	for _, name := range origin.EndlessForms {
+		for _, site := range []string{"a1", "b1"} {
+			t.Run(name+" "+site, func(t *testing.T) { testEndlessAnswer(t, name, site) })
+		}
+	}
+}
+
+// testEndlessAnswer sends a request to a host at a1 whose server is at the given site.
+func testEndlessAnswer(t *testing.T, name, site string) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	if site != "a1" {
+		cl.host(site)
+	}
+	ended := make(chan time.Time, 1)
+	cl.server("s1", site, func(x *origin.Exchange) bool {
+		if x.Method == http.MethodGet {
+			return ok(x)
+		}
+		x.SendEndless(name, 0)
+		ended <- time.Now()
+		return false
+	})
+	cl.eventually("served", func() bool { return cl.do(e, get("/safe/x")).Status == http.StatusOK })
+	began := time.Now()
+	response := make(chan line.Response, 1)
+	conn := cl.dial(e)
+	go func() { response <- conn.Do(post("/chat/x", "1"), nextID()) }()
+	for range 10 {
+		wantStatus(t, cl.do(e, get("/safe/x")), http.StatusOK)
+	}
+	if a := <-response; a.Status == http.StatusOK && a.Err == nil || a.Status == http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v", a.Status, a.Err)
+	}
+	if took := (<-ended).Sub(began); took > 2*time.Second {
+		t.Errorf("the server's connection was closed after %v", took)
 	}
 }
 
@@ -112,3 +109,78 @@
 	}
 	wantStatus(t, cl.do(e, call), http.StatusOK)
 }
+
+// TestRefusalWithoutEnd guards against a host that waits for the end of a refusal until the
+// caller's deadline, although another server can serve the request.
+func TestRefusalWithoutEnd(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, next := range map[string]func(x *origin.Exchange) bool{
+		"stops": func(x *origin.Exchange) bool { <-x.Closed; return false },
+		"slow":  func(x *origin.Exchange) bool { time.Sleep(20 * time.Millisecond); return x.Send("x") },
+		"fast":  func(x *origin.Exchange) bool { return x.Send(kilobyte) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				if x.RequestURI == "/open/x" {
+					return ok(x)
+				}
+				x.Send(fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 1000000\r\n\r\n", platform.HeaderAttemptID, x.ID(), platform.HeaderNotRun))
+				for next(x) {
+				}
+				return false
+			})
+			cl.server("s2", "a1", ok)
+			for range 20 { // fills the retry budget
+				cl.do(e, get("/open/x"))
+			}
+			for range 6 {
+				began := time.Now()
+				wantStatus(t, cl.do(e, post("/order/x", "1")), http.StatusOK)
+				if took := time.Since(began); took > time.Second {
+					t.Errorf("response after %v, the deadline is 2 s", took)
+				}
+			}
+		})
+	}
+}
+
+// TestStoppedCaller guards against a caller that no longer reads an endless response and
+// thereby keeps its server and the memory for it beyond the deadline.
+func TestStoppedCaller(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, begin := range map[string]func(x *origin.Exchange){
+		"body": func(x *origin.Exchange) {
+			x.StartUnframed("HTTP/1.1", "Content-Type: image/png", "Content-Length: 1000000000")
+		},
+		"events": func(x *origin.Exchange) { x.StartStream() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			ended := make(chan struct{}, 1)
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				begin(x)
+				text := kilobyte
+				if name == "events" {
+					text = fmt.Sprintf("%x\r\ndata: %s\n\n\r\n", len(kilobyte)+8, kilobyte)
+				}
+				for x.Send(text) {
+				}
+				ended <- struct{}{}
+				return false
+			})
+			conn := cl.dial(e)
+			if _, err := io.WriteString(conn, post("/chat/x", "1").With(platform.HeaderDeadline, "1000").Bytes(nextID())); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-ended:
+			case <-time.After(4 * time.Second):
+				t.Error("the server still sends 3 s after the caller's deadline")
+			}
+			cl.eventually("the request has ended", func() bool { return e.relay.Running() == 0 && e.relay.BodyBytes() == 0 })
+		})
+	}
+}
