Reproduce hosts that lose the path to all servers

Two of three hosts lose the path (connections reset; open ones live on and new ones are reset; all data held) while callers, the store and the other hosts reach them. Tests may replace the function that opens connections to servers, so that each host has a proxy for each server.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -97,6 +97,11 @@
 // Start starts a host with the given settings. It returns once all addresses are
 // bound; the configuration may not have been read yet.
 func Start(settings boot.Settings, log *logs.Logger) (*Entry, error) {
+	return start(settings, log, send.NewDialer(send.DefaultDial).DialContext)
+}
+
+// start is Start with the function that opens connections to servers.
+func start(settings boot.Settings, log *logs.Logger, dial send.DialFunc) (*Entry, error) {
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryShare))
 	}
@@ -125,7 +130,7 @@
 	files := float64(settings.Files)
 	e.ledger = ledger.New(ledger.Options{Store: store, Count: metrics.Store, Log: log.Requests})
 	e.relay = relay.New(relay.Options{
-		Fleet: e.fleet, Records: e.ledger, Log: log, Stats: metrics, MaxRunning: int64(runningShare * files),
+		Fleet: e.fleet, Records: e.ledger, Log: log, Stats: metrics, Dial: dial, MaxRunning: int64(runningShare * files),
 		MaxBodyBytes:     int64(bodyShare * float64(settings.Memory<<20)),
 		DisableKeepAlive: func() bool { return float64(e.callerConns.Open()) > keepAliveShare*files },
 	})
--- /dev/null
+++ b/internal/edge/entry/reach_test.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/edge/boot"
+	"github.com/yuccalb/yuccalb/internal/edge/logs"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/internal/fake/proxy"
+)
+
+// links are the paths of one host to the servers: a proxy for each.
+type links struct {
+	t       *testing.T
+	mu      sync.Mutex
+	proxies map[string]*proxy.Proxy
+}
+
+// dial opens a connection through the proxy of an address.
+func (l *links) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	l.mu.Lock()
+	p := l.proxies[addr]
+	l.mu.Unlock()
+	if p == nil {
+		return nil, fmt.Errorf("no link to %s", addr)
+	}
+	return send.NewDialer(send.DefaultDial).DialContext(ctx, network, p.Addr().String())
+}
+
+// add adds the link to a server.
+func (l *links) add(addr netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.proxies[addr.String()] = proxy.New(l.t, addr)
+}
+
+// set sets the fault of all links.
+func (l *links) set(f proxy.Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.proxies {
+		p.Set(f)
+	}
+}
+
+// linkedHost starts a host whose paths to servers are links.
+func (cl *cluster) linkedHost(s boot.Settings) (*Entry, *links) {
+	cl.t.Helper()
+	l := &links{t: cl.t, proxies: make(map[string]*proxy.Proxy)}
+	out := logs.NewWriter(io.Discard)
+	e, err := start(s, logs.New(out, s.Host, true), l.dial)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	cl.hosts = append(cl.hosts, e)
+	cl.t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // no request is in progress
+		_ = e.Close(ctx)
+		_ = out.Close()
+	})
+	cl.waitReady(e)
+	return e, l
+}
+
+// region starts three hosts and three servers in one region, and a host in another one
+// without servers.
+func (cl *cluster) region() ([]*Entry, []*links, []*origin.Server) {
+	var hosts []*Entry
+	var paths []*links
+	for range 3 {
+		e, l := cl.linkedHost(cl.settings("b1"))
+		hosts = append(hosts, e)
+		paths = append(paths, l)
+	}
+	cl.host("a1")
+	var servers []*origin.Server
+	for i := range 3 {
+		s := origin.New(cl.t, mixed)
+		for _, l := range paths {
+			l.add(s.Addr())
+		}
+		cl.addServer(fmt.Sprintf("s%d", i), "b1", s)
+		servers = append(servers, s)
+	}
+	for _, e := range hosts {
+		cl.eventually("state reports", func() bool { return len(e.exchange.Peers()) == 3 })
+	}
+	return hosts, paths, servers
+}
+
+// mixed answers requests of all routes, after some work.
+func mixed(x *origin.Exchange) bool {
+	if strings.Contains(x.URL.Path, "chat") {
+		return slowStream(3, 20*time.Millisecond)(x)
+	}
+	time.Sleep(20 * time.Millisecond)
+	return ok(x)
+}
+
+// tries counts first attempts by path.
+type tries struct {
+	mu           sync.Mutex
+	sent, served map[string]int
+	statuses     map[string]int
+}
+
+func newTries() *tries {
+	return &tries{sent: make(map[string]int), served: make(map[string]int), statuses: make(map[string]int)}
+}
+
+func (n *tries) add(path string, r line.Response) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[path]++
+	if r.Status == http.StatusOK && r.Err == nil {
+		n.served[path]++
+		return
+	}
+	n.statuses[fmt.Sprintf("%s %d", path, r.Status)]++
+}
+
+// total returns the sums over all paths.
+func (n *tries) total() (sent, served int) {
+	for path := range n.sent {
+		sent += n.sent[path]
+		served += n.served[path]
+	}
+	return sent, served
+}
+
+// call sends requests to a host from several callers for each path until end, and
+// counts those sent after from.
+func (cl *cluster) call(e *Entry, calls []line.Call, from, end time.Time, n *tries, done *sync.WaitGroup) {
+	const callers = 2
+	for _, c := range calls {
+		for range callers {
+			done.Go(func() {
+				for {
+					sent := time.Now()
+					if sent.After(end) {
+						return
+					}
+					r := line.Response{}
+					if conn, err := line.Dial(e.settings.Front); err == nil {
+						r = conn.Do(c, nextID())
+						_ = conn.Close()
+					}
+					if sent.After(from) {
+						n.add(c.Path, r)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
+// TestLostPathToServers guards against hosts that serve their callers far worse than the hosts
+// beside them because they alone have lost the path to all servers of their region.
+func TestLostPathToServers(t *testing.T) {
+	const (
+		notice = 5 * time.Second // from the beginning of the cut
+		cut    = 8 * time.Second
+	)
+	faults := map[string]proxy.Fault{
+		"reset":            {Reset: true},
+		"open ones remain": {ResetNew: true},
+		"held":             {HoldForth: true, HoldBack: true},
+	}
+	calls := []line.Call{get("/home-b/x"), post("/order-b/x", "1"), post("/chat-b/x", "1"), get("/safe/x"), post("/order/x", "1")}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			hosts, paths, _ := cl.region()
+			cutOff, others := newTries(), newTries()
+			var done sync.WaitGroup
+			begin := time.Now().Add(time.Second)
+			from, end := begin.Add(notice), begin.Add(cut)
+			cl.call(hosts[0], calls, from, end, cutOff, &done)
+			cl.call(hosts[1], calls, from, end, cutOff, &done)
+			cl.call(hosts[2], calls, from, end, others, &done)
+			time.Sleep(time.Until(begin))
+			paths[0].set(fault)
+			paths[1].set(fault)
+			done.Wait()
+			sent, served := cutOff.total()
+			otherSent, otherServed := others.total()
+			t.Logf("cut off: %d of %d served, failed %v; others: %d of %d, failed %v", served, sent, cutOff.statuses, otherServed, otherSent, others.statuses)
+			for path, n := range cutOff.sent {
+				share, want := float64(cutOff.served[path])/float64(n), float64(others.served[path])/float64(others.sent[path])
+				if share < 2*want/3 {
+					t.Errorf("%s: %.2f of the requests are served at the hosts that are cut off, %.2f at the others", path, share, want)
+				}
+			}
+			if failed := sent + otherSent - served - otherServed; failed > 10+(sent+otherSent)/50 {
+				t.Errorf("%d of %d requests failed", failed, sent+otherSent)
+			}
+		})
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -71,6 +71,8 @@
 	Records Records
 	Log     *logs.Logger
 	Stats   *stats.Metrics
+	// Dial opens connections to servers.
+	Dial send.DialFunc
 	// MaxRunning bounds the requests in progress.
 	MaxRunning int64
 	// MaxBodyBytes bounds the memory for bodies of requests and responses.
@@ -85,7 +87,7 @@
 	return &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
 		bodyMemory: byteLimit{max: opts.MaxBodyBytes},
-		servers:    send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
+		servers:    send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 }
 
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -60,9 +60,12 @@
 	NewConn bool
 }
 
+// DialFunc opens a connection to an address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client sends requests over pooled connections. It is safe for concurrent use.
 type Client struct {
-	dialer *net.Dialer
+	dial   DialFunc
 	opened atomic.Int64
 
 	mu     sync.Mutex
@@ -71,8 +74,13 @@
 }
 
 // NewClient returns a client with the given dial timeout.
-func NewClient(dial time.Duration) *Client {
-	return &Client{dialer: NewDialer(dial), idle: make(map[netip.AddrPort][]*conn)}
+func NewClient(timeout time.Duration) *Client {
+	return NewDialClient(NewDialer(timeout).DialContext)
+}
+
+// NewDialClient returns a client that opens its connections with dial.
+func NewDialClient(dial DialFunc) *Client {
+	return &Client{dial: dial, idle: make(map[netip.AddrPort][]*conn)}
 }
 
 // Opened returns the number of connections opened so far.
@@ -164,7 +172,7 @@
 		}
 		_ = cn.Close() // no request uses it
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp4", addr.String())
+	nc, err := c.dial(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -21,8 +21,9 @@
 	// sent by it, until the fault ends. Both together simulate a network that
 	// loses all packets.
 	HoldForth, HoldBack bool
-	// Reset closes open and new connections with a TCP reset.
-	Reset bool
+	// Reset closes open and new connections with a TCP reset, and ResetNew new ones
+	// only.
+	Reset, ResetNew bool
 }
 
 // Proxy forwards TCP connections to a target.
@@ -122,7 +123,7 @@
 func (p *Proxy) add(c *net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.fault.Reset {
+	if p.closed || p.fault.Reset || p.fault.ResetNew {
 		_ = c.SetLinger(0) // makes the close a reset
 		_ = c.Close()
 		return false
