Forward requests by a neighbour while the path to the servers is lost

Cause: a host sent to its own servers or to another region only; it took a refused connection for the end of a server (back-off, then probation with 2 requests a second) although open connections went on; nobody outside knew: other regions, lookups and the region's own report went by its failures. While it does not reach a service, a host sends its requests by a host of its region that does, at most one hop, over the retry rules as before (a refusal costs nothing that an attempt which reached no server did not cost before). It uses open connections as long as they live, breaks off hung attempts that may be repeated, and regains the path by probes off the request path, one at a time. Frames and reports of regions say which services a host does not reach; reports, remote regions and lookups go by the hosts that do. A response on a connection from before a failure ends the probation that followed. Ruled out: limits of servers as the cause of the refusals with that reason; none named one.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -85,7 +85,12 @@
 	Pinned  bool
 	Version string
 	// Connected reports whether a connection to a server is open. It may be nil.
-	Connected func(netip.AddrPort) bool
+	// ConnectedOnly is set if only such servers may be chosen.
+	Connected     func(netip.AddrPort) bool
+	ConnectedOnly bool
+	// Via is set if another host of the region would choose the server. What failed
+	// at this host, and its parts of limits, do not count then.
+	Via bool
 }
 
 // Choice is a chosen server. It must be passed to Done exactly once.
@@ -114,11 +119,23 @@
 	output int // tokens at most of the response
 	// firstByte is when the response began, zero before that.
 	firstByte time.Time
+	// connOpened is when the connection was opened on which the response came, zero
+	// if that is unknown.
+	connOpened time.Time
 }
 
+// Connection records when the connection was opened on which the response comes.
+func (c *Choice) Connection(opened time.Time) { c.connOpened = opened }
+
 // Process returns the process of the server to which the request is sent.
 func (c *Choice) Process() Process { return Process{ID: c.ID, Born: c.born} }
 
+// outlived reports whether the response came on a connection from before the last failure
+// of the server, which shows that its process has not restarted.
+func (c *Choice) outlived(s *server) bool {
+	return !c.connOpened.IsZero() && c.connOpened.Before(s.failedAt) && c.born == s.Born
+}
+
 // Outcome is the outcome of a request that was sent to a server.
 type Outcome int
 
--- /dev/null
+++ b/internal/core/pick/reach.go
@@ -0,0 +1,67 @@
+package pick
+
+import "time"
+
+// OnTrial reports whether this host may send nothing, or only single requests, to each of
+// the servers because of failures that it has seen. It is false if there are no servers.
+func (t *Table) OnTrial() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := false
+	for _, s := range t.servers {
+		switch {
+		case t.leaving(s):
+		case s.failures >= failureThreshold || s.probation:
+			found = true
+		default:
+			return false
+		}
+	}
+	return found
+}
+
+// Failing reports whether each of the servers has failed so that a request would be a test.
+// It is false if there are no servers.
+func (t *Table) Failing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := false
+	for _, s := range t.servers {
+		switch {
+		case t.leaving(s):
+		case s.failures >= failureThreshold:
+			found = true
+		default:
+			return false
+		}
+	}
+	return found
+}
+
+// Confirm records that a server has answered a probe of its health: it may get a request
+// again, unless its probation forbids it.
+func (t *Table) Confirm(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil {
+		s.failures = 0
+		s.downUntil = time.Time{}
+	}
+}
+
+// SummaryVia is Summary for a host that does not reach the servers itself while others of
+// its region do: its failures, and its parts of limits, do not count.
+func (t *Table) SummaryVia(now time.Time) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var waits []time.Duration
+	for _, s := range t.servers {
+		if !t.leaving(s) && t.pause(s, now) == 0 && !now.Before(s.warmAt) {
+			waits = append(waits, s.cost(s.total(), &Request{}, &t.model, 0, now).time)
+		}
+	}
+	if len(waits) == 0 {
+		return Summary{}
+	}
+	return Summary{Servers: len(waits), Wait: lowerMean(waits)}
+}
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -33,6 +33,7 @@
 	// and heartbeats counts those since the failure.
 	probation  bool
 	heartbeats int
+	failedAt   time.Time
 	// fullUntil is when the last refusal by the server no longer counts.
 	fullUntil time.Time
 	// lateShare is the share of time in which prefill takes so long that events
@@ -132,10 +133,10 @@
 
 // available reports whether the server may accept a request: it has not failed lately.
 func (s *server) available(req *Request, now time.Time) bool {
-	if !req.allows(s) {
+	if !req.allows(s) || req.ConnectedOnly && !req.Connected(s.Addr) {
 		return false
 	}
-	return s.failures < failureThreshold || !now.Before(s.downUntil) && !s.probing
+	return req.Via || s.failures < failureThreshold || !now.Before(s.downUntil) && !s.probing
 }
 
 // recordFailure adds weight to the consecutive failures. From failureThreshold on, it
@@ -150,6 +151,7 @@
 	s.probing = false
 	s.probation = true
 	s.heartbeats = 0
+	s.failedAt = now
 }
 
 // cost is the cost of sending a request to a server.
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -133,6 +133,9 @@
 	if t.leaving(s) || t.pause(s, now) > 0 || !s.available(req, now) {
 		return false
 	}
+	if req.Via {
+		return true
+	}
 	a, limited := t.allowance(s, now)
 	if !limited {
 		return true
@@ -244,6 +247,9 @@
 	switch o {
 	case Served:
 		s.failures = 0
+		if c.outlived(s) {
+			s.probation = false
+		}
 		s.errorRate *= 1 - errorWeight
 		if c.Load.Running < s.slots(&t.model) {
 			t.model.observeSlot(now.Sub(c.sent))
--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -69,6 +69,8 @@
 	CacheTokens int
 	// Conns bounds the connections to one server over all hosts; 0 sets no limit.
 	Conns int
+	// HealthPath is the path of the servers' health check, empty if there is none.
+	HealthPath string
 	// WarmupRate bounds the requests per second to a cold server, over all hosts;
 	// 0 sets no limit.
 	WarmupRate float64
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/share"
@@ -78,6 +79,7 @@
 	limiter      *share.Limiter
 	homes        steer.HomeCounts
 	bases        resume.Bases
+	path         *reach.Path
 	reports      reports
 	leaving      atomic.Bool
 	ready        atomic.Bool
@@ -115,6 +117,7 @@
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
 	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First)}
+	f.path = reach.NewPath(rand.New(rand.NewPCG(uint64(f.processStart), 0)))
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
@@ -219,6 +222,7 @@
 	}
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
+	servers := 0
 	names := f.localNames(v, now)
 	hosts := pick.RegionHosts{
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
@@ -237,11 +241,13 @@
 				list = append(list, e)
 			}
 		}
+		servers += len(list)
 		s.Table.Update(svc, list, v.Evacuated, hosts, v.Answered)
 		f.updatePoison(svc.Name, s, list, v.Suspects, now)
 		tables[svc.Name] = s
 	}
 	f.tables.Store(&tables)
+	f.path.SetServers(servers)
 	f.limiter.Retain(f.limiterPeers(v, now))
 }
 
--- a/internal/edge/fleet/lookup.go
+++ b/internal/edge/fleet/lookup.go
@@ -34,6 +34,7 @@
 	now := time.Now()
 	region := func(name string, services map[string]pick.Summary, members []gossip.Member) steer.Region {
 		r := steer.Region{Name: name, Load: load(services), DeniedShare: f.homes.DeniedShare(name, commonHomes, hasHomes)}
+		var cutOff []netip.AddrPort
 		for _, m := range members {
 			switch {
 			case m.Leaving && m.Host.Name == f.opts.Self.Name:
@@ -42,8 +43,12 @@
 				r.Leaving = append(r.Leaving, steer.Host{Addr: m.Host.Front, Weight: m.Host.Cores})
 			case m.Ready:
 				r.Hosts = append(r.Hosts, steer.Host{Addr: m.Host.Front, Weight: m.Host.Cores})
+				if m.CutOff {
+					cutOff = append(cutOff, m.Host.Front)
+				}
 			}
 		}
+		r.Hosts = withPath(r.Hosts, cutOff)
 		return r
 	}
 	list := []steer.Region{region(f.opts.Region, f.summaries(now), f.members(now))}
--- a/internal/edge/fleet/remote.go
+++ b/internal/edge/fleet/remote.go
@@ -40,8 +40,8 @@
 		if sum.Servers == 0 {
 			continue
 		}
-		if len(r.hosts) > 0 {
-			regions = append(regions, RemoteRegion{Region: r.Name, Hosts: r.hosts, Summary: sum, cachedParts: r.parts[service]})
+		if hosts := r.reaching(service); len(hosts) > 0 {
+			regions = append(regions, RemoteRegion{Region: r.Name, Hosts: hosts, Summary: sum, cachedParts: r.parts[service]})
 		}
 	}
 	slices.SortFunc(regions, func(a, b RemoteRegion) int { return strings.Compare(a.Region, b.Region) })
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
@@ -185,10 +186,10 @@
 
 // members returns this host and the reachable hosts of its region.
 func (f *Fleet) members(now time.Time) []gossip.Member {
-	list := []gossip.Member{{Host: f.opts.Self, Leaving: f.Leaving(), Ready: f.Ready()}}
+	list := []gossip.Member{{Host: f.opts.Self, Leaving: f.Leaving(), Ready: f.Ready(), Unreached: f.unreached(), CutOff: f.path.State() != reach.Reached}}
 	local, _ := f.reachable(now)
 	for _, p := range local {
-		list = append(list, gossip.Member{Host: p.State.Host, Leaving: p.State.Leaving, Ready: p.State.Ready})
+		list = append(list, reportMember(p))
 	}
 	return list
 }
@@ -197,7 +198,7 @@
 func (f *Fleet) summaries(now time.Time) map[string]pick.Summary {
 	sums := make(map[string]pick.Summary)
 	for name, svc := range *f.tables.Load() {
-		sums[name] = svc.Table.Summary(now)
+		sums[name] = f.summary(name, svc, now)
 	}
 	return sums
 }
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -9,6 +9,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/core/spread"
@@ -245,7 +246,7 @@
 	s := gossip.State{
 		Host: f.opts.Self, ProcessStart: f.processStart, Leaving: f.Leaving(), Ready: f.Ready(),
 		Config: st.Config, ConfigAge: age(at, st.ConfigConfirmed), Digest: st.Digest, EntriesRev: st.EntriesRev, EntriesAge: age(at, st.EntriesConfirmed),
-		Era: st.Era.Number, EraAge: st.Era.Age(at),
+		Era: st.Era.Number, EraAge: st.Era.Age(at), Unreached: f.unreached(), CutOff: f.path.State() != reach.Reached,
 	}
 	if !local {
 		s.Regions = f.localReport(now)
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -52,6 +52,10 @@
 	// Poison is what the host knows of parts of prompts that make servers crash, by
 	// service. It is sent to hosts of the local region only.
 	Poison map[string]poison.Report `cbor:"18,keyasint,omitempty"`
+	// Unreached are the services whose servers the host does not reach, and CutOff is
+	// set if it reaches no server of its region.
+	Unreached []string `cbor:"31,keyasint,omitempty"`
+	CutOff    bool     `cbor:"32,keyasint,omitempty"`
 	// Regions are reports of regions: that of the local region is sent to remote
 	// hosts, and those of remote regions are forwarded to local hosts.
 	Regions []Region `cbor:"15,keyasint,omitempty"`
@@ -84,6 +88,9 @@
 	Host    spec.Host `cbor:"1,keyasint"`
 	Leaving bool      `cbor:"2,keyasint,omitempty"`
 	Ready   bool      `cbor:"3,keyasint,omitempty"`
+	// Unreached and CutOff are those of State.
+	Unreached []string `cbor:"4,keyasint,omitempty"`
+	CutOff    bool     `cbor:"5,keyasint,omitempty"`
 }
 
 // frame is one datagram. Each time is on the clock of the host that measured it.
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -169,10 +169,10 @@
 		q.s.stats.LimitedSend(q.service)
 	}
 	q.recordVersion(c.Version)
-	onFirstByte := func() { svc.Table.FirstByte(&c, time.Now()) }
-	res, outcome := q.exchange(q.s.servers, q.outgoing(q.serverHeader(c.ID), q.dest), onFirstByte)
-	svc.Table.Done(&c, outcome, time.Now())
-	q.recordCrash(svc, &c, outcome)
+	onFirstByte := func() { svc.Table.FirstByte(&q.choice, time.Now()) }
+	res, outcome := q.exchangeLocal(onFirstByte)
+	svc.Table.Done(&q.choice, q.serverOutcome(outcome), time.Now())
+	q.recordCrash(svc, &q.choice, outcome)
 	// An error response does not exclude the server: it may be the only one.
 	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
 		q.pick.Exclude = append(q.pick.Exclude, c.ID)
@@ -181,12 +181,13 @@
 	return res
 }
 
-// sendPeer sends the request to a host of a remote region.
+// sendPeer sends the request to a host of a remote region, or to another one of the local
+// region.
 func (q *request) sendPeer() retry.Result {
 	q.record = nil
 	q.triedHosts = append(q.triedHosts, q.dest.addr)
 	q.server = q.dest.addr.String()
-	res, outcome := q.exchange(q.s.peers, q.outgoing(q.peerHeader(), q.dest), func() {})
+	res, outcome := q.exchange(q.r.Context(), q.s.peers, q.outgoing(q.peerHeader(), q.dest), func() {})
 	q.leaveRecord()
 	q.s.stats.Attempt(q.service, q.dest.region, outcomeName(outcome))
 	return res
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -11,11 +11,12 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 )
 
-// choose picks a server of the local region, and returns true, or a remote region. It prefers
+// choose picks a server of the local region, and returns true, or another host. It prefers
 // servers at which streams need no record while none can be written.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.target = q.avoidRecords(now)
@@ -35,8 +36,16 @@
 	if svc != nil && q.allows(q.s.fleet.LocalRegion()) {
 		local.Score, local.First, usable = svc.Table.Expect(q.target, now)
 	}
+	via, neighbour := q.neighbour(svc, usable, now)
+	if neighbour {
+		local.Score, local.First, usable = svc.Table.Expect(q.via(), now)
+		local.Score += neighbourDelay
+	}
 	q.localExpected = local.First
 	demand := q.demand(svc, remaining)
+	if q.forwarded && q.s.fleet.Path().State() == reach.Lost && q.s.fleet.CutOff() {
+		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoPath, retryAfterElsewhere}
+	}
 	if !q.forwarded {
 		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable, remote) {
 			q.dest = dest
@@ -49,6 +58,10 @@
 	if ref := q.checkLate(demand, local.First); ref != nil {
 		return pick.Choice{}, false, ref
 	}
+	if neighbour {
+		q.dest = destination{region: q.s.fleet.LocalRegion(), addr: via}
+		return pick.Choice{}, false, nil
+	}
 	c, ok := svc.Table.Pick(q.target, now)
 	if !ok {
 		return pick.Choice{}, false, q.refuseNoServer(svc, now)
@@ -138,13 +151,21 @@
 // prefers those with an idle connection: opening one to a remote region takes as
 // long as the request itself.
 func (q *request) pickHost(hosts []steer.Host) (netip.AddrPort, bool) {
-	if len(q.triedHosts) > 0 {
-		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.triedHosts, h.Addr) })
-	}
+	hosts = q.untried(hosts)
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, false
 	}
 	hosts = steer.Prefer(hosts, q.s.peers.HasIdle)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return steer.Sample(hosts, 1, rng)[0], true
+	return steer.Sample(hosts, 1, newRand())[0], true
 }
+
+// untried returns the hosts that this request was not sent to before.
+func (q *request) untried(hosts []steer.Host) []steer.Host {
+	if len(q.triedHosts) == 0 {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h steer.Host) bool { return slices.Contains(q.triedHosts, h.Addr) })
+}
+
+// newRand returns a source of randomness for one decision.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -15,14 +16,16 @@
 )
 
 // exchange sends one request and forwards its response. It calls onFirstByte
-// when the response has started.
-func (q *request) exchange(c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
+// when the response has started. It is broken off when ctx is done.
+func (q *request) exchange(ctx context.Context, c *send.Client, req *send.Request, onFirstByte func()) (retry.Result, pick.Outcome) {
 	q.began = false
 	q.connLost = false
-	resp, err := c.Do(q.r.Context(), req)
+	resp, err := c.Do(ctx, req)
 	if err != nil {
+		q.recordSilence(err)
 		return q.classifyError(err, c, req)
 	}
+	q.recordResponse(resp)
 	defer func() { _ = resp.Close() }() // it returns no errors
 	q.recordFraming(resp)
 	q.recordServerState(resp)
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -29,6 +29,7 @@
 	reasonBodyNotRead     = "body not read"
 	reasonOrgLimit        = "organisation over its limit"
 	reasonNoServer        = "no server"
+	reasonNoPath          = "no path to servers"
 	reasonRetryAfter      = "servers want no requests"
 	reasonServerLimit     = "servers limit requests"
 	reasonPoison          = "prompt part crashes servers"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -62,7 +62,9 @@
 	staleAt    atomic.Int64
 	lengths    length.Estimator
 	bodyMemory byteLimit
-	checks     sync.WaitGroup // of checks whether servers have ended
+	checks     sync.WaitGroup // of checks whether servers have ended, and of watchPath
+	stop       chan struct{}  // ends watchPath
+	hung       hung
 }
 
 // Options sets up a Relay.
@@ -84,16 +86,20 @@
 
 // New returns a relay.
 func New(opts Options) *Relay {
-	return &Relay{
+	s := &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
 		bodyMemory: byteLimit{max: opts.MaxBodyBytes},
 		servers:    send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
+		stop: make(chan struct{}),
 	}
+	s.checks.Go(s.watchPath)
+	return s
 }
 
-// Close closes idle connections and waits for the checks of servers, which take
-// endCheckTimeout at most. Requests in progress must have ended.
+// Close closes idle connections and waits for the checks and probes of servers, which
+// take probeTimeout at most. Requests in progress must have ended.
 func (s *Relay) Close() error {
+	close(s.stop)
 	s.checks.Wait()
 	if err := s.servers.Close(); err != nil {
 		return err
@@ -243,7 +249,8 @@
 
 // destination is where an attempt is sent.
 type destination struct {
-	// region is empty for a server of the local region.
+	// region is empty for a server of the local region. It is set for another host, which
+	// may be one of the local region.
 	region string
 	addr   netip.AddrPort
 	// limitWait is the expected wait in a remote region whose servers have got what
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -50,6 +50,9 @@
 		if end := events.Scan(buf[held:]); end > 0 {
 			whole = held + end
 		}
+		if n > 0 {
+			q.recordBytes()
+		}
 		if whole > 0 && !checked {
 			follows, known := stream.Follows(buf[:whole], last)
 			if known && !follows {
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -32,6 +32,7 @@
 	br     *bufio.Reader
 	addr   netip.AddrPort
 	reused bool
+	opened time.Time
 	// expires is when the idle connection must no longer be used.
 	expires     time.Time
 	idleTimeout time.Duration
@@ -45,7 +46,7 @@
 }
 
 func newConn(c net.Conn, addr netip.AddrPort) *conn {
-	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle}
+	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, opened: time.Now()}
 	cn.br = bufio.NewReaderSize(cn, readBuffer)
 	return cn
 }
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Framing is how a response marks the end of its body.
@@ -54,6 +55,10 @@
 	// Length is the length of the body, -1 if it is not known beforehand.
 	Length  int64
 	Framing Framing
+	// Reused is set when the connection had been used by earlier requests, and Opened
+	// is when it was opened.
+	Reused bool
+	Opened time.Time
 
 	client *Client
 	conn   *conn
@@ -91,6 +96,8 @@
 	r.Header = resp.Header
 	r.Length = resp.ContentLength
 	r.Framing = framing(req.Method, resp)
+	r.Reused = r.conn.reused
+	r.Opened = r.conn.opened
 	r.conn.parseKeepAlive(resp.Header)
 	return nil
 }
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -37,6 +37,7 @@
 	takeUps        *prometheus.CounterVec
 	unrecorded     *prometheus.CounterVec
 	store          *prometheus.CounterVec
+	probes         *prometheus.CounterVec
 }
 
 // New returns metrics with their own registries.
@@ -73,11 +74,14 @@
 		unrecorded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_unrecorded_streams_total", Help: "Streams whose first event was passed on before the store had recorded their version, by service.",
 		}, []string{"service"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_probes_total", Help: "Probes of servers that this host seemed not to reach, by service and outcome.",
+		}, []string{"service", "outcome"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -147,6 +151,15 @@
 	m.streamEnds.WithLabelValues(service, framing, place).Inc()
 }
 
+// Probe records a probe of a server.
+func (m *Metrics) Probe(service string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.probes.WithLabelValues(service, outcome).Inc()
+}
+
 // Store records a call to the platform's store.
 func (m *Metrics) Store(call string, err error) {
 	outcome := "ok"
