Tell a partial path from a lost one

Cause: tests of servers that were known to fail counted as new evidence that the whole path was lost. Change: only servers whose last attempt had not failed are evidence; requests in progress are broken off 200 ms after the path is lost; a host that is asked without a path says so in its refusal, which then costs no retry if no server was asked; while the path is lost and another region serves, servers are tested by probes only.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -6,17 +6,18 @@
 package reach
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 )
 
 const (
-	// minServers is the number of servers that must have failed, unless there are fewer,
-	// and minFailures that of failed attempts.
+	// minServers is the number of servers that must have failed, unless no other one is
+	// left, and minFailures that of failed attempts.
 	minServers, minFailures = 2, 2
-	// settle is the time after which minServers are enough even if they are less than
-	// half of the servers: some may crash together while the others happen to be idle.
+	// settle is the time after which minServers are enough even if they are not the
+	// most: some may crash together while the others happen to be idle.
 	settle = 300 * time.Millisecond
 	// evidenceTTL is the time after which failures without any further one no longer
 	// count: an idle host sees no responses in between.
@@ -54,34 +55,67 @@
 	}
 }
 
-// evidence are failed attempts since the last response that contradicts them.
+// evidence are the servers whose last attempt failed, and the failures since the last
+// response of any server.
 type evidence struct {
-	since, last time.Time
+	bad map[string]bool
+	// fresh are the servers that were not bad before.
+	fresh       map[string]bool
 	count       int
-	servers     map[string]bool
+	since, last time.Time
 }
 
-func (e *evidence) add(server string, now time.Time) {
+// fail records a failed attempt.
+func (e *evidence) fail(server string, now time.Time) {
 	if e.count > 0 && now.Sub(e.last) > evidenceTTL {
-		e.count = 0
+		e.clear()
 	}
-	e.last = now
 	if e.count == 0 {
 		e.since = now
-		e.servers = make(map[string]bool)
 	}
 	e.count++
-	if len(e.servers) < maxServers {
-		e.servers[server] = true
+	e.last = now
+	if e.bad[server] || len(e.bad) >= maxServers {
+		return
+	}
+	if e.bad == nil {
+		e.bad, e.fresh = make(map[string]bool), make(map[string]bool)
 	}
+	e.bad[server] = true
+	e.fresh[server] = true
+}
+
+// respond records a response of a server.
+func (e *evidence) respond(server string) {
+	delete(e.bad, server)
+	e.clear()
+}
+
+// clear forgets the failures, but not which servers are bad.
+func (e *evidence) clear() {
+	e.count = 0
+	clear(e.fresh)
+}
+
+// retain forgets the servers that are not listed.
+func (e *evidence) retain(listed map[string]bool) {
+	maps.DeleteFunc(e.bad, func(id string, _ bool) bool { return !listed[id] })
+	maps.DeleteFunc(e.fresh, func(id string, _ bool) bool { return !listed[id] })
 }
 
 // enough reports whether the evidence shows that none of n servers can be reached.
+// Servers that were bad before say nothing new.
 func (e *evidence) enough(n int, now time.Time) bool {
-	if e.count < minFailures || len(e.servers) < min(minServers, max(n, 1)) {
+	good := n - len(e.bad)
+	switch {
+	case e.count < minFailures || now.Sub(e.last) > evidenceTTL:
+		return false
+	case good <= 0:
+		return true
+	case len(e.fresh) < minServers:
 		return false
 	}
-	return 2*len(e.servers) >= n || now.Sub(e.since) >= settle
+	return len(e.fresh) > good || now.Sub(e.since) >= settle
 }
 
 // waiting are the requests in progress to one server.
@@ -96,9 +130,10 @@
 	// servers is the number of servers of the region.
 	servers int
 	state   State
-	// failed are attempts without any response since the last response, and refused
-	// those that got none on a new connection since the last that did.
+	// failed are attempts without any response, and refused those of them that needed
+	// a new connection.
 	failed, refused evidence
+	changedAt       time.Time // the last change of state
 	waiting         map[string]*waiting
 	heardAt         time.Time // the last byte from any server
 	probeAt         time.Time // of the next probe
@@ -110,11 +145,13 @@
 	return &Path{waiting: make(map[string]*waiting), rng: rng}
 }
 
-// SetServers sets the number of servers of the region.
-func (p *Path) SetServers(n int) {
+// SetServers sets the servers of the region.
+func (p *Path) SetServers(listed map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.servers = n
+	p.servers = len(listed)
+	p.failed.retain(listed)
+	p.refused.retain(listed)
 }
 
 // State returns the state of the path.
@@ -124,6 +161,20 @@
 	return p.state
 }
 
+// Since returns the state of the path and how long it has lasted.
+func (p *Path) Since(now time.Time) (State, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, now.Sub(p.changedAt)
+}
+
+// Tick reports whether the state changes with the time alone.
+func (p *Path) Tick(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.update(now)
+}
+
 // Sent records that a request is sent to a server.
 func (p *Path) Sent(server string, now time.Time) {
 	p.mu.Lock()
@@ -151,13 +202,13 @@
 
 // Responded records bytes from a server; opened is set if the request was sent on a
 // connection opened for it. It reports whether the state has changed.
-func (p *Path) Responded(opened bool, now time.Time) bool {
+func (p *Path) Responded(server string, opened bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heardAt = now
-	p.failed.count = 0
+	p.failed.respond(server)
 	if opened {
-		p.refused.count = 0
+		p.refused.respond(server)
 	}
 	return p.update(now)
 }
@@ -167,26 +218,29 @@
 func (p *Path) Failed(server string, opened bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failed.add(server, now)
+	p.failed.fail(server, now)
 	if opened {
-		p.refused.add(server, now)
+		p.refused.fail(server, now)
 	}
 	return p.update(now)
 }
 
-// update sets the state and reports whether it has changed. Once the path is lost, only a
-// response changes that, and only one on a new connection restores it.
+// update sets the state and reports whether it has changed. A state other than Reached
+// lasts until a response contradicts it.
 func (p *Path) update(now time.Time) bool {
-	old := p.state
+	state := Reached
 	switch {
 	case p.failed.enough(p.servers, now), p.state == Lost && p.failed.count > 0:
-		p.state = Lost
+		state = Lost
 	case p.refused.enough(p.servers, now), p.state != Reached && p.refused.count > 0:
-		p.state = OpenOnly
-	default:
-		p.state = Reached
+		state = OpenOnly
 	}
-	return p.state != old
+	if state == p.state {
+		return false
+	}
+	p.state = state
+	p.changedAt = now
+	return true
 }
 
 // Probe reports whether a server should be probed now: while the path is not intact, while
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -80,6 +80,7 @@
 	homes        steer.HomeCounts
 	bases        resume.Bases
 	path         *reach.Path
+	marks        marks
 	reports      reports
 	leaving      atomic.Bool
 	ready        atomic.Bool
@@ -222,7 +223,7 @@
 	}
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
-	servers := 0
+	servers := make(map[string]bool)
 	names := f.localNames(v, now)
 	hosts := pick.RegionHosts{
 		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
@@ -241,7 +242,9 @@
 				list = append(list, e)
 			}
 		}
-		servers += len(list)
+		for _, e := range list {
+			servers[e.ID] = true
+		}
 		s.Table.Update(svc, list, v.Evacuated, hosts, v.Answered)
 		f.updatePoison(svc.Name, s, list, v.Suspects, now)
 		tables[svc.Name] = s
--- a/internal/edge/fleet/reach.go
+++ b/internal/edge/fleet/reach.go
@@ -75,7 +75,7 @@
 	var hosts []steer.Host
 	for _, p := range local {
 		s := &p.State
-		if s.Leaving || s.CutOff || slices.Contains(s.Unreached, service) {
+		if s.Leaving || s.CutOff || slices.Contains(s.Unreached, service) || f.marks.has(mark{p.Addr(), service}, now) {
 			continue
 		}
 		running := 0
@@ -112,10 +112,10 @@
 
 // reaching returns the hosts of a report that reach servers of a service, or all hosts if
 // none does.
-func (r *report) reaching(service string) []steer.Host {
+func (f *Fleet) reaching(r *report, service string, now time.Time) []steer.Host {
 	cutOff := make(map[netip.AddrPort]bool)
 	for _, m := range r.Members {
-		if m.CutOff || slices.Contains(m.Unreached, service) {
+		if m.CutOff || slices.Contains(m.Unreached, service) || f.marks.has(mark{m.Host.Peer, service}, now) {
 			cutOff[m.Host.Peer] = true
 		}
 	}
--- a/internal/edge/fleet/remote.go
+++ b/internal/edge/fleet/remote.go
@@ -35,12 +35,13 @@
 // servers of a service and hosts that are not leaving, ordered by name.
 func (f *Fleet) RemoteRegions(service string) []RemoteRegion {
 	var regions []RemoteRegion
-	for _, r := range f.reports.recent(time.Now()) {
+	now := time.Now()
+	for _, r := range f.reports.recent(now) {
 		sum := r.Services[service]
 		if sum.Servers == 0 {
 			continue
 		}
-		if hosts := r.reaching(service); len(hosts) > 0 {
+		if hosts := f.reaching(r, service, now); len(hosts) > 0 {
 			regions = append(regions, RemoteRegion{Region: r.Name, Hosts: hosts, Summary: sum, cachedParts: r.parts[service]})
 		}
 	}
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -47,7 +47,8 @@
 		return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoPath, retryAfterElsewhere}
 	}
 	if !q.forwarded {
-		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable, remote) {
+		intact := neighbour || q.s.fleet.Path().State() != reach.Lost
+		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable && intact, remote) {
 			q.dest = dest
 			return pick.Choice{}, false, q.checkLate(demand, remote.First)
 		}
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -30,7 +30,7 @@
 	q.recordFraming(resp)
 	q.recordServerState(resp)
 	if o, notRun := q.notRun(resp); notRun {
-		q.tally.Sends++
+		q.recordRefusal(resp)
 		q.reason = reasonNotRun
 		resp.Refused(q.id)
 		drainBody(resp)
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
 
@@ -86,4 +87,25 @@
 		outcome = outcomeNotRun
 	}
 	q.w.Header().Set(headerOutcome, outcome)
+	if q.tally.Sends == 0 {
+		q.w.Header().Set(headerUnsent, "1")
+	}
+	if !q.s.fleet.Reaches(q.service) {
+		q.w.Header().Set(headerNoPath, "1")
+	}
+}
+
+// recordRefusal counts a refused attempt as sent, unless another host refused it and no
+// server was asked.
+func (q *request) recordRefusal(resp *send.Response) {
+	if !q.fromPeerHost() || resp.Header.Get(headerOutcome) == "" {
+		q.tally.Sends++
+		return
+	}
+	if resp.Header.Get(headerUnsent) == "" {
+		q.tally.Sends++
+	}
+	if resp.Header.Get(headerNoPath) != "" {
+		q.s.fleet.MarkUnreached(q.dest.addr, q.service)
+	}
 }
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
@@ -24,6 +22,9 @@
 	// neighbourDelay is added to the time to the first byte by way of another host of
 	// the region.
 	neighbourDelay = 5 * time.Millisecond
+	// hungAfter is how long the path must have been lost before requests in progress are
+	// broken off that may be repeated.
+	hungAfter = 200 * time.Millisecond
 	// pathInterval is the interval at which the path to the servers is examined.
 	pathInterval = 50 * time.Millisecond
 	// probeTimeout bounds a probe with the opening of its connection.
@@ -95,14 +96,13 @@
 	delete(h.attempts, q)
 }
 
-// breakOff breaks off all attempts and returns their number.
-func (h *hung) breakOff() int {
+// breakOff breaks off all attempts.
+func (h *hung) breakOff() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, cancel := range h.attempts {
 		cancel()
 	}
-	return len(h.attempts)
 }
 
 // exchangeLocal is exchange with the chosen server. An attempt that may be repeated is broken
@@ -147,24 +147,20 @@
 		return
 	}
 	q.choice.Connection(resp.Opened)
-	q.s.changedPath(q.s.fleet.Path().Responded(!resp.Reused, time.Now()))
+	q.s.changedPath(q.s.fleet.Path().Responded(q.choice.ID, !resp.Reused, time.Now()))
 }
 
 // recordBytes records further bytes of a response.
 func (q *request) recordBytes() {
 	if !q.fromPeerHost() {
-		q.s.changedPath(q.s.fleet.Path().Responded(false, time.Now()))
+		q.s.changedPath(q.s.fleet.Path().Responded(q.choice.ID, false, time.Now()))
 	}
 }
 
 // changedPath acts on a change of the path to the servers.
 func (s *Relay) changedPath(changed bool) {
-	if !changed {
-		return
-	}
-	s.fleet.PathChanged()
-	if s.fleet.Path().State() == reach.Lost && s.fleet.CutOff() {
-		s.log.Info("hung requests broken off", zap.Int("requests", s.hung.breakOff()))
+	if changed {
+		s.fleet.PathChanged()
 	}
 }
 
@@ -178,7 +174,12 @@
 			return
 		case <-t.C:
 		}
-		if target, ok := s.fleet.ProbeDue(time.Now()); ok {
+		now := time.Now()
+		s.changedPath(s.fleet.Path().Tick(now))
+		if state, d := s.fleet.Path().Since(now); state == reach.Lost && d >= hungAfter && s.fleet.CutOff() {
+			s.hung.breakOff()
+		}
+		if target, ok := s.fleet.ProbeDue(now); ok {
 			s.probe(target)
 		}
 	}
@@ -201,7 +202,7 @@
 	if svc := s.fleet.Service(t.Service); svc != nil && success(resp) {
 		svc.Table.Confirm(t.Server.ID)
 	}
-	s.changedPath(s.fleet.Path().Responded(true, time.Now()))
+	s.changedPath(s.fleet.Path().Responded(t.Server.ID, true, time.Now()))
 }
 
 // pickNeighbour returns one of the hosts, at random by their weights, that this request was
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -35,6 +35,8 @@
 	headerVersion  = "Yuccalb-Version"  // the only software version of servers allowed; on responses that of the server
 	headerOutcome  = "Yuccalb-Outcome"  // on responses that the host generated itself
 	headerFraming  = "Yuccalb-Framing"  // on responses whose server did not mark their end
+	headerUnsent   = "Yuccalb-Unsent"   // on refusals: no server was asked either
+	headerNoPath   = "Yuccalb-No-Path"  // on refusals: the host does not reach the servers of the service
 	outcomeNotRun  = "not-run"          // the request has not run
 	outcomeUnknown = "unknown"          // it may have run
 )
