--- /dev/null
+++ b/internal/core/reach/reach.go
@@ -0,0 +1,271 @@
+// Package reach decides whether a host reaches the backend servers of its region. A host
+// that alone has lost its path to them sees what it also sees when servers fail: refused,
+// reset or silent connections. Only that no server at all responds tells one from the other.
+//
+// A Path is safe for concurrent use. It reads no clock: the time is an argument.
+package reach
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// minServers is the number of servers that must have failed, unless no other one is
+	// left, and minFailures that of failed attempts.
+	minServers, minFailures = 2, 2
+	// settle is the time after which minServers are enough even if they are not the
+	// most: some may crash together while the others happen to be idle.
+	settle = 300 * time.Millisecond
+	// evidenceTTL is the time after which failures without any further one no longer
+	// count: an idle host sees no responses in between.
+	evidenceTTL = 3 * time.Second
+	// silence is the time without a byte from any server, while several have requests
+	// to answer, after which the path is doubted.
+	silence = 700 * time.Millisecond
+	// probeInterval is the mean time between two probes, which is varied by half so
+	// that hosts do not probe together.
+	probeInterval = 250 * time.Millisecond
+	// maxServers bounds the servers that are remembered.
+	maxServers = 64
+)
+
+// State is what is known of the path to the servers.
+type State int
+
+// States. In OpenOnly servers respond on connections that are open, and none can be
+// opened. In Lost none responds.
+const (
+	Reached State = iota
+	OpenOnly
+	Lost
+)
+
+// String returns the name of the state as logs print it.
+func (s State) String() string {
+	switch s {
+	case OpenOnly:
+		return "open only"
+	case Lost:
+		return "lost"
+	default:
+		return "reached"
+	}
+}
+
+// evidence are the servers whose last attempt failed, and the failures since the last
+// response of any server.
+type evidence struct {
+	bad map[string]bool
+	// fresh are the servers that were not bad before.
+	fresh       map[string]bool
+	count       int
+	since, last time.Time
+}
+
+// fail records a failed attempt.
+func (e *evidence) fail(server string, now time.Time) {
+	if e.count > 0 && now.Sub(e.last) > evidenceTTL {
+		e.clear()
+	}
+	if e.count == 0 {
+		e.since = now
+	}
+	e.count++
+	e.last = now
+	if e.bad[server] || len(e.bad) >= maxServers {
+		return
+	}
+	if e.bad == nil {
+		e.bad, e.fresh = make(map[string]bool), make(map[string]bool)
+	}
+	e.bad[server] = true
+	e.fresh[server] = true
+}
+
+// respond records a response of a server.
+func (e *evidence) respond(server string) {
+	delete(e.bad, server)
+	e.clear()
+}
+
+// clear forgets the failures, but not which servers are bad.
+func (e *evidence) clear() {
+	e.count = 0
+	clear(e.fresh)
+}
+
+// retain forgets the servers that are not listed.
+func (e *evidence) retain(listed map[string]bool) {
+	maps.DeleteFunc(e.bad, func(id string, _ bool) bool { return !listed[id] })
+	maps.DeleteFunc(e.fresh, func(id string, _ bool) bool { return !listed[id] })
+}
+
+// enough reports whether the evidence shows that none of n servers can be reached.
+// Servers that were bad before say nothing new.
+func (e *evidence) enough(n int, now time.Time) bool {
+	good := n - len(e.bad)
+	switch {
+	case e.count < minFailures || now.Sub(e.last) > evidenceTTL:
+		return false
+	case good <= 0:
+		return true
+	case len(e.fresh) < minServers:
+		return false
+	}
+	return len(e.fresh) > good || now.Sub(e.since) >= settle
+}
+
+// waiting are the requests in progress to one server.
+type waiting struct {
+	count int
+	since time.Time // when the first of them was sent
+}
+
+// Path is the path from a host to the servers of its region.
+type Path struct {
+	mu sync.Mutex
+	// servers is the number of servers of the region.
+	servers int
+	state   State
+	// failed are attempts without any response, and refused those of them that needed
+	// a new connection.
+	failed, refused evidence
+	changedAt       time.Time // the last change of state
+	waiting         map[string]*waiting
+	heardAt         time.Time // the last byte from any server
+	probeAt         time.Time // of the next probe
+	rng             *rand.Rand
+}
+
+// NewPath returns a path that counts as intact; rng varies the times of probes.
+func NewPath(rng *rand.Rand) *Path {
+	return &Path{waiting: make(map[string]*waiting), rng: rng}
+}
+
+// SetServers sets the servers of the region.
+func (p *Path) SetServers(listed map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers = len(listed)
+	p.failed.retain(listed)
+	p.refused.retain(listed)
+}
+
+// State returns the state of the path.
+func (p *Path) State() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+// Since returns the state of the path and how long it has lasted.
+func (p *Path) Since(now time.Time) (State, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, now.Sub(p.changedAt)
+}
+
+// Tick reports whether the state changes with the time alone.
+func (p *Path) Tick(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.update(now)
+}
+
+// Sent records that a request is sent to a server.
+func (p *Path) Sent(server string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.waiting[server]
+	if w == nil {
+		w = &waiting{since: now}
+		p.waiting[server] = w
+	}
+	w.count++
+}
+
+// Ended records the end of a request to a server, whatever its outcome.
+func (p *Path) Ended(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.waiting[server]
+	if w == nil {
+		return
+	}
+	if w.count--; w.count <= 0 {
+		delete(p.waiting, server)
+	}
+}
+
+// Responded records bytes from a server; opened is set if the request was sent on a
+// connection opened for it. It reports whether the state has changed.
+func (p *Path) Responded(server string, opened bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heardAt = now
+	p.failed.respond(server)
+	if opened {
+		p.refused.respond(server)
+	}
+	return p.update(now)
+}
+
+// Failed records an attempt at a server that got no byte of a response; opened is set if
+// it needed a new connection. It reports whether the state has changed.
+func (p *Path) Failed(server string, opened bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed.fail(server, now)
+	if opened {
+		p.refused.fail(server, now)
+	}
+	return p.update(now)
+}
+
+// update sets the state and reports whether it has changed. A state other than Reached
+// lasts until a response contradicts it.
+func (p *Path) update(now time.Time) bool {
+	state := Reached
+	switch {
+	case p.failed.enough(p.servers, now), p.state == Lost && p.failed.count > 0:
+		state = Lost
+	case p.refused.enough(p.servers, now), p.state != Reached && p.refused.count > 0:
+		state = OpenOnly
+	}
+	if state == p.state {
+		return false
+	}
+	p.state = state
+	p.changedAt = now
+	return true
+}
+
+// Probe reports whether a server should be probed now: while the path is not intact, while
+// it is doubted, or if the caller wants it for a reason of its own.
+func (p *Path) Probe(wanted bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !wanted && p.state == Reached && !p.doubted(now) || now.Before(p.probeAt) {
+		return false
+	}
+	p.probeAt = now.Add(probeInterval/2 + time.Duration(p.rng.Int64N(int64(probeInterval))))
+	return true
+}
+
+// doubted reports whether several servers owe responses, and no byte of any has come for
+// some time. A single server may be silent and go on.
+func (p *Path) doubted(now time.Time) bool {
+	if now.Sub(p.heardAt) < silence {
+		return false
+	}
+	n := 0
+	for _, w := range p.waiting {
+		if now.Sub(w.since) >= silence {
+			n++
+		}
+	}
+	return n > 0 && n >= min(minServers, p.servers)
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -52,7 +52,8 @@
 	stop             *stopper
 	lengths          length.Estimator
 	bodyMemory       byteLimit
-	checks           sync.WaitGroup // of checks whether servers have ended
+	checks           sync.WaitGroup // of checks whether servers have ended, and of watchPath
+	hung             hung
 }
 
 // Options sets up a Relay.
@@ -61,6 +62,8 @@
 	Records Records
 	Log     *logs.Logger
 	Stats   *stats.Metrics
+	// Dial opens connections to servers.
+	Dial send.DialFunc
 	// MaxRunning bounds the requests in progress.
 	MaxRunning int64
 	// MaxBodyBytes bounds the memory for bodies of requests and responses.
@@ -72,15 +75,17 @@
 
 // New returns a relay.
 func New(opts Options) *Relay {
-	return &Relay{
+	s := &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
 		stop: newStopper(), bodyMemory: byteLimit{max: opts.MaxBodyBytes},
-		servers: send.NewClient(send.DefaultDial), peers: send.NewClient(2 * send.DefaultDial),
+		servers: send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
 	}
+	s.checks.Go(s.watchPath)
+	return s
 }
 
-// Close closes idle connections and waits for the checks of servers, which take
-// endCheckTimeout at most. Requests in progress must have ended.
+// Close closes idle connections and waits for the checks and probes of servers, which
+// take probeTimeout at most. Requests in progress must have ended.
 func (s *Relay) Close() error {
 	s.stop.end()
 	s.checks.Wait()
@@ -209,7 +214,8 @@
 
 // destination is where an attempt is sent.
 type destination struct {
-	// region is empty for a server of the local region.
+	// region is empty for a server of the local region. It is set for another host, which
+	// may be one of the local region.
 	region string
 	addr   netip.AddrPort
 	// limitWait is the expected wait in a remote region whose servers have got what
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -31,6 +31,7 @@
 	br     *bufio.Reader
 	addr   netip.AddrPort
 	reused bool
+	opened time.Time
 	// expires is when the idle connection must no longer be used.
 	expires     time.Time
 	idleTimeout time.Duration
@@ -44,7 +45,7 @@
 
 // newConn returns a connection whose long heads are counted in long.
 func newConn(c net.Conn, addr netip.AddrPort, long *atomic.Int64) *conn {
-	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, head: headLimit{long: long}}
+	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, head: headLimit{long: long}, opened: time.Now()}
 	cn.br = bufio.NewReaderSize(cn, readBuffer)
 	return cn
 }
