Test a take-up at a server that has started again at another version

The rule that no stream goes on by a list of more than 3 s had no test of its own for callers that name their attempt. With maxListAge set to 300 s, TestTakeUpByOldList fails: a stream of v2 goes on at a server that is of v1 since (status 200, events of v1). Hosts behind a proxy have a revocation time of a minute in these tests, so that they serve callers while they can't confirm keys.

--- a/internal/edge/entry/step_test.go
+++ b/internal/edge/entry/step_test.go
@@ -3,10 +3,14 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/internal/fake/proxy"
 	"github.com/yuccalb/yuccalb/platform"
+	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
 // hostBehind starts a host that reaches the store through a proxy.
@@ -15,6 +19,7 @@
 	p := proxy.New(cl.t, cl.store.Addr())
 	s := cl.settings(site)
 	s.Store = p.Addr()
+	s.Revoke = time.Minute // the host serves although it can't confirm keys
 	e := cl.start(s)
 	cl.waitReady(e)
 	return e, p
@@ -112,3 +117,42 @@
 		}
 	}
 }
+
+// TestTakeUpByOldList guards against streams that go on at a server that has started again at
+// another version, by a list of servers which the host could not read again for seconds.
+func TestTakeUpByOldList(t *testing.T) {
+	cl := newCluster(t)
+	e, p := cl.hostBehind("a1")
+	base := origin.New(t, versioned("v1"))
+	cl.store.PutEntry(plattest.Server{ID: "s1-a1", Service: "desk", Site: "a1", Addr: base.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk"); return known })
+	var back atomic.Bool
+	first, second := versioned("v2"), versioned("v1")
+	s := origin.New(t, func(x *origin.Exchange) bool {
+		if back.Load() {
+			return second(x)
+		}
+		return first(x)
+	})
+	entry := plattest.Server{ID: "s2-a1", Service: "desk", Site: "a1", Addr: s.Addr(), State: "ready", Version: "v2", Born: 1, Seq: 1}
+	cl.store.PutEntry(entry)
+	cl.waitServers([]string{"s1-a1", "s2-a1"}, true)
+	list := ofVersion(cl.begin(24), "v2")
+	if len(list) == 0 {
+		t.Fatal("no stream began at the new version")
+	}
+	p.Set(held)
+	back.Store(true)
+	entry.Version, entry.Born = "v1", 2
+	cl.store.PutEntry(entry)
+	cl.eventually("old list", func() bool { return e.fleet.ListAge() > 3*time.Second })
+	resp := cl.do(e, list[0].resume())
+	if resp.Status != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || resp.Body != "" {
+		t.Errorf("status %d, header %v, body %q", resp.Status, resp.Header, resp.Body)
+	}
+	p.Set(proxy.Fault{})
+	cl.eventually("new list", func() bool { return e.fleet.ListAge() < time.Second })
+	if resp := cl.do(e, list[0].resume()); resp.Status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, body %q", resp.Status, resp.Body)
+	}
+}
