Resume streams by a neighbour and document the lost path

Cause: a response that broke off was no evidence for a lost path, so that resumed streams used up their attempts at servers out of reach; probes of a path in doubt asked servers again that were known to fail. Change: a connection that ends within a response is evidence; probes in doubt ask other servers first. Tests for streams and lookups; the test of hosts without a path also calls a host of another region.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -255,6 +255,13 @@
 	return true
 }
 
+// Bad reports whether the last attempt at a server failed.
+func (p *Path) Bad(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failed.bad[server]
+}
+
 // doubted reports whether several servers owe responses, and no byte of any has come for
 // some time. A single server may be silent and go on.
 func (p *Path) doubted(now time.Time) bool {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
@@ -164,6 +165,12 @@
 		_, rate := e.fleet.LimitedServers()
 		return rate
 	})
+	m.Gauge("yuccalb_path_lost", "Whether this host reaches no server of its region, or can open no connection to them.", func() float64 {
+		if e.fleet.Path().State() == reach.Reached {
+			return 0
+		}
+		return 1
+	})
 	m.Gauge("yuccalb_suspected_parts", "Requests and parts of prompts that are suspected to make servers crash.", func() float64 { return float64(e.fleet.SuspectedParts()) })
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
 		n := 0
--- a/internal/edge/entry/reach_test.go
+++ b/internal/edge/entry/reach_test.go
@@ -4,20 +4,25 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/internal/fake/proxy"
+	"github.com/yuccalb/yuccalb/platform"
 )
 
 // links are the paths of one host to the servers: a proxy for each.
@@ -74,9 +79,10 @@
 	return e, l
 }
 
-// region starts three hosts and three servers in one region, and a host in another one
-// without servers.
-func (cl *cluster) region() ([]*Entry, []*links, []*origin.Server) {
+// region starts three hosts and three servers in region b, and a host in region a, which is
+// the last one and has no servers.
+func (cl *cluster) region(script origin.Script) ([]*Entry, []*links) {
+	cl.t.Helper()
 	var hosts []*Entry
 	var paths []*links
 	for range 3 {
@@ -84,20 +90,19 @@
 		hosts = append(hosts, e)
 		paths = append(paths, l)
 	}
-	cl.host("a1")
-	var servers []*origin.Server
+	hosts = append(hosts, cl.host("a1"))
 	for i := range 3 {
-		s := origin.New(cl.t, mixed)
+		s := origin.New(cl.t, script)
 		for _, l := range paths {
 			l.add(s.Addr())
 		}
 		cl.addServer(fmt.Sprintf("s%d", i), "b1", s)
-		servers = append(servers, s)
 	}
 	for _, e := range hosts {
 		cl.eventually("state reports", func() bool { return len(e.exchange.Peers()) == 3 })
 	}
-	return hosts, paths, servers
+	cl.eventually("report of region b", func() bool { return len(hosts[3].fleet.RemoteRegions("desk")) == 1 })
+	return hosts, paths
 }
 
 // mixed answers requests of all routes, after some work.
@@ -183,7 +188,7 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t)
-			hosts, paths, _ := cl.region()
+			hosts, paths := cl.region(mixed)
 			cutOff, others := newTries(), newTries()
 			var done sync.WaitGroup
 			begin := time.Now().Add(time.Second)
@@ -191,6 +196,7 @@
 			cl.call(hosts[0], calls, from, end, cutOff, &done)
 			cl.call(hosts[1], calls, from, end, cutOff, &done)
 			cl.call(hosts[2], calls, from, end, others, &done)
+			cl.call(hosts[3], calls, from, end, others, &done)
 			time.Sleep(time.Until(begin))
 			paths[0].set(fault)
 			paths[1].set(fault)
@@ -210,3 +216,66 @@
 		})
 	}
 }
+
+// TestStreamDuringLostPath guards against streams that end early or hang, although they may be
+// resumed, when the path to their servers is lost.
+func TestStreamDuringLostPath(t *testing.T) {
+	const events, callers = 12, 6
+	script := func(x *origin.Exchange) bool {
+		if !strings.Contains(x.URL.Path, "ask") {
+			return ok(x)
+		}
+		last, _ := strconv.Atoi(x.Header.Get(platform.HeaderLastEventID)) // 0 without the header
+		x.StartStream()
+		for i := last + 1; i <= events; i++ {
+			time.Sleep(50 * time.Millisecond)
+			x.Chunk(origin.Event(i))
+		}
+		return x.EndStream()
+	}
+	for name, fault := range map[string]proxy.Fault{"reset": {Reset: true}, "held": {HoldForth: true, HoldBack: true}} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			hosts, paths := cl.region(script)
+			for range 200 { // fill the retry budget
+				wantStatus(t, cl.do(hosts[0], get("/safe/x")), http.StatusOK)
+			}
+			var done sync.WaitGroup
+			for range callers {
+				done.Go(func() {
+					if a := cl.do(hosts[0], post("/ask/x", "1").With(platform.HeaderDeadline, "5000")); a.Status != http.StatusOK || a.Err != nil || a.Body != origin.Events(1, events) {
+						t.Errorf("status %d, error %v, %d bytes, want %d", a.Status, a.Err, len(a.Body), len(origin.Events(1, events)))
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			paths[0].set(fault)
+			done.Wait()
+		})
+	}
+}
+
+// TestLookupDuringLostPath guards against lookups that name hosts without a path to the servers
+// while most hosts have one, and against lookups that name no host.
+func TestLookupDuringLostPath(t *testing.T) {
+	cl := newCluster(t)
+	hosts, paths := cl.region(mixed)
+	named := func() []netip.AddrPort { return hosts[2].fleet.HostsFor("b", rand.New(rand.NewPCG(1, 2))) }
+	lose := func(i int) {
+		paths[i].set(proxy.Fault{Reset: true})
+		cl.eventually("path lost", func() bool {
+			cl.do(hosts[i], get("/safe/x"))
+			return hosts[i].fleet.CutOff()
+		})
+	}
+	lose(0)
+	cl.eventually("lookups name the others", func() bool {
+		return len(named()) == 2 && !slices.Contains(named(), hosts[0].settings.Front)
+	})
+	lose(1)
+	cl.eventually("lookups name all hosts", func() bool { return len(named()) == 3 })
+	for _, i := range []int{0, 1} {
+		paths[i].set(proxy.Fault{})
+		cl.eventually("path regained", func() bool { return hosts[i].fleet.Path().State() == reach.Reached })
+	}
+}
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -35,6 +35,9 @@
 	"server limits requests":   "server",
 	"server ended its limit":   "server",
 
+	"lost path to servers":     "path",
+	"regained path to servers": "path",
+
 	"prompt part suspected": "prompts",
 	"prompt part cleared":   "prompts",
 	"request suspected":     "requests",
@@ -42,7 +45,7 @@
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "prompts", "requests", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "path", "prompts", "requests", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
--- a/internal/edge/fleet/reach.go
+++ b/internal/edge/fleet/reach.go
@@ -174,6 +174,10 @@
 			}
 		}
 	}
+	if f.path.State() == reach.Reached && len(services) == 0 {
+		// Servers that are known to fail tell nothing about a path in doubt.
+		list = slices.DeleteFunc(list, func(t Target) bool { return f.path.Bad(t.Server.ID) })
+	}
 	if len(list) == 0 {
 		return Target{}, false
 	}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -179,6 +179,9 @@
 		return res, pick.Aborted
 	}
 	q.connLost = connEnded(err)
+	if q.connLost {
+		q.recordFailure(false)
+	}
 	q.reason = reasonTruncated
 	if q.remaining() <= 0 {
 		q.reason = reasonTimeout
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -133,12 +133,19 @@
 
 // recordSilence records an attempt at a server that got no response.
 func (q *request) recordSilence(err error) {
-	if q.fromPeerHost() || cancelled(q.r.Context()) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.Canceled) {
+	if cancelled(q.r.Context()) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return
 	}
 	var e *send.Error
-	opened := errors.As(err, &e) && !e.Reused
-	q.s.changedPath(q.s.fleet.Path().Failed(q.choice.ID, opened, time.Now()))
+	q.recordFailure(errors.As(err, &e) && !e.Reused)
+}
+
+// recordFailure records that the connection to a server failed; opened is set if the attempt
+// needed a new one.
+func (q *request) recordFailure(opened bool) {
+	if !q.fromPeerHost() {
+		q.s.changedPath(q.s.fleet.Path().Failed(q.choice.ID, opened, time.Now()))
+	}
 }
 
 // recordResponse records that a server has begun to respond.
