--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -37,6 +37,9 @@
 
 	"retry budget": "retries",
 
+	"lost path to servers":     "path",
+	"regained path to servers": "path",
+
 	"prompt part suspected": "prompts",
 	"prompt part cleared":   "prompts",
 	"request suspected":     "requests",
@@ -44,7 +47,7 @@
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "retries", "prompts", "requests", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "path", "retries", "prompts", "requests", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
