Let streams that have begun run to the end of a planned stop

Since attempts in progress are ended 200 ms before connections are closed, streams that have begun were cut 200 ms earlier, though nothing can be answered in their place. They run until their connection is closed now.

TestAnswersAtEndOfDrain fails without this change.

--- a/internal/edge/entry/drain_test.go
+++ b/internal/edge/entry/drain_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -196,3 +197,50 @@
 		t.Error(err)
 	}
 }
+
+// TestAnswersAtEndOfDrain guards against a stopping host that closes connections without an
+// answer, or cuts streams before their connections have to be closed. Longer streams were
+// cut earlier this way in plays of planned-stops.
+func TestAnswersAtEndOfDrain(t *testing.T) {
+	cl := newCluster(t)
+	e := cl.host("a1")
+	next := make(chan struct{})
+	s := cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		if x.RequestURI == "/order/x" {
+			<-x.Closed
+			return false
+		}
+		x.StartStream()
+		x.Chunk(origin.Event(1))
+		select {
+		case <-next:
+		case <-x.Closed:
+			return false
+		}
+		x.Chunk(origin.Event(2))
+		return x.EndStream()
+	})
+	stream := cl.dial(e)
+	if _, err := io.WriteString(stream, post("/chat/x", "1").Bytes(nextID())); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(stream), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := make(chan line.Response, 1)
+	conn := cl.dial(e)
+	go func() { order <- conn.Do(post("/order/x", "1"), nextID()) }()
+	cl.eventually("both requests run", func() bool { return len(s.Seen()) == 2 })
+	e.relay.StartDrain(time.Now(), time.Now())
+	if a := <-order; a.Status != http.StatusBadGateway || a.Err != nil || !a.Close {
+		t.Errorf("request in progress: %+v", a)
+	}
+	close(next)
+	if b, err := io.ReadAll(resp.Body); err != nil || string(b) != origin.Events(1, 2) {
+		t.Errorf("stream in progress: %q, %v", b, err)
+	}
+	if a := cl.do(e, post("/order/x", "1")); a.Status != http.StatusServiceUnavailable || !a.Close {
+		t.Errorf("request at the end: %+v", a)
+	}
+}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -153,6 +153,7 @@
 	q.firstByte = time.Now()
 	q.writeHeader(resp, resp.Length)
 	q.headerWritten = true
+	q.keepAtStop()
 	_, err := q.w.Write(head.Bytes())
 	*head = bytes.Buffer{}
 	v.release()
--- a/internal/edge/relay/drain.go
+++ b/internal/edge/relay/drain.go
@@ -64,10 +64,10 @@
 // disconnects, or when the host ends its requests. The returned function releases it.
 func (q *request) endAtStop() (release func()) {
 	ctx, cancel := context.WithCancel(q.r.Context())
-	stop := context.AfterFunc(q.s.stop.ended, cancel)
 	q.ctx = ctx
+	q.keepAtStop = context.AfterFunc(q.s.stop.ended, cancel)
 	return func() {
-		stop()
+		q.keepAtStop()
 		cancel()
 	}
 }
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -45,8 +45,10 @@
 	s *Relay
 	w http.ResponseWriter
 	r *http.Request
-	// ctx is that of the attempts, see endAtStop.
-	ctx context.Context
+	// ctx is that of the attempts, see endAtStop. keepAtStop keeps a response that has
+	// begun from being ended earlier than the connections: no answer can be given instead.
+	ctx        context.Context
+	keepAtStop func() bool
 
 	id      string
 	arrived time.Time
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -117,6 +117,7 @@
 	}
 	q.pinResponse(resp)
 	q.headerWritten = true
+	q.keepAtStop()
 	length := resp.Length
 	if q.route.Resumable {
 		length = -1 // another server may send the rest, and more of it
