--- a/internal/edge/send/head.go
+++ b/internal/edge/send/head.go
@@ -15,7 +15,7 @@
 	// A head of more than longHead bytes counts as long. maxLongHeads bounds those that
 	// all requests of a client hold at the same time.
 	longHead     = 8 << 10
-	maxLongHeads = 64
+	maxLongHeads = 128
 )
 
 var (
