Check the bound of repeated arrivals in the soak

No check with real processes counted arrivals beyond the first of a request, so that a host that retries without a budget went unseen. The soak now counts them at the servers in each 10 s and compares with 0.2 of the requests sent and 50 more.

--- a/cmd/yuccalbe/server_test.go
+++ b/cmd/yuccalbe/server_test.go
@@ -32,6 +32,7 @@
 	return func(x *origin.Exchange) bool {
 		fault := s.faults[i].Load()
 		lines := s.limits[i].arrive(x.Arrived)
+		s.arrivals.arrive(x)
 		if x.Header.Get(platform.HeaderExpectInstance) != s.serverID(i) {
 			return x.Misdirect()
 		}
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -33,6 +33,7 @@
 
 	soakHosts   = flag.Int("soak.hosts", 4, "number of hosts of the soak")
 	soakServers = flag.Int("soak.servers", 4, "number of servers of the soak")
+	soakPause   = flag.Duration("soak.pause", 20*time.Millisecond, "pause of each caller between requests")
 	soakCallers = flag.Int("soak.callers", 8, "number of callers of the soak")
 )
 
@@ -58,7 +59,8 @@
 // complete response belongs to its request, no key reaches a server, and a revoked
 // key stops working. After the faults, it checks that servers get no more requests than
 // the limits allow that they name, and that a part of prompts that makes them crash is
-// found and stays known when all hosts restart.
+// found and stays known when all hosts restart. At all times, it checks that arrivals of a request
+// after its first stay within the bound.
 func TestSoak(t *testing.T) {
 	bin, err := proc.Build(t.TempDir())
 	if err != nil {
@@ -94,6 +96,9 @@
 	storeProxies  []*proxy.Proxy
 	hostProxies   []*proxy.Proxy
 
+	// arrivals are those of requests at the servers.
+	arrivals arrivals
+
 	// heartbeats counts the heartbeats of all servers.
 	heartbeats atomic.Int64
 	// snapshot, taken at snapshotAt, is the state that the store may be restored to.
@@ -242,6 +247,7 @@
 	close(stop)
 	callers.Wait()
 	s.waitServing()
+	s.arrivals.check(s.t)
 	s.t.Logf("%d requests served, %d restores of the store", s.served, s.restores)
 }
 
@@ -284,6 +290,7 @@
 		c.Path += id
 		a := s.request(&conns[host], host, c, id, key)
 		s.check(id, c.Path, key, start, a)
+		time.Sleep(*soakPause)
 		if strings.HasPrefix(c.Path, "/ask/") {
 			s.followStream(id, a, rng)
 		}
@@ -293,6 +300,7 @@
 // request sends one request to a host. It opens a connection if conn holds none and
 // keeps it for later requests until it ends.
 func (s *soak) request(conn **line.Conn, host int, c line.Call, id, key string) line.Response {
+	s.arrivals.send()
 	s.mu.Lock()
 	s.sent[id] = c.Method + " " + c.Path
 	s.mu.Unlock()
@@ -419,7 +427,7 @@
 	site := soakSite(i)
 	m := map[string]any{
 		"host": fmt.Sprintf("host-%d-%s", i, s.name), "site": site, "region": site[:1], "sites": map[string]string{"a1": "a", "b1": "b"},
-		"store": s.storeProxies[i].Addr().String(), "front": front.String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": 50,
+		"store": s.storeProxies[i].Addr().String(), "front": front.String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": soakBurst, "ratio": soakRatio,
 	}
 	for _, name := range []string{"ready", "lookup", "peer", "metrics"} {
 		m[name] = local.Addr(s.t).String()
