Keep within the refusal limits that servers state

A server that can't bear to refuse states `Server-Brittle: N` in all its responses, and falls over when it has to turn more than N requests away within a second. No host read the header: callers saw their requests refused or broken off while one server after the other was away.

Cause: hosts sent a server what their callers asked for until it refused, chosen by reports that are several times older than a request takes; each fall moved its load to servers that were full already. The class: a bound over all hosts that each host meets only by running into it.

While a server states a refusal limit, each host has a part of its slots of its own; the parts of all hosts together fit into the slots whatever the hosts know of each other's requests. Beyond its part a host sends only when the reports show free slots, at most its part of three quarters of N at once and within 1.25 s, so that all hosts' refusals stay below N. A refusal lowers the requests that may be in progress to what is, which grows again by a quarter a second. Requests that find no room wait in order, as many as the host has slots and up to 200 ms, an eighth of the latency target or a quarter of the time left; the others are refused at once, with the time until room is expected. A refused request is not sent where there is no room for certain. Limits are kept by process, reported in frames (optional field) and hold for processes of the service of which nothing is known yet, such as one that has just started again.

TestRefusalsOfAllHosts plays 1, 4 and 40 hosts, 1, 6 and 64 slots, N of 0 to 50, unequal load, lost frames and a host that joins: no server refuses more than N within a second in any.

Ruled out: static parts alone. They leave room unused when hosts have unequal load, and still do while N is less than the number of hosts.

--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -35,9 +35,9 @@
 // Wait is the time until a server accepts a request that it does not accept now.
 type Wait struct {
 	For time.Duration
-	// Limited is set if the server's allowance is used up, and unset if the server
-	// has requested a pause.
-	Limited bool
+	// Limited is set if the server's allowance is used up, and Full if the server has
+	// a refusal limit and no room. Both are unset if it has requested a pause.
+	Limited, Full bool
 }
 
 // ShortestWait returns the wait for the first of the servers that accept no request
@@ -52,7 +52,7 @@
 		if t.leaving(s) || !req.allows(s) {
 			continue
 		}
-		if w := t.wait(s, now); w.For > 0 && (!found || w.For < shortest.For) {
+		if w := t.wait(s, req.Extra, now); w.For > 0 && (!found || w.For < shortest.For) {
 			shortest = w
 			found = true
 		}
@@ -62,9 +62,14 @@
 
 // wait returns the wait for a server, which is zero if neither a pause nor an
 // allowance keeps a request from it. The allowance of a failed server does not count:
-// its backoff does.
-func (t *Table) wait(s *server, now time.Time) Wait {
+// its backoff does. The argument extra is that of the request.
+func (t *Table) wait(s *server, extra bool, now time.Time) Wait {
 	w := Wait{For: t.pause(s, now)}
+	if full, _ := t.full(s, &Request{Extra: extra}, now); full && s.failures < failureThreshold {
+		if d := t.roomWait(s, now); d > w.For {
+			w = Wait{For: d, Full: true}
+		}
+	}
 	a, limited := t.allowance(s, now)
 	if !limited || s.failures >= failureThreshold {
 		return w
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -86,6 +86,9 @@
 	Version string
 	// Connected reports whether a connection to a server is open. It may be nil.
 	Connected func(netip.AddrPort) bool
+	// Extra is set if the request may go to a server with a refusal limit although this
+	// host's own part of the server's room is taken.
+	Extra bool
 }
 
 // Choice is a chosen server. It must be passed to Done exactly once.
@@ -107,6 +110,10 @@
 	Version string
 
 	server *server
+	// refusalLimited is set if the server had a refusal limit, and extra if the request
+	// is beyond this host's own part of the server's room.
+	refusalLimited, extra bool
+
 	born   int64
 	sent   time.Time
 	unread int // tokens of the prompt that are not cached
--- /dev/null
+++ b/internal/core/pick/room_test.go
@@ -0,0 +1,243 @@
+package pick
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
+
+// frailty is a trial of servers that state a refusal limit and let no request wait.
+type frailty struct {
+	hosts, slots, limit int
+	load                float64 // as a part of what the servers can do
+	skewed              bool    // half of the requests come to one host
+	joins               bool    // a host joins in the middle
+}
+
+const (
+	frailServers  = 4
+	frailWork     = 10 * time.Millisecond // for each slot
+	frailDelay    = time.Millisecond      // between host and server, one way
+	frailPeriod   = 8 * time.Second
+	frailNotice   = 3 * time.Second
+	frailReports  = 300 * time.Millisecond
+	frailHold     = 200 * time.Millisecond
+	frailHoldStep = 20 * time.Millisecond
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	run func(now time.Time)
+}
+
+// events is a heap of events by time.
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// frailSim plays a trial.
+type frailSim struct {
+	frailty
+	rng          *rand.Rand
+	queue        events
+	names        []string
+	tables       []*Table
+	ready        []bool        // hosts that take requests
+	held         [][]time.Time // when the requests came that wait
+	running      map[string]int
+	refused      map[string][]time.Time
+	sent, served int
+	begin        time.Time
+}
+
+func (s *frailSim) after(now time.Time, d time.Duration, run func(now time.Time)) {
+	heap.Push(&s.queue, event{now.Add(d), run})
+}
+
+// update tells a host which hosts there are.
+func (s *frailSim) update(i int, names []string, discovered bool, now time.Time) {
+	var list []spec.Server
+	for k := range frailServers {
+		list = append(list, spec.Server{ID: fmt.Sprint("s", k), Born: 1, Slots: s.slots})
+	}
+	h := RegionHosts{Self: s.names[i], Hosts: names, Discovered: discovered, ReportInterval: frailReports}
+	s.tables[i].Update(spec.Service{}, list, nil, h, now)
+}
+
+// report sends the state of a host to the others; one frame in five is lost.
+func (s *frailSim) report(i int, now time.Time) {
+	loads, _ := s.tables[i].Report(now)
+	limits := s.tables[i].RefusalLimits(now)
+	for k, t := range s.tables {
+		if k != i && s.rng.IntN(5) > 0 {
+			t.MergePeer(s.names[i], loads, nil, now)
+			t.MergeRefusalLimits(limits, now)
+			s.ready[k] = true
+		}
+	}
+	s.after(now, frailReports, func(now time.Time) { s.report(i, now) })
+}
+
+// arrive lets a request come to a host, and the next one after it.
+func (s *frailSim) arrive(now time.Time) {
+	rate := s.load * frailServers / frailWork.Seconds()
+	s.after(now, time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	i := s.rng.IntN(len(s.tables))
+	if s.skewed && s.rng.IntN(2) == 0 {
+		i = 0
+	}
+	if s.ready[i] {
+		s.sent++
+		if len(s.held[i]) == 0 && s.try(i, now, now) {
+			return
+		}
+		if len(s.held[i]) < max(s.tables[i].Room(), 2) {
+			s.held[i] = append(s.held[i], now)
+		}
+	}
+}
+
+// look lets the requests that wait at a host look for room, in their order, and ends those
+// that have waited too long.
+func (s *frailSim) look(i int, now time.Time) {
+	for len(s.held[i]) > 0 && (now.Sub(s.held[i][0]) >= frailHold || s.try(i, s.held[i][0], now)) {
+		s.held[i] = s.held[i][1:]
+	}
+}
+
+// tick lets waiting requests look at intervals.
+func (s *frailSim) tick(i int, now time.Time) {
+	s.look(i, now)
+	s.after(now, frailHoldStep, func(now time.Time) { s.tick(i, now) })
+}
+
+// try sends a request that came at arrived, and returns whether there is room.
+func (s *frailSim) try(i int, arrived, now time.Time) bool {
+	t := s.tables[i]
+	c, ok := t.Pick(&Request{Extra: now.Sub(arrived) >= frailHoldStep}, now)
+	if !ok {
+		return false
+	}
+	done := func(o Outcome) func(time.Time) {
+		return func(now time.Time) {
+			t.StateRefusalLimit(&c, s.limit, now)
+			t.Done(&c, o, now)
+			s.look(i, now)
+		}
+	}
+	s.after(now, frailDelay, func(now time.Time) {
+		if s.running[c.ID] >= s.slots {
+			if now.Sub(s.begin) > frailNotice {
+				s.refused[c.ID] = append(s.refused[c.ID], now)
+			}
+			s.after(now, frailDelay, done(NotRun))
+			return
+		}
+		s.running[c.ID]++
+		s.served++
+		s.after(now, time.Duration(s.slots)*frailWork, func(now time.Time) {
+			s.running[c.ID]--
+			s.after(now, frailDelay, done(Served))
+		})
+	})
+	return true
+}
+
+// add adds a host.
+func (s *frailSim) add(now time.Time) int {
+	i := len(s.tables)
+	s.names = append(s.names, fmt.Sprint("h", i))
+	s.held = append(s.held, nil)
+	s.ready = append(s.ready, now.Equal(s.begin))
+	s.tables = append(s.tables, NewTable(spec.Service{}, rand.New(rand.NewPCG(7, uint64(i)))))
+	s.after(now, time.Duration(s.rng.Int64N(int64(frailReports))), func(now time.Time) { s.report(i, now) })
+	s.tick(i, now)
+	return i
+}
+
+// play returns the most refusals by a server within a second, and the part of what the
+// servers can do that was served.
+func (f frailty) play() (most int, served float64) {
+	s := &frailSim{frailty: f, rng: rand.New(rand.NewPCG(1, 2)), running: make(map[string]int), refused: make(map[string][]time.Time), begin: time.Unix(1000, 0)}
+	for range f.hosts {
+		s.add(s.begin)
+	}
+	for i := range s.tables {
+		s.update(i, s.names, true, s.begin)
+	}
+	if f.joins {
+		s.after(s.begin, frailPeriod/2, func(now time.Time) {
+			joined := s.add(now)
+			names := append([]string(nil), s.names...)
+			s.update(joined, names, false, now)
+			s.after(now, 1500*time.Millisecond, func(now time.Time) { s.update(joined, names, true, now) })
+			for i := range joined {
+				s.after(now, time.Duration(i*300/joined)*time.Millisecond, func(now time.Time) { s.update(i, names, true, now) })
+			}
+		})
+	}
+	s.arrive(s.begin)
+	for s.queue[0].at.Sub(s.begin) < frailPeriod {
+		e := heap.Pop(&s.queue).(event)
+		e.run(e.at)
+	}
+	for _, list := range s.refused {
+		first := 0
+		for i, at := range list {
+			for at.Sub(list[first]) > time.Second {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+	}
+	able := frailServers / frailWork.Seconds() * frailPeriod.Seconds()
+	return most, float64(s.served) / min(able, float64(s.sent))
+}
+
+// leastServed returns the part of what the servers can do that must be served.
+func leastServed(f frailty) float64 {
+	switch {
+	case f.skewed || f.joins || f.hosts > f.slots || f.slots == 1:
+		return 0 // some hosts have little or no room
+	case f.load < 1 && f.limit >= 2*f.hosts:
+		return 0.9
+	}
+	return 0.7
+}
+
+// TestRefusalsOfAllHosts guards against hosts that together make a server refuse more
+// requests within a second than its refusal limit, and against hosts that leave the room
+// of servers unused.
+func TestRefusalsOfAllHosts(t *testing.T) {
+	for _, hosts := range []int{1, 4, 40} {
+		for _, slots := range []int{1, 6, 64} {
+			for _, limit := range []int{0, 3, 20, 50} {
+				for _, load := range []float64{0.8, 3} {
+					for _, mode := range []string{"even", "skewed", "joins"} {
+						f := frailty{hosts: hosts, slots: slots, limit: limit, load: load, skewed: mode == "skewed", joins: mode == "joins"}
+						most, served := f.play()
+						if most > limit {
+							t.Errorf("%+v: %d refusals within a second", f, most)
+						}
+						if want := leastServed(f); served < want {
+							t.Errorf("%+v: served %.2f of what the servers can do, want %.2f", f, served, want)
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -35,6 +35,8 @@
 	heartbeats int
 	// fullUntil is when the last refusal by the server no longer counts.
 	fullUntil time.Time
+	// refusals are those of a server with a refusal limit.
+	refusals refusals
 	// lateShare is the share of time in which prefill takes so long that events
 	// of streams come late.
 	lateShare movingAverage
@@ -83,6 +85,7 @@
 	s.probing = false
 	s.errorRate = 0
 	s.slowdown = 1
+	s.refusals = refusals{}
 }
 
 // total returns the load from all hosts.
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -30,15 +30,19 @@
 	leavingProcesses map[Process]time.Time
 	// pauses holds when the pauses end that processes have requested of this host,
 	// and limits what they have stated about their limits.
-	pauses   map[Process]time.Time
-	limits   map[Process]namedLimit
-	rng      *rand.Rand
-	arrivals arrivals
+	pauses map[Process]time.Time
+	limits map[Process]namedLimit
+	// refusalLimits holds what processes have stated about theirs, and implied the
+	// limit of processes of which nothing is known.
+	refusalLimits map[Process]refusalLimit
+	implied       impliedLimit
+	rng           *rand.Rand
+	arrivals      arrivals
 }
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), pauses: make(map[Process]time.Time), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), pauses: make(map[Process]time.Time), refusalLimits: make(map[Process]refusalLimit), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -68,6 +72,7 @@
 	}
 	t.expireLeaving(now)
 	t.expireLimits(now)
+	t.expireRefusalLimits(now)
 	t.expirePauses(now)
 	slices.Sort(t.order)
 }
@@ -95,12 +100,14 @@
 	t.arrivals.add(now)
 	best := t.choose(req, list)
 	s, c := best.server, best.cost
+	_, extra := t.full(s, req, now)
+	_, refusalLimited := t.refusalLimit(s)
 	t.recordSent(s, req, c.unread, now)
 	limit, limited := t.limit(s.process())
 	return Choice{
 		Limited: limited, Limit: limit, Version: s.Version,
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, PrefillTime: t.model.PrefillTime(c.unread),
-		server: s, born: s.Born, sent: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
+		server: s, refusalLimited: refusalLimited, extra: extra, born: s.Born, sent: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
 	}, true
 }
 
@@ -133,6 +140,9 @@
 	if t.leaving(s) || t.pause(s, now) > 0 || !s.available(req, now) {
 		return false
 	}
+	if full, _ := t.full(s, req, now); full {
+		return false
+	}
 	a, limited := t.allowance(s, now)
 	if !limited {
 		return true
@@ -256,6 +266,9 @@
 		s.errorRate = s.errorRate*(1-errorWeight) + errorWeight
 	case NotRun:
 		s.fullUntil = now.Add(fullPeriod)
+		if c.refusalLimited {
+			s.refusals.add(c.extra, s.local.Running, now)
+		}
 	case WrongServer, NoConnect:
 		s.recordFailure(failureThreshold, now)
 	case Broken:
@@ -362,7 +375,8 @@
 	// limit accepts another request.
 	Servers int
 	Wait    time.Duration
-	// Limited is set if all usable servers have got what their limits allow.
+	// Limited is set if all usable servers have got what their limits allow, or have
+	// a refusal limit and no room.
 	Limited bool
 }
 
@@ -376,9 +390,9 @@
 		if t.leaving(s) || t.pause(s, now) > 0 || s.failures >= failureThreshold || s.slowStart(now) {
 			continue
 		}
-		w := t.wait(s, now)
+		w := t.wait(s, true, now)
 		sum.Servers++
-		sum.Limited = sum.Limited && w.Limited
+		sum.Limited = sum.Limited && (w.Limited || w.Full)
 		waits = append(waits, w.For+s.cost(s.total(), &Request{}, &t.model, 0, now).time)
 	}
 	if sum.Servers == 0 {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -159,6 +159,7 @@
 		_, rate := e.fleet.LimitedServers()
 		return rate
 	})
+	m.Gauge("yuccalb_refusal_limited_servers", "Servers of the region with a refusal limit.", func() float64 { return float64(e.fleet.RefusalLimited()) })
 	m.Gauge("yuccalb_suspected_parts", "Requests and parts of prompts that are suspected to make servers crash.", func() float64 { return float64(e.fleet.SuspectedParts()) })
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
 		n := 0
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -35,6 +35,9 @@
 	"server limits requests":   "server",
 	"server ended its limit":   "server",
 
+	"server limits its refusals":     "server",
+	"server ended its refusal limit": "server",
+
 	"prompt part suspected": "prompts",
 	"prompt part cleared":   "prompts",
 	"request suspected":     "requests",
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/spread"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
+	"github.com/yuccalb/yuccalb/internal/edge/hold"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 )
 
@@ -109,6 +110,8 @@
 	Poison *poison.Detector
 	// Goals are those of the recent requests to the service at this host.
 	Goals admit.RecentGoals
+	// Held are the requests that wait for room at servers with a refusal limit.
+	Held hold.Line
 }
 
 // New returns a fleet that exchanges its state over e. It is idle until Start is
@@ -167,6 +170,15 @@
 	return servers, rate
 }
 
+// RefusalLimited returns the number of servers of the region with a refusal limit.
+func (f *Fleet) RefusalLimited() int {
+	n := 0
+	for _, svc := range *f.tables.Load() {
+		n += svc.Table.RefusalLimited()
+	}
+	return n
+}
+
 // Region returns the region of a data centre.
 func (f *Fleet) Region(site string) string { return f.opts.Sites[site] }
 
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -258,6 +258,7 @@
 	s.Placements = make(map[string][]pick.Placement)
 	s.LeavingProcesses = make(map[string][]pick.Process)
 	s.Limits = make(map[string][]pick.ServerLimit)
+	s.RefusalLimits = make(map[string][]pick.RefusalLimit)
 	for name, svc := range *f.tables.Load() {
 		loads, placements := svc.Table.Report(now)
 		if len(loads) > 0 {
@@ -272,6 +273,9 @@
 		if limits := svc.Table.Limits(now); len(limits) > 0 {
 			s.Limits[name] = limits
 		}
+		if limits := svc.Table.RefusalLimits(now); len(limits) > 0 {
+			s.RefusalLimits[name] = limits
+		}
 	}
 	return s
 }
@@ -312,6 +316,9 @@
 		for _, c := range svc.Table.MergeLimits(p.State.Limits[name], p.Received) {
 			LogLimit(f.opts.Requests, c, zap.String("from", p.State.Host.Name))
 		}
+		for _, c := range svc.Table.MergeRefusalLimits(p.State.RefusalLimits[name], p.Received) {
+			LogRefusalLimit(f.opts.Requests, c, zap.String("from", p.State.Host.Name))
+		}
 	}
 }
 
@@ -325,3 +332,14 @@
 	}
 	log.Info("server limits requests", append(fields, zap.Float64("limit", c.Limit), zap.Float64("part", c.Part))...)
 }
+
+// LogRefusalLimit logs a change of the refusal limit of a server; source are fields that
+// tell where it is known from.
+func LogRefusalLimit(log *zap.Logger, c pick.RefusalChange, source ...zap.Field) {
+	fields := append(source, zap.String("server", c.Server))
+	if c.Ended {
+		log.Info("server ended its refusal limit", fields...)
+		return
+	}
+	log.Info("server limits its refusals", append(fields, zap.Int("limit", c.Limit), zap.Int("room", c.Room), zap.Int("part", c.Part))...)
+}
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -41,6 +41,11 @@
 			errs = append(errs, amount("limit of "+l.Process.ID, l.Rate), age("limit of "+l.Process.ID, l.Age))
 		}
 	}
+	for _, list := range s.RefusalLimits {
+		for _, l := range list {
+			errs = append(errs, count("refusal limit of "+l.Process.ID, l.Limit), age("refusal limit of "+l.Process.ID, l.Age))
+		}
+	}
 	for org, spent := range s.Admitted {
 		errs = append(errs, amount("tokens of "+org, spent))
 	}
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -49,6 +49,9 @@
 	// Limits are the limits by service that servers have named in responses to this
 	// host. They are sent to hosts of the local region only.
 	Limits map[string][]pick.ServerLimit `cbor:"17,keyasint,omitempty"`
+	// RefusalLimits are the refusal limits by service that servers have stated in
+	// responses to this host. They are sent to hosts of the local region only.
+	RefusalLimits map[string][]pick.RefusalLimit `cbor:"24,keyasint,omitempty"`
 	// Poison is what the host knows of parts of prompts that make servers crash, by
 	// service. It is sent to hosts of the local region only.
 	Poison map[string]poison.Report `cbor:"18,keyasint,omitempty"`
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -145,7 +145,7 @@
 
 // send chooses a server or a host and sends the request to it.
 func (q *request) send(now time.Time, remaining time.Duration) (retry.Result, *refusal) {
-	choice, local, ref := q.choose(now, remaining)
+	choice, local, ref := q.chooseInTurn(now, remaining)
 	if ref != nil {
 		return retry.NotRun, ref
 	}
@@ -172,6 +172,7 @@
 	onFirstByte := func() { svc.Table.FirstByte(&c, time.Now()) }
 	res, outcome := q.exchange(q.s.servers, q.outgoing(q.serverHeader(c.ID), q.dest), onFirstByte)
 	svc.Table.Done(&c, outcome, time.Now())
+	svc.Held.Wake()
 	q.recordCrash(svc, &c, outcome)
 	// An error response does not exclude the server: it may be the only one.
 	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -68,8 +68,11 @@
 	}
 	if w, ok := svc.Table.ShortestWait(q.target, now); ok {
 		ref.reason = reasonRetryAfter
-		if w.Limited {
+		switch {
+		case w.Limited:
 			ref.reason = reasonServerLimit
+		case w.Full:
+			ref.reason = reasonNoRoom
 		}
 		ref.retryAfter = max(w.For, retryAfterBusy)
 	}
--- /dev/null
+++ b/internal/edge/relay/hold.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/hold"
+	"github.com/yuccalb/yuccalb/internal/edge/send"
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+const (
+	// holdTime bounds the time for which a request waits for room, and goalShare and
+	// timeShare bound it by the route's latency target and the time left.
+	holdTime  = 200 * time.Millisecond
+	goalShare = 8
+	timeShare = 4
+	// holdStep is the interval at which held requests look for room that no response
+	// of this host has made. From then on they also use room that other hosts leave.
+	holdStep = 20 * time.Millisecond
+	// minHeld is the least number of requests that may wait.
+	minHeld = 2
+)
+
+// chooseInTurn is choose for a request that waits if the servers have no room, after those
+// that wait already. If too many do, it is refused at once.
+func (q *request) chooseInTurn(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
+	q.pick.Extra = false
+	svc := q.s.fleet.Service(q.service)
+	if svc == nil || svc.Held.Len() == 0 {
+		c, local, ref := q.choose(now, remaining)
+		if ref == nil || ref.reason != reasonNoRoom {
+			return c, local, ref
+		}
+	}
+	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld))
+	if !ok {
+		return q.choose(now, remaining)
+	}
+	defer place.Leave()
+	return q.awaitRoom(place)
+}
+
+// awaitRoom chooses a server or a remote region once one has room, and returns the last
+// refusal if none has in time.
+func (q *request) awaitRoom(place *hold.Place) (pick.Choice, bool, *refusal) {
+	q.s.stats.Held(q.service)
+	begin := time.Now()
+	end := begin.Add(q.holdTime())
+	step := time.NewTicker(holdStep)
+	defer step.Stop()
+	for {
+		select {
+		case <-place.Ready():
+		case <-step.C:
+		case <-q.r.Context().Done():
+			return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoRoom, retryAfterBusy}
+		}
+		now := time.Now()
+		// A refused request would most likely be refused again.
+		q.pick.Extra = q.tally.Sends == 0 && now.Sub(begin) >= holdStep
+		c, local, last := q.choose(now, q.deadline.Sub(now))
+		if last == nil || last.reason != reasonNoRoom || !now.Before(end) {
+			return c, local, last
+		}
+	}
+}
+
+// holdTime returns for how long the request may wait for room.
+func (q *request) holdTime() time.Duration {
+	d := min(holdTime, q.remaining()/timeShare)
+	if q.route.Goal > 0 {
+		d = min(d, q.route.Goal/goalShare)
+	}
+	return d
+}
+
+// recordRefusalLimit records the refusal limit that a response of a server states, or
+// that it states none any more, which only a success shows.
+func (q *request) recordRefusalLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
+	limit, stated, err := platform.ParseRefusalLimit(resp.Header)
+	if err != nil {
+		q.s.log.Requests.Warn("refusal limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		return
+	}
+	var c pick.RefusalChange
+	changed := false
+	switch {
+	case stated:
+		c, changed = svc.Table.StateRefusalLimit(&q.choice, limit, now)
+	case success(resp) && signed(resp):
+		c, changed = svc.Table.EndRefusalLimit(&q.choice, now)
+	}
+	if changed {
+		fleet.LogRefusalLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
+	}
+}
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -31,6 +31,7 @@
 	reasonNoServer        = "no server"
 	reasonRetryAfter      = "servers want no requests"
 	reasonServerLimit     = "servers limit requests"
+	reasonNoRoom          = "no room at servers"
 	reasonPoison          = "prompt part crashes servers"
 	reasonPoisonRequest   = "request crashes servers"
 	reasonVersionGone     = "no server of the stream's version"
--- a/internal/edge/relay/state.go
+++ b/internal/edge/relay/state.go
@@ -25,6 +25,7 @@
 		q.s.log.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 	}
 	q.recordLimit(svc, resp, now)
+	q.recordRefusalLimit(svc, resp, now)
 	if resp.Status != http.StatusServiceUnavailable {
 		return
 	}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -32,6 +32,7 @@
 	response       *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
 	limitedSends   *prometheus.CounterVec
+	held           *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
 	brokenOff      *prometheus.CounterVec
 	takeUps        *prometheus.CounterVec
@@ -61,6 +62,9 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_limited_sends_total", Help: "Requests sent to servers that named a limit, by service.",
 		}, []string{"service"}),
+		held: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_held_requests_total", Help: "Requests that waited for room at servers with a refusal limit, by service.",
+		}, []string{"service"}),
 		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_broken_off_total", Help: "Requests whose server closed the connection before the response was complete, by service.",
 		}, []string{"service"}),
@@ -77,7 +81,7 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
+	m.state.MustRegister(m.requests, m.attempts, m.limitedSends, m.held, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -127,6 +131,9 @@
 // LimitedSend records a request that was sent to a server that named a limit.
 func (m *Metrics) LimitedSend(service string) { m.limitedSends.WithLabelValues(service).Inc() }
 
+// Held records a request that waits for room at servers with a refusal limit.
+func (m *Metrics) Held(service string) { m.held.WithLabelValues(service).Inc() }
+
 // BrokenOff records a request that its server broke off before the response was complete.
 func (m *Metrics) BrokenOff(service string) { m.brokenOff.WithLabelValues(service).Inc() }
 
