--- a/cmd/yuccalbe/limit_test.go
+++ b/cmd/yuccalbe/limit_test.go
@@ -20,15 +20,23 @@
 	// usedRequests is the number of requests that a server gets within serveTimeout
 	// once it names no limit.
 	usedRequests = 50
+	// soakRefusals is the refusal limit that servers state which refuse all requests. It
+	// must hold from knownTime after its begin on, for refusalTime.
+	soakRefusals = 20
+	knownTime    = time.Second
+	refusalTime  = 2 * time.Second
 )
 
 // faultyLimits are those that servers name during the faults, "" for none.
 var faultyLimits = []string{"", "0", "1.5", "20", "many"}
 
-// limit is the limit that a server names. It is safe for concurrent use.
+// faultyRefusals are the refusal limits that servers state beside them.
+var faultyRefusals = []string{"3", "", "0", "20", "few"}
+
+// limit is the limit that a server names, and its refusal limit. It is safe for concurrent use.
 type limit struct {
-	mu    sync.Mutex
-	value string
+	mu              sync.Mutex
+	value, refusals string
 	// arrivals are the times of all requests to the server.
 	arrivals []time.Time
 }
@@ -40,15 +48,41 @@
 	l.value = value
 }
 
-// arrive records a request, and returns the header lines that name the limit.
+// state makes the server state a refusal limit, or none if value is empty.
+func (l *limit) state(value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals = value
+}
+
+// arrive records a request, and returns the header lines that name the limits.
 func (l *limit) arrive(at time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.arrivals = append(l.arrivals, at)
-	if l.value == "" {
-		return nil
+	var lines []string
+	if l.value != "" {
+		lines = append(lines, platform.HeaderServerLimit+": "+l.value)
 	}
-	return []string{platform.HeaderServerLimit + ": " + l.value}
+	if l.refusals != "" {
+		lines = append(lines, platform.HeaderBrittle+": "+l.refusals)
+	}
+	return lines
+}
+
+// mostWithin returns the largest number of requests since a time within a span.
+func (l *limit) mostWithin(span time.Duration, since time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for i, at := range l.arrivals {
+		if at.Before(since) {
+			continue
+		}
+		j, _ := slices.BinarySearchFunc(l.arrivals, at.Add(span), time.Time.Compare)
+		most = max(most, j-i)
+	}
+	return most
 }
 
 // since returns the number of requests since a time.
@@ -67,6 +101,7 @@
 	s.t.Helper()
 	for i, l := range s.limits {
 		l.name("")
+		l.state("")
 		if i < len(soakSites) {
 			l.name(fmt.Sprint(soakLimit))
 		}
@@ -84,6 +119,7 @@
 		f.Store(faultRefuse)
 		defer f.Store(faultNone)
 	}
+	s.checkRefusals()
 	ended := time.Now()
 	for i, l := range s.limits[:len(soakSites)] {
 		await.For(s.t, serveTimeout, fmt.Sprintf("server %d is used without a limit", i), func() error {
@@ -95,3 +131,21 @@
 		})
 	}
 }
+
+// checkRefusals lets the servers that refuse all requests state a refusal limit, and checks
+// that they refuse no more than it allows.
+func (s *soak) checkRefusals() {
+	s.t.Helper()
+	for _, l := range s.limits[len(soakSites):] {
+		l.state(fmt.Sprint(soakRefusals))
+		defer l.state("")
+	}
+	time.Sleep(knownTime)
+	begin := time.Now()
+	time.Sleep(refusalTime)
+	for i, l := range s.limits[len(soakSites):] {
+		if got := l.mostWithin(time.Second, begin); got > soakRefusals {
+			s.t.Errorf("server %d refused %d requests within a second, want at most %d", len(soakSites)+i, got, soakRefusals)
+		}
+	}
+}
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -383,7 +383,9 @@
 	case 15:
 		s.release(i)
 	case 10:
-		s.limits[i].name(faultyLimits[s.rng.IntN(len(faultyLimits))])
+		k := s.rng.IntN(len(faultyLimits))
+		s.limits[i].name(faultyLimits[k])
+		s.limits[i].state(faultyRefusals[k])
 	default:
 		// Connection faults are more frequent, so that several are active at once.
 		s.proxies[s.rng.IntN(len(s.proxies))].Set([]proxy.Fault{
