--- a/cmd/yuccalbe/limit_test.go
+++ b/cmd/yuccalbe/limit_test.go
@@ -22,7 +22,7 @@
 	usedRequests = 50
 	// soakRefusals is the refusal limit that servers state which refuse all requests. It
 	// must hold from knownTime after its begin on, for refusalTime.
-	soakRefusals = 20
+	soakRefusals = 4
 	knownTime    = time.Second
 	refusalTime  = 2 * time.Second
 )
