Let more requests wait when a host has a part of the refusals

A host to which most callers come let only as many requests wait as it has slots of its own, and refused the others although reports showed free slots that it may use. As many more wait now as its part of the refusals allows.

TestServerWithoutSlots guards the stop after refusals within a host's own slots.

--- a/internal/core/pick/room.go
+++ b/internal/core/pick/room.go
@@ -163,15 +163,16 @@
 	return min(max(d, minRoomWait), maxPause)
 }
 
-// Room returns the number of requests for which servers with a refusal limit have room
-// whatever other hosts send: the sum of this host's own parts.
+// Room returns the number of requests that this host may have in progress at servers with a
+// refusal limit if the other hosts leave room.
 func (t *Table) Room() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sum := 0
 	for _, s := range t.servers {
 		if limit, limited := t.refusalLimit(s); limited && !t.leaving(s) {
-			sum += min(t.hosts.room(s.room(&t.model), limit, t.rank(s)).own, maxRefusals)
+			r := t.hosts.room(s.room(&t.model), limit, t.rank(s))
+			sum += min(r.own+r.refusals, s.room(&t.model), maxRefusals)
 		}
 	}
 	return sum
