--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -91,6 +91,9 @@
 	// Via is set if another host of the region would choose the server. What failed
 	// at this host, and its parts of limits, do not count then.
 	Via bool
+	// Extra is set if the request may go to a server with a refusal limit although this
+	// host's own part of the server's room is taken.
+	Extra bool
 }
 
 // Choice is a chosen server. It must be passed to Done exactly once.
@@ -112,6 +115,10 @@
 	Version string
 
 	server *server
+	// refusalLimited is set if the server had a refusal limit, and extra if the request
+	// is beyond this host's own part of the server's room.
+	refusalLimited, extra bool
+
 	born   int64
 	sent   time.Time
 	unread int // tokens of the prompt that are not cached
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -35,6 +35,9 @@
 	"server limits requests":   "server",
 	"server ended its limit":   "server",
 
+	"server limits its refusals":     "server",
+	"server ended its refusal limit": "server",
+
 	"retry budget": "retries",
 
 	"lost path to servers":     "path",
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -159,7 +159,7 @@
 
 // send chooses a server or a host and sends the request to it.
 func (q *request) send(now time.Time, remaining time.Duration) (retry.Result, *refusal) {
-	choice, local, ref := q.choose(now, remaining)
+	choice, local, ref := q.chooseInTurn(now, remaining)
 	if ref != nil {
 		return retry.NotRun, ref
 	}
@@ -186,6 +186,7 @@
 	onFirstByte := func() { svc.Table.FirstByte(&q.choice, time.Now()) }
 	res, outcome := q.exchangeLocal(onFirstByte)
 	svc.Table.Done(&q.choice, q.serverOutcome(outcome), time.Now())
+	svc.Held.Wake()
 	q.recordCrash(svc, &q.choice, outcome)
 	// An error response does not exclude the server: it may be the only one.
 	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -32,6 +32,7 @@
 	reasonNoPath          = "no path to servers"
 	reasonRetryAfter      = "servers want no requests"
 	reasonServerLimit     = "servers limit requests"
+	reasonNoRoom          = "no room at servers"
 	reasonPoison          = "prompt part crashes servers"
 	reasonPoisonRequest   = "request crashes servers"
 	reasonVersionGone     = "no server of the stream's version"
