Keep what servers have said while a version leaves their service out

What servers saw: requests in the pause that they had requested, or after they had announced that they leave, once a version of the configuration did not name their service and the next one did. The table of the service, with all that its servers had said, went with the version. The class: state of one thing kept in another thing that lives shorter.

Requests are still not sent to services that the version in force does not name.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -87,6 +87,7 @@
 	done     sync.WaitGroup
 	mu       sync.Mutex // guards changes of tables and the fields below
 	listedAt time.Time  // of the first list of entries
+	absent   absentServices
 	// division gives this host its part of the retry budgets, in retries, the last of
 	// which is retryPart.
 	division  retry.Division
@@ -112,7 +113,7 @@
 // New returns a fleet that exchanges its state over e. It is idle until Start is
 // called.
 func New(opts Options, e *gossip.Exchange) *Fleet {
-	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio), division: retry.Division{First: opts.First}}
+	f := &Fleet{opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), absent: make(absentServices), stop: make(chan struct{}), limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio), division: retry.Division{First: opts.First}}
 	f.tables.Store(&map[string]*Service{})
 	f.joined.Store(opts.First)
 	f.SetSeeds(opts.Seeds)
@@ -225,6 +226,9 @@
 	}
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
+		if s == nil {
+			s = f.absent.take(svc.Name)
+		}
 		if s == nil {
 			s = newService(svc)
 		}
@@ -238,6 +242,12 @@
 		f.updatePoison(svc.Name, s, list, v.Suspects, now)
 		tables[svc.Name] = s
 	}
+	for name, s := range old {
+		if tables[name] == nil {
+			f.absent.add(name, s, now)
+		}
+	}
+	f.absent.expire(now)
 	f.tables.Store(&tables)
 	f.limiter.Retain(f.limiterPeers(v, now))
 }
