Withdraw no second retry for an attempt that reached no server

What callers saw: nothing that was traced to it; found while tracing TestStreamDuringLostPath. A request that had withdrawn a retry and got no connection withdrew another one for the attempt after it, although no server had received the first: while servers are out of reach the budget, which bounds arrivals, was used up by attempts that did not arrive. Change: Tally counts the retries it has withdrawn; an attempt is free while they cover the attempts that reached a server. Measured: go test ./internal/core/retry -run TestRetryThatReachedNoServer: fails before (budget exhausted), passes after. Conclusion: kept; arrivals stay bounded, since each that is beyond the first has still been withdrawn.

--- a/internal/core/retry/rules.go
+++ b/internal/core/retry/rules.go
@@ -41,8 +41,9 @@
 // Tally counts the attempts of a request.
 type Tally struct {
 	// Tries counts all attempts, Sends those that reached a server or may have
-	// reached one, and Ran those that may have run.
-	Tries, Sends, Ran int
+	// reached one, Ran those that may have run, and Paid the retries that were withdrawn
+	// from the budget.
+	Tries, Sends, Ran, Paid int
 }
 
 // Allows reports whether the rules permit another attempt after res.
--- a/internal/core/retry/rules_test.go
+++ b/internal/core/retry/rules_test.go
@@ -16,19 +16,19 @@
 		tally Tally
 		want  bool
 	}{
-		{"unsafe, refused", unsafe, NotRun, Tally{1, 1, 0}, true},
-		{"unsafe, may have run", unsafe, Unknown, Tally{1, 1, 1}, false},
-		{"unsafe, server's error", unsafe, ServerError, Tally{1, 1, 1}, false},
-		{"unsafe, truncated", unsafe, Truncated, Tally{1, 1, 1}, false},
-		{"safe, may have run", safe, Unknown, Tally{1, 1, 1}, true},
-		{"safe, all runs used", safe, Unknown, Tally{2, 2, 2}, false},
-		{"safe, refused after a run", safe, NotRun, Tally{2, 2, 1}, true},
-		{"safe, truncated", safe, Truncated, Tally{1, 1, 1}, false},
-		{"stream, truncated", stream, Truncated, Tally{1, 1, 1}, true},
-		{"stream, all runs used", stream, Truncated, Tally{3, 3, 3}, false},
-		{"too many attempts", safe, NotRun, Tally{MaxAttempts, 0, 0}, false},
-		{"forwarded, refused", Rules{Forwarded: true}, NotRun, Tally{1, 1, 0}, true},
-		{"forwarded, refused after a run", Rules{Forwarded: true, Idempotent: true, Attempts: 3}, NotRun, Tally{2, 2, 1}, false},
+		{"unsafe, refused", unsafe, NotRun, Tally{1, 1, 0, 0}, true},
+		{"unsafe, may have run", unsafe, Unknown, Tally{1, 1, 1, 0}, false},
+		{"unsafe, server's error", unsafe, ServerError, Tally{1, 1, 1, 0}, false},
+		{"unsafe, truncated", unsafe, Truncated, Tally{1, 1, 1, 0}, false},
+		{"safe, may have run", safe, Unknown, Tally{1, 1, 1, 0}, true},
+		{"safe, all runs used", safe, Unknown, Tally{2, 2, 2, 0}, false},
+		{"safe, refused after a run", safe, NotRun, Tally{2, 2, 1, 0}, true},
+		{"safe, truncated", safe, Truncated, Tally{1, 1, 1, 0}, false},
+		{"stream, truncated", stream, Truncated, Tally{1, 1, 1, 0}, true},
+		{"stream, all runs used", stream, Truncated, Tally{3, 3, 3, 0}, false},
+		{"too many attempts", safe, NotRun, Tally{MaxAttempts, 0, 0, 0}, false},
+		{"forwarded, refused", Rules{Forwarded: true}, NotRun, Tally{1, 1, 0, 0}, true},
+		{"forwarded, refused after a run", Rules{Forwarded: true, Idempotent: true, Attempts: 3}, NotRun, Tally{2, 2, 1, 0}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -44,16 +44,16 @@
 // servers refuse connections.
 func TestTallyWithdraw(t *testing.T) {
 	var b Budget
-	if !(Tally{Tries: 1}).Withdraw(&b).Permitted() {
+	if !(&Tally{Tries: 1}).Withdraw(&b).Permitted() {
 		t.Error("attempt rejected after one that established no connection")
 	}
-	if (Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
+	if (&Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
 		t.Error("retry of a sent request admitted by an empty budget")
 	}
 	for range int(1 / DefaultRatio) {
 		b.Deposit()
 	}
-	if !(Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
+	if !(&Tally{Tries: 1, Sends: 1}).Withdraw(&b).Permitted() {
 		t.Error("retry of a sent request rejected within the budget")
 	}
 }
@@ -109,3 +109,23 @@
 		t.Errorf("%d retries at once to a service that came back, want 7", n)
 	}
 }
+
+// TestRetryThatReachedNoServer guards against a request that pays again for an attempt
+// because the one it has paid for got no connection.
+func TestRetryThatReachedNoServer(t *testing.T) {
+	b := Budget{Ratio: 1}
+	b.Deposit()
+	tally := Tally{Tries: 1, Sends: 1}
+	if g := tally.Withdraw(&b); g != Withdrawn {
+		t.Fatalf("%s after a sent request", g)
+	}
+	tally.Tries++ // no connection
+	if g := tally.Withdraw(&b); g != Free {
+		t.Errorf("%s after a retry that reached no server", g)
+	}
+	tally.Tries++
+	tally.Sends++
+	if g := tally.Withdraw(&b); g != DeniedByBudget {
+		t.Errorf("%s after a retry that was sent", g)
+	}
+}
