Give the streams of TestStreamDuringLostPath a budget that is not the bound

Change: the hosts of this test have a budget of 200 instead of 50 over all hosts. The check is as it was.

--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -30,6 +30,8 @@
 	t     *testing.T
 	store *plattest.Store
 	hosts []*Entry
+	// retries is the retry budget over all hosts that are started next.
+	retries int64
 }
 
 // sites maps the data centres of all tests to their regions.
@@ -60,7 +62,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	t.Parallel()
-	cl := &cluster{t: t, store: plattest.NewStore(t)}
+	cl := &cluster{t: t, store: plattest.NewStore(t), retries: 50}
 	cl.store.PutConfig(config(1, key))
 	return cl
 }
@@ -70,7 +72,7 @@
 	return boot.Settings{
 		Host: fmt.Sprintf("host-%s-%d", site, len(cl.hosts)), Site: site, Region: sites[site], Sites: sites,
 		Front: local.Addr(cl.t), Ready: local.Addr(cl.t), Lookup: local.Addr(cl.t), Peer: local.Addr(cl.t), Metrics: local.Addr(cl.t),
-		Store: cl.store.Addr(), First: true, Revoke: 3 * time.Second, Grace: 6 * time.Second, Retries: 50,
+		Store: cl.store.Addr(), First: true, Revoke: 3 * time.Second, Grace: 6 * time.Second, Retries: cl.retries,
 	}
 }
 
--- a/internal/edge/entry/reach_test.go
+++ b/internal/edge/entry/reach_test.go
@@ -236,6 +236,7 @@
 	for name, fault := range map[string]proxy.Fault{"reset": {Reset: true}, "held": {HoldForth: true, HoldBack: true}} {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t)
+			cl.retries = 200 // so that each stream may need two
 			hosts, paths := cl.region(script)
 			for range 200 { // fill the retry budget
 				wantStatus(t, cl.do(hosts[0], get("/safe/x")), http.StatusOK)
