Let keep-alive probes outlast a silent server

With 2 s a connection that waits for a response was closed 2 s after the last byte, when one probe had gone unanswered, although a sound server may be silent for a second or so. Change: TCP_USER_TIMEOUT covers all probes: 3 s. An unreachable server is noticed 1 s later; a lost path is noticed by core/reach before.

--- a/internal/edge/send/dial.go
+++ b/internal/edge/send/dial.go
@@ -10,8 +10,9 @@
 
 const (
 	// ackTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// closes a connection.
-	ackTimeout = 2 * time.Second
+	// closes a connection. It also ends the keep-alive probes, whatever their count, so
+	// that it covers all of them.
+	ackTimeout = 3 * time.Second
 	// probeIdle, probeInterval and probeCount configure the TCP keep-alive probes,
 	// which detect an unreachable peer while there is nothing to send.
 	probeIdle     = time.Second
