Count probes against the limits of servers

Cause, found by reading: a probe of the path to the servers could go to a server in an evacuated data centre, in a pause that it had requested, or beyond what its limit or its being cold allows.

--- a/internal/core/pick/reach.go
+++ b/internal/core/pick/reach.go
@@ -38,6 +38,28 @@
 	return found
 }
 
+// TakeProbe withdraws a probe of a server's health from this host's part of its limits. It
+// returns false if the server may get none now: it leaves, is evacuated, has requested a
+// pause, or has got what its limits allow.
+func (t *Table) TakeProbe(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil || t.leaving(s) || t.pause(s, now) > 0 {
+		return false
+	}
+	a, limited := t.allowance(s, now)
+	if !limited {
+		return true
+	}
+	s.refill(a, now)
+	if s.level < 1 {
+		return false
+	}
+	s.level--
+	return true
+}
+
 // Confirm records that a server has answered a probe of its health: it may get a request
 // again, unless its probation forbids it.
 func (t *Table) Confirm(id string) {
--- a/internal/edge/fleet/reach.go
+++ b/internal/edge/fleet/reach.go
@@ -152,12 +152,12 @@
 	if !f.path.Probe(len(failing) > 0, now) || !f.HasNeighbours() {
 		return Target{}, false
 	}
-	return f.target(failing)
+	return f.target(failing, now)
 }
 
-// target returns a server at random, of the given services while the path as a whole is
-// intact.
-func (f *Fleet) target(services []string) (Target, bool) {
+// target returns a server at random that may be probed, of the given services while the path
+// as a whole is intact.
+func (f *Fleet) target(services []string, now time.Time) (Target, bool) {
 	v := f.View()
 	if v.Snapshot == nil {
 		return Target{}, false
@@ -178,8 +178,11 @@
 		// Servers that are known to fail tell nothing about a path in doubt.
 		list = slices.DeleteFunc(list, func(t Target) bool { return f.path.Bad(t.Server.ID) })
 	}
-	if len(list) == 0 {
-		return Target{}, false
+	for _, i := range rand.Perm(len(list)) {
+		t := list[i]
+		if svc := f.Service(t.Service); svc != nil && svc.Table.TakeProbe(t.Server.ID, now) {
+			return t, true
+		}
 	}
-	return list[rand.IntN(len(list))], true
+	return Target{}, false
 }
