--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -123,6 +123,12 @@
 func (cl *cluster) addServer(id, site string, s *origin.Server) {
 	cl.t.Helper()
 	cl.store.PutServer(id, "desk", site, s.Addr(), "ready")
+	cl.waitListed(id, site)
+}
+
+// waitListed waits until all hosts of the region of a data centre list a server.
+func (cl *cluster) waitListed(id, site string) {
+	cl.t.Helper()
 	for _, e := range cl.hosts {
 		if e.settings.Region != sites[site] {
 			continue
