Send no further requests side by side to a server that only refuses

Cause: a host's part of the refusals was compared with the refusals that had come back, not with the requests in progress within its own part of the slots, which the server refuses as well; two hosts together exceeded 4. Change: while a server has refused this host and served nothing since, the requests in progress count as refusals to come. A response ends that, so that a server at work is used as before. Probes of the path's health go by the room of such servers too. Conclusion: the bound holds also for servers that refuse although slots are free.

--- a/internal/core/pick/reach.go
+++ b/internal/core/pick/reach.go
@@ -40,7 +40,7 @@
 
 // TakeProbe withdraws a probe of a server's health from this host's part of its limits. It
 // returns false if the server may get none now: it leaves, is evacuated, has requested a
-// pause, or has got what its limits allow.
+// pause, has got what its limits allow, or has a refusal limit and no room for certain.
 func (t *Table) TakeProbe(id string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,6 +48,9 @@
 	if s == nil || t.leaving(s) || t.pause(s, now) > 0 {
 		return false
 	}
+	if full, _ := t.full(s, &Request{}, now); full {
+		return false
+	}
 	a, limited := t.allowance(s, now)
 	if !limited {
 		return true
--- a/internal/core/pick/room.go
+++ b/internal/core/pick/room.go
@@ -72,6 +72,9 @@
 	// lowered it. It is 0 before the first one and once it has grown back.
 	window float64
 	cutAt  time.Time
+	// only is set while the server has refused this host's requests within its own part
+	// of the room, and has served none since.
+	only bool
 }
 
 // maxRefusals bounds the refusals that are remembered for a server; older ones are
@@ -84,6 +87,7 @@
 		r.list = slices.Delete(r.list, 0, 1)
 	}
 	r.list = append(r.list, refusal{at: now, extra: extra})
+	r.only = r.only || !extra
 	w := r.limit(now)
 	if math.IsInf(w, 1) {
 		w = float64(running)
@@ -145,6 +149,9 @@
 	if own && refused >= max(r.refusals, 1) {
 		return true, false
 	}
+	if s.refusals.only && running+refused >= max(r.refusals, 1) {
+		return true, false // those in progress may be refused as well
+	}
 	if running < r.own {
 		return false, false
 	}
--- a/internal/core/pick/room_test.go
+++ b/internal/core/pick/room_test.go
@@ -282,3 +282,39 @@
 		}
 	}
 }
+
+// TestRefusalsWhileNothingRuns guards against requests that are sent side by side within the
+// hosts' own parts of the room to a server which refuses all of them.
+func TestRefusalsWhileNothingRuns(t *testing.T) {
+	const answer = 20 * time.Millisecond
+	for _, limit := range []int{4, 20} {
+		s := &frailSim{frailty: frailty{slots: 6}, rng: rand.New(rand.NewPCG(1, 2)), begin: epoch}
+		for range 2 {
+			s.add(epoch)
+		}
+		for i := range s.tables {
+			s.update(i, s.names, true, epoch)
+		}
+		refused := make(map[string][]time.Time)
+		running := make([][]Choice, len(s.tables))
+		for now := epoch; now.Sub(epoch) < 8*time.Second; now = now.Add(time.Millisecond) {
+			for i, tab := range s.tables {
+				for len(running[i]) > 0 && now.Sub(running[i][0].sent) >= answer {
+					c := running[i][0]
+					running[i] = running[i][1:]
+					tab.StateRefusalLimit(&c, limit, now)
+					tab.Done(&c, NotRun, now)
+					if now.Sub(epoch) > 2*time.Second {
+						refused[c.ID] = append(refused[c.ID], now)
+					}
+				}
+				if c, ok := tab.Pick(&Request{}, now); ok {
+					running[i] = append(running[i], c)
+				}
+			}
+		}
+		if got := mostWithinSecond(refused); got > limit {
+			t.Errorf("limit %d: %d refusals within a second", limit, got)
+		}
+	}
+}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -257,6 +257,7 @@
 	switch o {
 	case Served:
 		s.failures = 0
+		s.refusals.only = false
 		if c.outlived(s) {
 			s.probation = false
 		}
