Add a failing test: a host takes its own record for one that another host has replaced

A host keeps in memory which records it added, and answers from there while the store is away. The record may be of an attempt that failed; the stream began by another host at another version, and a take-up at the first host goes on at the wrong one (ORDER).

go test ./internal/edge/ledger -run TestMemoryOfReplacedRecord -count 5: fails 5 of 5.

--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -88,3 +88,17 @@
 		t.Error("a record was withdrawn that the store may hold")
 	}
 }
+
+// TestMemoryOfReplacedRecord guards against streams that go on at the version of an earlier attempt
+// at the host of that attempt, which can't read the record that another host wrote after it.
+func TestMemoryOfReplacedRecord(t *testing.T) {
+	s := plattest.NewStore(t)
+	first, other := newLedger(t, s), newLedger(t, s)
+	if !first.Add(stream("id", "v2", 0)).Wait(t.Context(), wait) || !other.Add(stream("id", "v1", 1)).Wait(t.Context(), wait) {
+		t.Fatal("not written")
+	}
+	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
+	if v, from, err := first.Version(t.Context(), "id"); err == nil {
+		t.Errorf("version %q from %q, want none", v, from)
+	}
+}
