Add a failing test: a server's limit is exceeded by hosts that are cut off one after the other

The parts of a limit that a server names, and of a cold server's rate, are divided among the hosts of the region that each host knows now (pick.RegionHosts). For cold servers this stays within the rule, since only 0.55 of their rate is divided (by reckoning, not by a run).

Not fixed: a memory as in retry.Division would leave the part of a stopped host unused for its length.

--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -370,3 +370,26 @@
 		}
 	}
 }
+
+// TestNamedLimitOfHostsCutOff guards against hosts that together exceed the limit of a server, since
+// they are cut off one after the other and those that remain divide their parts as well.
+func TestNamedLimitOfHostsCutOff(t *testing.T) {
+	for _, n := range []int{2, 3, 4} {
+		for _, limit := range []float64{2, 5, 20} {
+			r := newLimitedRegion(n, limit)
+			r.run(5*time.Second, 10*time.Millisecond)
+			for left := n - 1; left > 0; left-- {
+				var names []string
+				for i := range left {
+					names = append(names, fmt.Sprint("h", i))
+				}
+				for i, tab := range r.tables[:left] { // the other hosts keep their lists
+					tab.Update(engine, entries(1), nil, RegionHosts{Self: names[i], Hosts: names, Discovered: true}, r.now)
+				}
+				begin := r.now
+				r.run(20*time.Second, 10*time.Millisecond)
+				r.checkBound(t, fmt.Sprintf("%d hosts, %d cut off", n, n-left), r.since(begin))
+			}
+		}
+	}
+}
