Add a failing test: the mark of a version ends before the records of its streams

All hosts write the mark of a service and version under one key, each under its own lease. The store keeps the lease of the last write, which may end up to 30 s earlier than that of the host that wrote before and counts on its mark. A take-up without a name may then go on at the base although a stream of the other version is still recorded (ORDER). The class: a record that is written unconditionally and replaced.

--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
@@ -102,3 +103,29 @@
 		t.Errorf("version %q from %q, want none", v, from)
 	}
 }
+
+// TestMarkOfOtherHost guards against the mark of a version that ends before the records of the
+// streams, since another host has written it under a lease that ends earlier.
+func TestMarkOfOtherHost(t *testing.T) {
+	s := plattest.NewStore(t)
+	store := platform.NewStore(s.Addr(), &http.Transport{})
+	marks := []platform.Mark{{Service: "desk", Version: "v2"}}
+	for _, ttl := range []time.Duration{time.Minute, time.Second} {
+		lease, err := store.Grant(t.Context(), ttl)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.PutStreams(t.Context(), []platform.Stream{stream(ttl.String(), "v2", 0)}, marks, lease); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l := newLedger(t, s)
+	await.True(t, wait, "end of the shorter lease", func() bool {
+		_, from, err := l.Version(t.Context(), time.Second.String())
+		return from == SourceNone && err == nil
+	})
+	wantVersion(t, l, time.Minute.String(), "v2", SourceStore)
+	if versions, err := l.Versions(t.Context(), "desk"); err != nil || len(versions) != 1 {
+		t.Errorf("versions %q, error %v; want one", versions, err)
+	}
+}
