--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -129,3 +129,14 @@
 		t.Errorf("versions %q, error %v; want one", versions, err)
 	}
 }
+
+// TestNumberOfTenRecords guards against records whose numbers are compared as text.
+func TestNumberOfTenRecords(t *testing.T) {
+	s := plattest.NewStore(t)
+	for n, version := range map[int]string{9: "v1", 10: "v2", 1000: "v3"} {
+		if !newLedger(t, s).Add(stream("id", version, n)).Wait(t.Context(), wait) {
+			t.Fatal("not written")
+		}
+	}
+	wantVersion(t, newLedger(t, s), "id", "v3", SourceStore)
+}
