--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
@@ -88,3 +89,54 @@
 		t.Error("a record was withdrawn that the store may hold")
 	}
 }
+
+// TestMemoryOfReplacedRecord guards against streams that go on at the version of an earlier attempt
+// at the host of that attempt, which can't read the record that another host wrote after it.
+func TestMemoryOfReplacedRecord(t *testing.T) {
+	s := plattest.NewStore(t)
+	first, other := newLedger(t, s), newLedger(t, s)
+	if !first.Add(stream("id", "v2", 0)).Wait(t.Context(), wait) || !other.Add(stream("id", "v1", 1)).Wait(t.Context(), wait) {
+		t.Fatal("not written")
+	}
+	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
+	if v, from, err := first.Version(t.Context(), "id"); err == nil {
+		t.Errorf("version %q from %q, want none", v, from)
+	}
+}
+
+// TestMarkOfOtherHost guards against the mark of a version that ends before the records of the
+// streams, since another host has written it under a lease that ends earlier.
+func TestMarkOfOtherHost(t *testing.T) {
+	s := plattest.NewStore(t)
+	store := platform.NewStore(s.Addr(), &http.Transport{})
+	marks := []platform.Mark{{Service: "desk", Version: "v2"}}
+	for _, ttl := range []time.Duration{time.Minute, time.Second} {
+		lease, err := store.Grant(t.Context(), ttl)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.PutStreams(t.Context(), []platform.Stream{stream(ttl.String(), "v2", 0)}, marks, lease); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l := newLedger(t, s)
+	await.True(t, wait, "end of the shorter lease", func() bool {
+		_, from, err := l.Version(t.Context(), time.Second.String())
+		return from == SourceNone && err == nil
+	})
+	wantVersion(t, l, time.Minute.String(), "v2", SourceStore)
+	if versions, err := l.Versions(t.Context(), "desk"); err != nil || len(versions) != 1 {
+		t.Errorf("versions %q, error %v; want one", versions, err)
+	}
+}
+
+// TestNumberOfTenRecords guards against records whose numbers are compared as text.
+func TestNumberOfTenRecords(t *testing.T) {
+	s := plattest.NewStore(t)
+	for n, version := range map[int]string{9: "v1", 10: "v2", 1000: "v3"} {
+		if !newLedger(t, s).Add(stream("id", version, n)).Wait(t.Context(), wait) {
+			t.Fatal("not written")
+		}
+	}
+	wantVersion(t, newLedger(t, s), "id", "v3", SourceStore)
+}
