Go by the service that a request was placed at, also once a version has left it out

Between the choice of a server and the send a version may leave the service out; the send then took the service from the new tables, got none and ended the connection by a panic, and the choice stayed counted as a request in progress. What the server stated in its response was dropped for the same reason. Change: a request keeps the service that its choice came from. Measured: no test brings that moment about; relay, fleet and the tests of limits, pauses and leaving servers of entry pass. Conclusion: kept as a correction by reading.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -171,7 +171,7 @@
 
 // sendLocal sends the request to a server of the local region.
 func (q *request) sendLocal(c pick.Choice) retry.Result {
-	svc := q.s.fleet.Service(q.service)
+	svc := q.chosenFrom
 	e, ok := svc.Table.Server(c.ID)
 	q.server = c.ID
 	q.dest = destination{addr: e.Addr}
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -79,6 +79,7 @@
 		return pick.Choice{}, false, q.refuseNoServer(svc, now)
 	}
 	q.choice = c
+	q.chosenFrom = svc
 	q.entriesReadAt = q.s.fleet.View().Asked
 	return c, true, nil
 }
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -17,6 +17,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/poison"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
 	"github.com/yuccalb/yuccalb/platform"
@@ -116,7 +117,10 @@
 	// connection as well.
 	endUnknown, endUnmarked, endsWithConn bool
 	choice                                pick.Choice // of the last attempt in the local region
-	entriesReadAt                         time.Time   // when the server list behind choice was read
+	// chosenFrom is the service of choice. A version may leave the service out before the
+	// request is sent.
+	chosenFrom    *fleet.Service
+	entriesReadAt time.Time // when the server list behind choice was read
 	// refusalInputs are the values that led to a refusal, for its log line.
 	refusalInputs []zap.Field
 }
--- a/internal/edge/relay/state.go
+++ b/internal/edge/relay/state.go
@@ -16,7 +16,7 @@
 // of the local region: that it is leaving, or, with 503 and Retry-After, that
 // it requests a pause.
 func (q *request) recordServerState(resp *send.Response) {
-	svc := q.s.fleet.Service(q.service)
+	svc := q.chosenFrom
 	if q.dest.region != "" || svc == nil || resp.Status == http.StatusMisdirectedRequest {
 		return // the response is not from the chosen server
 	}
