--- a/internal/core/pick/reach.go
+++ b/internal/core/pick/reach.go
@@ -5,35 +5,29 @@
 // OnTrial reports whether this host may send nothing, or only single requests, to each of
 // the servers because of failures that it has seen. It is false if there are no servers.
 func (t *Table) OnTrial() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := false
-	for _, s := range t.servers {
-		switch {
-		case t.leaving(s):
-		case s.failures >= failureThreshold || s.probation:
-			found = true
-		default:
-			return false
-		}
-	}
-	return found
+	return t.all(func(s *server) bool { return s.failures >= failureThreshold || s.probation })
 }
 
 // Failing reports whether each of the servers has failed so that a request would be a test.
 // It is false if there are no servers.
 func (t *Table) Failing() bool {
+	return t.all(func(s *server) bool { return s.failures >= failureThreshold })
+}
+
+// all reports whether a condition holds for each server that is not leaving, and there is
+// one.
+func (t *Table) all(holds func(*server) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	found := false
 	for _, s := range t.servers {
-		switch {
-		case t.leaving(s):
-		case s.failures >= failureThreshold:
-			found = true
-		default:
+		if t.leaving(s) {
+			continue
+		}
+		if !holds(s) {
 			return false
 		}
+		found = true
 	}
 	return found
 }
--- a/internal/edge/relay/state.go
+++ b/internal/edge/relay/state.go
@@ -55,3 +55,24 @@
 		fleet.LogLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
 	}
 }
+
+// recordRefusalLimit records the refusal limit that a response of a server states, or
+// that it states none any more, which only a success shows.
+func (q *request) recordRefusalLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
+	limit, stated, err := platform.ParseRefusalLimit(resp.Header)
+	if err != nil {
+		q.s.log.Requests.Warn("refusal limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		return
+	}
+	var c pick.RefusalChange
+	changed := false
+	switch {
+	case stated:
+		c, changed = svc.Table.StateRefusalLimit(&q.choice, limit, now)
+	case success(resp) && signed(resp):
+		c, changed = svc.Table.EndRefusalLimit(&q.choice, now)
+	}
+	if changed {
+		fleet.LogRefusalLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
+	}
+}
