Open the connections of TestEndlessResponseMemory before its requests

Cause: not the host. The counts of connections that the kernel dropped for a full queue (ListenOverflows, ListenDrops) did not change in these runs; the test itself opens 1000 connections while it formats 64 kB of fields for each response, which takes it longer than a dial may last under the race detector. Change: the fields are formatted once, and the connections are open before the 1000 requests are sent at once. The bounds and the requests are as before.

--- a/cmd/yuccalbe/endless_test.go
+++ b/cmd/yuccalbe/endless_test.go
@@ -30,14 +30,19 @@
 	x.Send("HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\n")
 }
 
+// manyFields returns the lines of as many short fields as a head may hold.
+var manyFields = sync.OnceValue(func() string {
+	var b strings.Builder
+	for i := 0; b.Len() < 63<<10; i++ {
+		fmt.Fprintf(&b, "a%d:\r\n", i)
+	}
+	return b.String()
+})
+
 var endlessParts = map[string]endlessPart{
 	"fields": func(x *origin.Exchange) {
-		var b strings.Builder
-		for i := 0; b.Len() < 63<<10; i++ {
-			fmt.Fprintf(&b, "a%d:\r\n", i)
-		}
 		head(x)
-		x.Send(b.String())
+		x.Send(manyFields())
 	},
 	"line": func(x *origin.Exchange) {
 		head(x)
@@ -107,29 +112,33 @@
 	}
 	other := origin.New(t, func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") })
 	store.PutServer("o", "other", "a1", other.Addr(), "ready")
-	call := func(c line.Call, id string) (line.Response, error) {
-		conn, err := line.Dial(front)
-		if err != nil {
-			return line.Response{}, err
-		}
+	call := func(conn *line.Conn, c line.Call, id string) line.Response {
 		defer func() { _ = conn.Close() }() // the response was read
-		return conn.Do(c.With(platform.HeaderAPIKey, "k").With(platform.HeaderDeadline, "3000"), id), nil
+		return conn.Do(c.With(platform.HeaderAPIKey, "k").With(platform.HeaderDeadline, "3000"), id)
 	}
 	await.For(t, serveTimeout, "host serves", func() error {
-		a, err := call(line.Get("/safe/x"), fmt.Sprint("wait-", time.Now().UnixNano()))
-		if err == nil && a.Status != http.StatusOK {
-			err = fmt.Errorf("status %d, error %w", a.Status, a.Err)
+		conn, err := line.Dial(front)
+		if err != nil {
+			return err
+		}
+		if a := call(conn, line.Get("/safe/x"), fmt.Sprint("wait-", time.Now().UnixNano())); a.Status != http.StatusOK {
+			return fmt.Errorf("status %d, error %w", a.Status, a.Err)
 		}
-		return err
+		return nil
 	})
+	var conns []*line.Conn
+	for range callers {
+		conn, err := line.Dial(front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
 	var done sync.WaitGroup
 	var answered atomic.Int64
-	for i := range callers {
+	for i, conn := range conns {
 		done.Go(func() {
-			a, err := call(line.Post("/chat/x", "1"), fmt.Sprint("id-", i))
-			if err != nil {
-				t.Error(err)
-			}
+			a := call(conn, line.Post("/chat/x", "1"), fmt.Sprint("id-", i))
 			if a.Status == http.StatusOK && a.Err == nil {
 				t.Errorf("complete response: %+v", a.Header)
 			}
@@ -140,8 +149,12 @@
 	}
 	time.Sleep(time.Second)
 	for i := range 10 {
-		if a, err := call(line.Get("/safe/x"), fmt.Sprint("other-", i)); err != nil || a.Status != http.StatusOK {
-			t.Errorf("other caller: status %d, error %v %v", a.Status, a.Err, err)
+		conn, err := line.Dial(front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := call(conn, line.Get("/safe/x"), fmt.Sprint("other-", i)); a.Status != http.StatusOK {
+			t.Errorf("other caller: status %d, error %v", a.Status, a.Err)
 		}
 	}
 	done.Wait()
