Allow for a service that is left out while its only version is asked for

Cause: found in the read-through: Bases.Only locks twice, and an update in between may drop the service, so that the second look-up used a nil entry. Change: a service that is gone has no only version. No test brings that moment about. Measured: go test -race ./internal/core/resume passes.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -168,6 +168,6 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	versions := b.services[name].versions
-	return base, len(versions) == 1 && versions[base] > 0
+	s := b.services[name] // a version may have left it out since
+	return base, s != nil && len(s.versions) == 1 && s.versions[base] > 0
 }
