Let a stand-in server of the soak crash once at a time

Cause: two requests that make a server crash can be at its script at once. Each ended it and began to listen again later, and the second found the address taken by the first. Change: a server that is down does not crash again, nor is that counted as another crash. The bounds are as before.

--- a/cmd/yuccalbe/poison_test.go
+++ b/cmd/yuccalbe/poison_test.go
@@ -34,10 +34,12 @@
 // crash ends server i and starts it again after crashTime. It returns false, as the script
 // of a server that closes the connection does.
 func (s *soak) crash(i int) bool {
+	if s.down[i].Swap(true) {
+		return false // another request has ended the process already
+	}
 	s.mu.Lock()
 	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
-	s.down[i].Store(true)
 	s.servers[i].Crash()
 	s.crashed.Go(func() {
 		time.Sleep(crashTime / 2)
