Write only full calls of records while others may follow

Cause: not load. Once the pending records filled a call, the ledger wrote all of them, the rest in a call of its own, although further records followed within the 120 ms for which each may wait. How many were left over depended on when its goroutine ran. The store's calls are limited and have a price. Ruled out: failed calls that are repeated (the test's store has no faults), and marks in calls of their own (3 marks fit beside 28 records). Change: a call is made once its records fill it or the oldest has waited for flushInterval. Records that a failed call leaves come first again, since they are the oldest. A wake-up no longer postpones the next flush. Conclusion: a fault of the ledger, not of the test; the bound stays.

--- /dev/null
+++ b/internal/edge/ledger/batch_test.go
@@ -0,0 +1,65 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccalb/yuccalb/platform"
+)
+
+// memStore is a Store that takes latency for each call and counts those for records.
+type memStore struct {
+	latency time.Duration
+
+	mu    sync.Mutex
+	calls []int // the number of records of each
+}
+
+func (s *memStore) Era() int64 { return 0 }
+
+func (s *memStore) Grant(context.Context, time.Duration) (platform.Lease, error) {
+	return platform.Lease{}, nil
+}
+
+func (s *memStore) PutStreams(_ context.Context, list []platform.Stream, _ []platform.Mark, _ platform.Lease) error {
+	s.mu.Lock()
+	s.calls = append(s.calls, len(list))
+	s.mu.Unlock()
+	time.Sleep(s.latency)
+	return nil
+}
+
+func (s *memStore) Stream(context.Context, string) (platform.Stream, error) {
+	return platform.Stream{}, platform.ErrNotFound
+}
+
+func (s *memStore) MarkedVersions(context.Context, string) ([]string, error) { return nil, nil }
+
+// TestFullBatches guards against calls for a few records that are written right after a full
+// batch, although other records follow within the time for which each may wait.
+func TestFullBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memStore{latency: 4 * time.Millisecond}
+		l := New(Options{Store: s, Count: func(string, error) {}, Log: zap.NewNop()})
+		const rounds, burst = 10, maxBatch + 2
+		for i := range rounds * burst {
+			l.Add(stream(fmt.Sprint("id-", i), "v", 0))
+			if i%burst == burst-1 {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		time.Sleep(flushInterval)
+		if want := rounds*burst/maxBatch + 1; len(s.calls) > want {
+			t.Errorf("calls for %v records, want at most %d calls", s.calls, want)
+		}
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -279,24 +279,16 @@
 			return
 		case <-eras.C:
 			l.checkEra()
+			continue
 		case <-l.kick:
-			if l.full() {
-				l.flush()
-			}
-			flush.Reset(flushInterval)
 		case <-flush.C:
-			l.flush()
+		}
+		if wait := l.flush(); wait > 0 {
+			flush.Reset(wait)
 		}
 	}
 }
 
-// full reports whether a call can be filled with records.
-func (l *Ledger) full() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.pending) >= maxBatch
-}
-
 // checkEra writes the records again that the store may have lost in a restore.
 func (l *Ledger) checkEra() {
 	l.mu.Lock()
@@ -320,20 +312,20 @@
 	}
 }
 
-// flush begins to write the pending records. If maxWriters calls are in progress, it leaves
-// the rest to the next flush.
-func (l *Ledger) flush() {
+// flush begins to write the pending records that are due, and returns the time until others are,
+// or 0 if there are none. If maxWriters calls are in progress, it leaves the rest to the next flush.
+func (l *Ledger) flush() time.Duration {
 	for {
 		select {
 		case l.writers <- struct{}{}:
 		default:
 			l.wake()
-			return
+			return 0
 		}
-		batch := l.take()
+		batch, wait := l.take(time.Now())
 		if len(batch) == 0 {
 			<-l.writers
-			return
+			return wait
 		}
 		l.done.Go(func() {
 			defer func() { <-l.writers }()
@@ -342,13 +334,25 @@
 	}
 }
 
-// take removes the records of one call from the pending ones. It leaves out those that were
-// withdrawn, and those that a later attempt of the same request has replaced.
-func (l *Ledger) take() []*Record {
+// due returns the time until the pending records are written: none if they fill a call or the
+// oldest has waited for flushInterval.
+func (l *Ledger) due(now time.Time) time.Duration {
+	if len(l.pending) >= maxBatch {
+		return 0
+	}
+	return l.pending[0].added.Add(flushInterval).Sub(now)
+}
+
+// take removes the records of one call from the pending ones once they are due. It leaves out
+// those that were withdrawn, and those that a later attempt of the same request has replaced. If
+// none are due, it returns the time until those that wait are.
+func (l *Ledger) take(now time.Time) (batch []*Record, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var batch []*Record
 	for len(l.pending) > 0 && len(batch) < maxBatch {
+		if wait := l.due(now); len(batch) == 0 && wait > 0 {
+			return nil, wait
+		}
 		r := l.pending[0]
 		l.pending = l.pending[1:]
 		if newest := l.versions[r.Attempt]; !r.dropped && (newest == nil || newest == r) {
@@ -358,7 +362,7 @@
 			delete(l.open, r)
 		}
 	}
-	return batch
+	return batch, 0
 }
 
 // write writes records, or leaves those that are not too old to a later call.
@@ -393,13 +397,15 @@
 		return
 	}
 	l.mu.Lock()
+	var again []*Record
 	for _, r := range batch {
 		if now.Sub(r.added) <= retryTime {
-			l.pending = append(l.pending, r)
+			again = append(again, r)
 		} else {
 			delete(l.open, r)
 		}
 	}
+	l.pending = slices.Insert(l.pending, 0, again...)
 	l.mu.Unlock()
 	l.wake()
 }
