Begin the next calls for records when one ends

A slow store kept a processor busy until a call had ended; with 0.4 of a core on a host that time is missing for requests. Change: flush returns, and each writer wakes the loop when it has ended. Measured: TestBusyWriters (simulated time, which stands still while a goroutine runs) did not end within 10 s before; 50 of 50 runs pass after. The package passes under the race detector twice; the first form of TestFullBatches read the calls before Close, which the detector reported, and reads them after it now.

--- a/internal/edge/ledger/batch_test.go
+++ b/internal/edge/ledger/batch_test.go
@@ -54,10 +54,29 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
-		time.Sleep(flushInterval)
+		time.Sleep(flushInterval + 2*s.latency)
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
 		if want := rounds*burst/maxBatch + 1; len(s.calls) > want {
 			t.Errorf("calls for %v records, want at most %d calls", s.calls, want)
 		}
+	})
+}
+
+// TestBusyWriters guards against a ledger that keeps a processor busy while all its calls wait for
+// the store, and against records that wait longer than for the end of one.
+func TestBusyWriters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memStore{latency: writeTimeout / 2}
+		l := New(Options{Store: s, Count: func(string, error) {}, Log: zap.NewNop()})
+		var last *Record
+		for i := range (maxWriters + 1) * maxBatch {
+			last = l.Add(stream(fmt.Sprint("id-", i), "v", 0))
+		}
+		if !last.Wait(t.Context(), 2*s.latency+flushInterval) {
+			t.Error("not written once a writer was free")
+		}
 		if err := l.Close(); err != nil {
 			t.Error(err)
 		}
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -313,13 +313,12 @@
 }
 
 // flush begins to write the pending records that are due, and returns the time until others are,
-// or 0 if there are none. If maxWriters calls are in progress, it leaves the rest to the next flush.
+// or 0 if there are none. If maxWriters calls are in progress, the end of one begins the next flush.
 func (l *Ledger) flush() time.Duration {
 	for {
 		select {
 		case l.writers <- struct{}{}:
 		default:
-			l.wake()
 			return 0
 		}
 		batch, wait := l.take(time.Now())
@@ -328,8 +327,9 @@
 			return wait
 		}
 		l.done.Go(func() {
-			defer func() { <-l.writers }()
 			l.write(batch)
+			<-l.writers
+			l.wake()
 		})
 	}
 }
@@ -407,7 +407,6 @@
 	}
 	l.pending = slices.Insert(l.pending, 0, again...)
 	l.mu.Unlock()
-	l.wake()
 }
 
 // close tells those who wait for records that they are written. After a restore of the store a
