--- a/internal/core/spec/snapshot.go
+++ b/internal/core/spec/snapshot.go
@@ -79,10 +79,6 @@
 // Service returns the service with a name, or nil if there is none.
 func (s *Snapshot) Service(name string) *Service { return s.servicesByName[name] }
 
-// RequiresKey reports whether requests need API keys, which is the case if any
-// organisation is configured.
-func (s *Snapshot) RequiresKey() bool { return len(s.Orgs) > 0 }
-
 // CommonHomes returns the regions that are home regions of every route that has any,
 // and whether there is such a route.
 func (s *Snapshot) CommonHomes() ([]string, bool) { return s.commonHomes, s.hasHomes }
--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -15,8 +15,11 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Orgs     []Org
-	Limits   Limits
+	// Orgs are the organisations. RequiresKey is set if the configuration lists them, even
+	// if there are none: then only their keys open routes that are not public.
+	Orgs        []Org
+	RequiresKey bool
+	Limits      Limits
 }
 
 // Route directs requests for a host name and a path prefix to services.
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -175,7 +175,7 @@
 
 // authorize looks up the organisation of the request's API key.
 func (s *Relay) authorize(q *request, snap *spec.Snapshot) *refusal {
-	if !snap.RequiresKey() || q.route.Public {
+	if !snap.RequiresKey || q.route.Public {
 		return nil
 	}
 	age, fresh := s.fleet.KeyAge()
--- a/internal/edge/track/config.go
+++ b/internal/edge/track/config.go
@@ -93,11 +93,22 @@
 	next.Item = it
 	t.view.Store(&next)
 	t.configConfirmed.Raise(confirmed)
+	t.warnOfKeys(v.Snapshot, next.Snapshot)
 	homes, _ := next.Snapshot.CommonHomes()
 	t.opts.Log.Info("configuration in force", zap.Strings("homes", homes), zap.Stringer("rev", it.Rev), zap.Int64("version", cfg.Version), zap.Int("routes", len(cfg.Routes)), zap.Int("bytes", len(it.Value)), zap.String("from", from))
 	t.opts.OnChange()
 }
 
+// warnOfKeys logs what a configuration says about keys if the operator may not have meant it.
+func (t *Tracker) warnOfKeys(old, snap *spec.Snapshot) {
+	switch {
+	case snap.RequiresKey && len(snap.Orgs) == 0:
+		t.opts.Log.Warn("the configuration lists no organisation: only public routes are open", zap.Int64("version", snap.Version))
+	case !snap.RequiresKey && old != nil && old.RequiresKey:
+		t.opts.Log.Warn("the configuration has no list of organisations any more: all routes are open without a key", zap.Int64("version", snap.Version))
+	}
+}
+
 // confirmIfRestored is called when a configuration was read that does not replace the
 // one in force. If it is of a later era, the store was restored from a copy that
 // lacks the one in force, which is then the newest known and is confirmed by the read.
