Refuse streams that are taken up after their route was moved to another service

Cause: the host that a caller takes a stream up at goes by the route of the version in force, and by the record or the base version of the service that it names now. A stream that began at another service goes on at a server of a version, or a service, that it did not begin at: the base versions of two services need not be the same.

A take-up whose route, by its hash, led to another service within the time limit of the route and 5 s is refused at once. A host that has started since then knows no former version: open.

--- a/cmd/yuccalbe/fleet_test.go
+++ b/cmd/yuccalbe/fleet_test.go
@@ -23,7 +23,9 @@
 
 var (
 	fleetSeeds = flag.Int("fleet", 0, "number of seeds of TestFleet, from -soak.first on, each for -soak.time")
-	fleetRate  = flag.Float64("fleet.rate", 90, "requests per second of TestFleet, on average")
+	// A host goes by the version of the list for up to 3 s, so that such restarts join streams.
+	fleetReborn = flag.Bool("fleet.reborn", false, "let servers of TestFleet also restart at another version under their former identifier")
+	fleetRate   = flag.Float64("fleet.rate", 90, "requests per second of TestFleet, on average")
 )
 
 // Services of the fleet. Routes move between the first two.
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -76,6 +76,7 @@
 	budgets      *retry.Budgets
 	homes        steer.HomeCounts
 	bases        resume.Bases
+	moves        resume.Moves
 	path         *reach.Path
 	marks        marks
 	reports      reports
@@ -231,6 +232,7 @@
 	if f.listedAt.IsZero() {
 		f.listedAt = now
 	}
+	f.moves.Update(v.Snapshot.Routes, now)
 	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
 	f.updateBudgets(v, now)
 	if !f.joined.Load() {
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -18,6 +18,12 @@
 // Bases returns the base versions of the services.
 func (f *Fleet) Bases() *resume.Bases { return &f.bases }
 
+// Moved reports whether a stream on a route may have begun at another service than the one that its
+// hash selects now.
+func (f *Fleet) Moved(r *spec.Route, hash uint64, within time.Duration) bool {
+	return f.moves.Moved(r, hash, within, time.Now())
+}
+
 // ServesVersion reports whether a region that is allowed has servers of a service at a software
 // version that are not leaving.
 func (f *Fleet) ServesVersion(service, version string, allowed func(region string) bool) bool {
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -38,6 +38,7 @@
 	reasonVersionGone     = "no server of the stream's version"
 	reasonNotRecorded     = "version of the stream not recorded"
 	reasonVersionUnknown  = "version of the stream unknown"
+	reasonServiceUnknown  = "service of the stream unknown"
 	reasonListOld         = "list of servers too old"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -29,6 +29,10 @@
 // are read each second or two unless the host stands still or can't reach the store.
 const maxListAge = 3 * time.Second
 
+// moveMargin is how long after a stream's time it may still be taken up after its route was moved:
+// hosts learn of the move one after the other, and callers return a little later.
+const moveMargin = 5 * time.Second
+
 // Records reads and writes at which software version streams began.
 type Records interface {
 	Add(stream platform.Stream) *ledger.Record
@@ -63,6 +67,9 @@
 		return nil
 	}
 	version, source, ref := q.beganAt()
+	if ref == nil && q.moved() {
+		source, ref = "unknown", &refusal{http.StatusServiceUnavailable, reasonServiceUnknown, 0}
+	}
 	q.s.stats.TakeUp(q.service, source)
 	q.refusalInputs = append(q.refusalInputs, zap.String("began_at", version), zap.String("known_from", source))
 	if ref != nil {
@@ -75,6 +82,16 @@
 	return nil
 }
 
+// moved reports whether the stream that the caller takes up may have begun at another service: a
+// version has moved its route since.
+func (q *request) moved() bool {
+	timeout := q.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return q.s.fleet.Moved(q.route, q.hash(), timeout+moveMargin)
+}
+
 // beganAt returns the version at which the stream began that the caller takes up, and where it
 // is known from.
 func (q *request) beganAt() (version, source string, ref *refusal) {
