Keep idle connections past the deadline of their last request

Callers saw nothing; servers saw more new connections than needed. Found while looking for what shows that a server's process has not restarted: an open connection does, but hosts gave theirs up.

Cause: a connection went back to the pool with the deadline of its last request, or with the 50 ms that are allowed for the body of a refusal. Once that has passed, the poll of the socket fails with the timeout, and the connection is taken for closed. Ruled out: that surplus connections are now held longer: the expiry by the server's idle timeout is unchanged, and so is the bound of 64. Change: put clears the deadline. Figures: TestIdleConnectionPastDeadline fails before with 3 connections opened for 3 requests, want 1; passes now. internal/edge/send under the race detector, internal/edge/relay and internal/edge/entry (without the known red tests) pass.

--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -207,11 +207,12 @@
 	return nil, nil
 }
 
-// put adds a connection to the idle ones, or closes it if there are too many.
+// put adds a connection to the idle ones, or closes it if there are too many. The deadline of its last
+// request ends: it would make the connection unusable.
 func (c *Client) put(cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle[cn.addr]) >= maxIdle {
+	if c.closed || len(c.idle[cn.addr]) >= maxIdle || cn.SetDeadline(time.Time{}) != nil {
 		_ = cn.Close() // no request uses it
 		return
 	}
