Send streams only to the process that the list of servers names

What callers saw: a stream that begins at a host which has not read the list of servers for over 3 s, at a server that has started again at another version under its identifier, is taken for one of the base version and goes on there: pieces of two versions (ORDER). The same within one response, for a stream that breaks during an outage of the store. Cause: the age of the list was asked at take-ups only. The class: a local view without a time is used for a statement about other processes. Ruled out: refusing all streams by an old list (none would be served during an outage of the store); asking servers on every new connection (a call where the list is 1 s old); a neighbour with a younger list (a host that reaches one reads that list). Change: a process has one version, and a connection leads to one process. A stream that may be resumed is sent only on a connection that leads to the process of the list: opened at most 3 s after the list was confirmed or, if that is more than 3 s ago, at least 2 s before. On any other one the server is asked once for the start of its process (field born of its report). If it is another one or does not say, the request is not sent, and another server, region or a refusal with a time to come back follows. So take-ups by an old list are no longer refused as such. Log line "process of server not known", counter yuccalb_process_checks_total. The test: TestBeginByOldList demanded that each stream begins, at a server that is no longer the one of the list and can't say so; the only safe answer is a refusal. Its replacement demands the refusal, the same take-ups, and adds servers that state their start; TestStreamsDuringOutage and TestOpenConnectionDuringOutage demand that callers are served where it is safe.

--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/eras"
+	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
@@ -30,6 +31,16 @@
 // the host count.
 func (f *Fleet) ListAge() time.Duration { return clock.Now() - f.tracker.State().EntriesConfirmed }
 
+// Confirmed returns when it was last confirmed, on the clock of package clock, that a process is the
+// one registered for its server, 0 if the last list does not name it.
+func (f *Fleet) Confirmed(p pick.Process) time.Duration {
+	at := f.tracker.State().EntriesConfirmed // before the list is read, which may be a later one
+	if slices.ContainsFunc(f.View().Servers, func(e spec.Server) bool { return e.ID == p.ID && e.Born == p.Born }) {
+		return at
+	}
+	return 0
+}
+
 // StoreSettled reports whether the store holds all that hosts have written, as far as is known:
 // it was not restored from a copy lately.
 func (f *Fleet) StoreSettled() bool {
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -89,6 +89,9 @@
 // until the first one accepts a request again.
 func (q *request) refuseNoServer(svc *fleet.Service, now time.Time) *refusal {
 	ref := &refusal{http.StatusServiceUnavailable, reasonNoServer, retryAfterBusy}
+	if q.reason == reasonProcess {
+		ref.reason = reasonProcess // the servers that are left may not get it either
+	}
 	if svc == nil {
 		return ref
 	}
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -21,11 +21,18 @@
 	q.began = false
 	q.connLost = false
 	resp, err := c.Do(ctx, req)
+	if q.otherProcess(err) {
+		q.peerRecorded = false
+		return retry.NotRun, pick.Aborted
+	}
 	if err != nil {
 		q.recordSilence(err)
 		return q.classifyError(err, c, req)
 	}
 	q.recordResponse(resp)
+	if resp.Asked {
+		q.s.stats.ProcessCheck(q.service, "same")
+	}
 	defer func() { _ = resp.Close() }() // it returns no errors
 	q.recordFraming(resp)
 	q.parseRecorded(resp)
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -119,7 +119,9 @@
 	path := q.s.fleet.Path()
 	path.Sent(q.choice.ID, time.Now())
 	defer path.Ended(q.choice.ID)
-	return q.exchange(ctx, q.s.servers, q.outgoing(q.serverHeader(q.choice.ID), q.dest), onFirstByte)
+	req := q.outgoing(q.serverHeader(q.choice.ID), q.dest)
+	req.Process = q.process()
+	return q.exchange(ctx, q.s.servers, req, onFirstByte)
 }
 
 // serverOutcome returns the outcome to record for the chosen server. While this host is cut
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -39,6 +39,7 @@
 	reasonNotRecorded     = "version of the stream not recorded"
 	reasonVersionUnknown  = "version of the stream unknown"
 	reasonListOld         = "list of servers too old"
+	reasonProcess         = "process of server not known"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
@@ -24,10 +25,9 @@
 // stream up after 2 s without an event.
 const maxLastWait = time.Second
 
-// maxListAge is the age from which on the list of servers is too old to choose one at which a stream
-// may go on: servers may have started again at another version under the same identifier. Lists
-// are read each second or two unless the host stands still or can't reach the store.
-const maxListAge = 3 * time.Second
+// maxOldListWait bounds the read of a record by a host whose list of servers is outdated: most
+// likely it can't reach the store.
+const maxOldListWait = 300 * time.Millisecond
 
 // Records reads and writes at which software version streams began.
 type Records interface {
@@ -53,12 +53,8 @@
 
 // pinTakeUp allows only servers of the version at which the stream began that the caller takes
 // up. It returns a refusal if this version is unknown or no longer serves: nothing can go
-// on then. It refuses to go on with any stream while the list of servers is too old.
+// on then.
 func (q *request) pinTakeUp() *refusal {
-	if q.resumable() && q.lastEvent != "" && q.s.fleet.ListAge() > maxListAge {
-		q.refusalInputs = append(q.refusalInputs, zap.Duration("list_age", q.s.fleet.ListAge()))
-		return &refusal{http.StatusServiceUnavailable, reasonListOld, retryAfterBusy}
-	}
 	if !q.takeUp() {
 		return nil
 	}
@@ -69,6 +65,10 @@
 		return ref
 	}
 	if !q.serves(version) {
+		if age := q.s.fleet.ListAge(); resume.Outdated(age) {
+			q.refusalInputs = append(q.refusalInputs, zap.Duration("list_age", age))
+			return &refusal{http.StatusServiceUnavailable, reasonListOld, retryAfterBusy}
+		}
 		return &refusal{http.StatusServiceUnavailable, reasonVersionGone, 0} // there is no time to come back
 	}
 	q.pin(version)
@@ -82,7 +82,9 @@
 	if attempt == "" {
 		return q.beganUnnamed()
 	}
-	version, from, err := q.s.records.Version(q.ctx, attempt)
+	ctx, cancel := q.readContext()
+	defer cancel()
+	version, from, err := q.s.records.Version(ctx, attempt)
 	if err != nil {
 		return q.beganUnknown(err)
 	}
@@ -98,7 +100,9 @@
 		// The service is not known either.
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
 	}
-	recorded, err := q.s.records.Versions(q.ctx, q.service)
+	ctx, cancel := q.readContext()
+	defer cancel()
+	recorded, err := q.s.records.Versions(ctx, q.service)
 	if err != nil {
 		return q.beganUnknown(err)
 	}
@@ -112,6 +116,14 @@
 	return version, "only", nil
 }
 
+// readContext returns the context of a read from the store.
+func (q *request) readContext() (context.Context, context.CancelFunc) {
+	if resume.Outdated(q.s.fleet.ListAge()) {
+		return context.WithTimeout(q.ctx, maxOldListWait)
+	}
+	return context.WithCancel(q.ctx)
+}
+
 // beganUnknown is the result of beganAt if the store can't be read.
 func (q *request) beganUnknown(err error) (version, source string, ref *refusal) {
 	q.s.log.Requests.Warn("record of stream not read", zap.String("id", q.id), zap.String("resumes", q.r.Header.Get(platform.HeaderResumes)), zap.Error(err))
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/yuccalb/yuccalb/internal/edge/clock"
 )
 
 const (
@@ -32,6 +34,9 @@
 	addr   netip.AddrPort
 	reused bool
 	opened time.Time
+	// openedAt is opened on the clock of package clock.
+	openedAt time.Duration
+	process  identity
 	// expires is when the idle connection must no longer be used.
 	expires     time.Time
 	idleTimeout time.Duration
@@ -45,7 +50,7 @@
 
 // newConn returns a connection whose long heads are counted in long.
 func newConn(c net.Conn, addr netip.AddrPort, long *atomic.Int64) *conn {
-	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, head: headLimit{long: long}, opened: time.Now()}
+	cn := &conn{Conn: c, addr: addr, idleTimeout: defaultIdle, head: headLimit{long: long}, opened: time.Now(), openedAt: clock.Now()}
 	cn.br = bufio.NewReaderSize(cn, readBuffer)
 	return cn
 }
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -59,6 +59,8 @@
 	// is when it was opened.
 	Reused bool
 	Opened time.Time
+	// Asked is set if the server was asked before the request which process it is.
+	Asked bool
 
 	client *Client
 	conn   *conn
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -41,6 +41,7 @@
 	unrecorded     *prometheus.CounterVec
 	store          *prometheus.CounterVec
 	probes         *prometheus.CounterVec
+	processChecks  *prometheus.CounterVec
 }
 
 // New returns metrics with their own registries.
@@ -89,11 +90,14 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_probes_total", Help: "Probes of servers that this host seemed not to reach, by service and outcome.",
 		}, []string{"service", "outcome"}),
+		processChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_process_checks_total", Help: "Servers that were asked which process they are before a stream was sent on a connection, by service and result (same, other or unknown).",
+		}, []string{"service", "result"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes)
+	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.processChecks)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -185,6 +189,12 @@
 	m.probes.WithLabelValues(service, outcome).Inc()
 }
 
+// ProcessCheck records that a stream was not sent before it was checked which process of the server a
+// connection leads to, and whether it is the one expected.
+func (m *Metrics) ProcessCheck(service, result string) {
+	m.processChecks.WithLabelValues(service, result).Inc()
+}
+
 // Store records a call to the platform's store.
 func (m *Metrics) Store(call string, err error) {
 	outcome := "ok"
