Test a take-up by a list that grows old while the record is read

What callers saw: a stream goes on at a server that has started again at another version, since the age of the list of servers was asked before the record was read, which takes up to a second, or longer for a host that stands still. Cause: the order of the question and the read. This test is of its own since it is another fault, and shows it. A host that stands still between the choice and the sending was not tried with a stopped process.

--- a/internal/edge/entry/process_test.go
+++ b/internal/edge/entry/process_test.go
@@ -181,3 +181,40 @@
 		t.Errorf("status %d, error %v, body %q", resp.Status, resp.Err, resp.Body)
 	}
 }
+
+// TestTakeUpByAgingList guards against a stream that goes on at a server that has started again at another
+// version, because the list of servers was young enough before the record was read and no longer after it.
+func TestTakeUpByAgingList(t *testing.T) {
+	cl := newCluster(t)
+	e, _ := cl.hostBehind("a1")
+	base := origin.New(t, versioned("v1"))
+	cl.store.PutEntry(plattest.Server{ID: "s1-a1", Service: "desk", Site: "a1", Addr: base.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk"); return known })
+	var back atomic.Bool
+	first, second := versioned("v2"), versioned("v1")
+	s := origin.New(t, func(x *origin.Exchange) bool {
+		if back.Load() {
+			return second(x)
+		}
+		return first(x)
+	})
+	cl.store.PutEntry(plattest.Server{ID: "s2-a1", Service: "desk", Site: "a1", Addr: s.Addr(), State: "ready", Version: "v2", Born: 1, Seq: 1})
+	cl.waitServers([]string{"s1-a1", "s2-a1"}, true)
+	list := ofVersion(cl.begin(24), "v2")
+	if len(list) == 0 {
+		t.Fatal("no stream began at the new version")
+	}
+	cl.store.SetFault(func(r *http.Request) int {
+		if strings.Contains(r.URL.String(), "attempts") {
+			time.Sleep(900 * time.Millisecond)
+			back.Store(true)
+			return 0
+		}
+		return http.StatusServiceUnavailable
+	})
+	cl.eventually("list of 2.5 s", func() bool { return e.fleet.ListAge() > 2500*time.Millisecond })
+	resp := cl.do(e, list[0].resume())
+	if versions, _ := parseEvents(resp.Body); len(versions) > 0 {
+		t.Errorf("the stream began at v2; status %d, body %q", resp.Status, resp.Body)
+	}
+}
