--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -40,6 +40,7 @@
 	reasonVersionUnknown  = "version of the stream unknown"
 	reasonServiceUnknown  = "service of the stream unknown"
 	reasonListOld         = "list of servers too old"
+	reasonProcess         = "process of server not known"
 	reasonTooLate         = "deadline can't be met"
 	reasonNotRun          = "refused by servers"
 	reasonTimeout         = "timeout"
