Divide limits among hosts that count each other, with parts as leases

Cause: pick.RegionHosts was the list of hosts that are registered or reachable at the moment. Hosts that no longer knew one divided its part, while it went on with its own: nothing ended that. Ruled out: lowering what all use, as cold servers do; it costs callers where hosts agree. Keeping the memory of a minute of core/retry alone: the part of a host that died would lie unused for 70 s. Going by hosts that are heard, as retry.Division did: a host that hears the others but is not heard keeps its part for ever. Giving up by the age of the list alone: an outage of the store would end all parts. Change: core/roster keeps who is counted and until when this host may use its part: by its entry and list, or by the echoes of all others; it serves limits that servers name, cold servers, probation, refusals and retry.Division. A table checks the time itself, so that a host that stood still uses nothing before it has looked. A host that leaves gives up its part at once. Frames are as before; the echo that they hold is kept. Tables are updated each round, not only when the entries change. A group of hosts that is cut off together with no memory of one that comes back remains (docs/platform.md).

--- a/internal/core/pick/limit.go
+++ b/internal/core/pick/limit.go
@@ -97,7 +97,7 @@
 	if limited && old == l.rate {
 		return LimitChange{}, false // most responses: the part takes a hash for each host
 	}
-	part := t.hosts.named(l.rate, t.hosts.rank(p.ID)).rate
+	part := t.hostsAt(now).named(l.rate, t.hosts.rank(p.ID)).rate
 	return LimitChange{Server: p.ID, Limit: l.rate, Part: part}, true
 }
 
--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/yuccalb/yuccalb/internal/core/roster"
 	"github.com/yuccalb/yuccalb/internal/fake/limits"
 )
 
@@ -21,6 +22,12 @@
 	limit            float64
 	limited          bool
 
+	// rosters and views are those of the hosts, of which connected ones know each other, if
+	// which hosts there are changes.
+	rosters   []roster.Roster
+	views     []roster.View
+	connected int
+
 	now      time.Time
 	answers  []answer
 	reported time.Time
@@ -67,6 +74,7 @@
 		}
 		if r.now.Sub(r.reported) >= r.reports {
 			r.reported = r.now
+			r.look()
 			r.exchange()
 		}
 		for _, tab := range r.tables {
@@ -377,19 +385,56 @@
 	for _, n := range []int{2, 3, 4} {
 		for _, limit := range []float64{2, 5, 20} {
 			r := newLimitedRegion(n, limit)
+			r.rosters = make([]roster.Roster, n)
+			for i := range r.rosters {
+				r.rosters[i].First = true
+			}
+			r.setConnected(n)
 			r.run(5*time.Second, 10*time.Millisecond)
 			for left := n - 1; left > 0; left-- {
-				var names []string
-				for i := range left {
-					names = append(names, fmt.Sprint("h", i))
-				}
-				for i, tab := range r.tables[:left] { // the other hosts keep their lists
-					tab.Update(engine, entries(1), nil, RegionHosts{Self: names[i], Hosts: names, Discovered: true}, r.now)
-				}
+				r.setConnected(left)
 				begin := r.now
 				r.run(20*time.Second, 10*time.Millisecond)
 				r.checkBound(t, fmt.Sprintf("%d hosts, %d cut off", n, n-left), r.since(begin))
 			}
+			if got, want := len(r.since(r.now.Add(-4*time.Second))), int(0.8*limit*4); got < want {
+				t.Errorf("%d hosts, one left: %d requests in 4 s, want at least %d", n, got, want)
+			}
+		}
+	}
+}
+
+// setConnected lets the first n hosts know only of each other from now on, and cuts the others off.
+func (r *limitedRegion) setConnected(n int) {
+	for len(r.views) < len(r.tables) {
+		r.views = append(r.views, roster.View{Self: fmt.Sprint("h", len(r.views))})
+	}
+	var names []string
+	var peers []roster.Peer
+	for i := range n {
+		names = append(names, r.views[i].Self)
+		peers = append(peers, roster.Peer{Name: r.views[i].Self})
+	}
+	for i := range r.views {
+		r.views[i].Peers = nil
+		if i < n {
+			r.views[i].Listed, r.views[i].Peers = names, slices.Delete(slices.Clone(peers), i, i+1)
+		}
+	}
+	r.connected = n
+}
+
+// look updates which hosts each one divides limits among.
+func (r *limitedRegion) look() {
+	for i := range r.rosters {
+		v := &r.views[i]
+		if i < r.connected {
+			v.ListedAt, v.EntryAt, v.RenewedAt = r.now, epoch, r.now
+		}
+		for k := range v.Peers {
+			v.Peers[k].Echo = r.now
 		}
+		m := r.rosters[i].Update(*v, r.now)
+		r.tables[i].SetHosts(RegionHosts{Self: v.Self, Hosts: m.Names, Until: m.Until, Discovered: true}, r.now)
 	}
 }
--- a/internal/core/pick/room.go
+++ b/internal/core/pick/room.go
@@ -43,6 +43,9 @@
 	}
 	n := max(len(h.Hosts), 1)
 	refusals := limit * refusalPercent / 100
+	if h.lapsed {
+		refusals = int(float64(refusals) * lapsedRefusalShare)
+	}
 	if refusals < n && slots > 1 && slots < math.MaxInt32 {
 		slots -= (slots + spareSlots - 1) / spareSlots
 	}
@@ -137,7 +140,7 @@
 		return false, false
 	}
 	slots := s.room(&t.model)
-	r := t.hosts.room(slots, limit, t.rank(s))
+	r := t.hostsAt(now).room(slots, limit, t.rank(s))
 	running := s.local.Running
 	if w := s.refusals.limit(now); float64(running) >= w {
 		if w < float64(r.own+r.refusals) {
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -127,6 +127,9 @@
 
 // refill fills the token bucket of a server with an allowance.
 func (s *server) refill(a allowance, now time.Time) {
+	if now.Before(s.refilledAt) {
+		return
+	}
 	if !s.refilledAt.IsZero() {
 		s.level += now.Sub(s.refilledAt).Seconds() * a.rate
 	}
--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -32,21 +32,34 @@
 	// below one and a half times the limit and 5 requests.
 	namedBurst    = 1250 * time.Millisecond
 	minNamedBurst = 2.0
+	// What a host may use of its part once it has to give it up, if its rank is below
+	// minSharing: what the bounds leave for such hosts beside those that use the whole limit.
+	lapsedNamedShare   = 0.125
+	lapsedWarmupShare  = 0.5
+	lapsedRefusalShare = 0.25
 )
 
 // RegionHosts describes the hosts of the region, which share the limits that hold for
 // a server over all hosts together.
 type RegionHosts struct {
-	// Self is the name of this host and Hosts are those of all hosts of the region.
+	// Self is the name of this host and Hosts are those of the hosts that share.
 	Self  string
 	Hosts []string
 	// Discovered is set once this host has had time to discover the others. Until
 	// then it sends nothing to servers with a limit over all hosts.
 	Discovered bool
+	// Until is when this host has to give up its parts, since the others may have forgotten
+	// it by then; zero for a host without others.
+	Until time.Time
 	// ReportInterval is the interval at which these hosts report their load.
 	ReportInterval time.Duration
+
+	lapsed bool // Until has passed
 }
 
+// lapsedAt reports whether this host has to give up its parts at now.
+func (h *RegionHosts) lapsedAt(now time.Time) bool { return !h.Until.IsZero() && !now.Before(h.Until) }
+
 // rank returns the position of this host, from 0, in the rendezvous order of the hosts
 // for a server, or the number of hosts if it is not among them.
 func (h *RegionHosts) rank(id string) int {
@@ -97,12 +110,17 @@
 // share returns the part of a limit of total requests per second that falls to a host
 // with a rank, if at most maxHosts hosts share it. With more hosts, those of the
 // lowest ranks share it, since each may send a request at any time.
-func (h *RegionHosts) share(total float64, maxHosts, rank int) allowance {
+// A host that has to give up its part may use at most the share lapsed of it.
+func (h *RegionHosts) share(total float64, maxHosts, rank int, lapsed float64) allowance {
 	n := h.parts(maxHosts)
-	if !h.Discovered || rank >= n {
+	if !h.Discovered || rank >= n || h.lapsed && rank >= minSharing {
 		return allowance{total: total}
 	}
-	return allowance{rate: total / float64(n), burst: 1, total: total}
+	a := allowance{rate: total / float64(n), burst: 1, total: total}
+	if h.lapsed {
+		a.rate *= lapsed
+	}
+	return a
 }
 
 // parts returns the number of parts of a limit that at most maxHosts hosts share.
@@ -119,14 +137,14 @@
 	if svc.WarmupRate <= 0 {
 		return unlimited
 	}
-	return h.share(warmupRateShare*svc.WarmupRate, min(h.sharing(svc.WarmupRate), maxWarmupHosts), rank)
+	return h.share(warmupRateShare*svc.WarmupRate, min(h.sharing(svc.WarmupRate), maxWarmupHosts), rank, lapsedWarmupShare)
 }
 
 // named returns the allowance of a server that names a limit.
 func (h *RegionHosts) named(limit float64, rank int) allowance {
 	hosts := h.sharing(limit)
-	a := h.share(max(limit, minNamedRate), hosts, rank)
-	if a.burst > 0 {
+	a := h.share(max(limit, minNamedRate), hosts, rank, lapsedNamedShare)
+	if a.burst > 0 && !h.lapsed {
 		a.burst = max(1, (minNamedBurst+limit*namedBurst.Seconds())/float64(h.parts(hosts)))
 	}
 	return a
@@ -134,15 +152,15 @@
 
 // allowance returns what this host may send to a server, and whether that is limited.
 func (t *Table) allowance(s *server, now time.Time) (allowance, bool) {
-	a := unlimited
+	a, hosts := unlimited, t.hostsAt(now)
 	if s.slowStart(now) {
-		a = t.hosts.warmup(&t.model.Service, t.rank(s))
+		a = hosts.warmup(&t.model.Service, t.rank(s))
 		if s.probation && math.IsInf(a.rate, 1) {
 			a = allowance{rate: probationRate, burst: 1, total: probationRate}
 		}
 	}
 	if limit, ok := t.limit(s.process()); ok {
-		a = a.least(t.hosts.named(limit, t.rank(s)))
+		a = a.least(hosts.named(limit, t.rank(s)))
 	}
 	return a, !math.IsInf(a.rate, 1)
 }
@@ -153,6 +171,34 @@
 	return limited
 }
 
+// SetHosts replaces the hosts that share limits.
+func (t *Table) SetHosts(hosts RegionHosts, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setHosts(hosts, now)
+}
+
+// setHosts replaces the hosts that share limits. If that changes the parts, what this host
+// has saved under the former ones is settled first.
+func (t *Table) setHosts(hosts RegionHosts, now time.Time) {
+	old := *t.hostsAt(now)
+	if !slices.Equal(old.Hosts, hosts.Hosts) || old.lapsed != hosts.lapsedAt(now) {
+		for _, s := range t.servers {
+			if a, limited := t.allowance(s, now); limited {
+				s.refill(a, now)
+			}
+			s.hostRank = -1
+		}
+	}
+	t.hosts = hosts
+}
+
+// hostsAt returns the hosts that share limits at now.
+func (t *Table) hostsAt(now time.Time) *RegionHosts {
+	t.hosts.lapsed = t.hosts.lapsedAt(now)
+	return &t.hosts
+}
+
 // rank returns the rank of this host for a server. It is computed once for each list of
 // hosts, since it takes a hash for each host.
 func (t *Table) rank(s *server) int {
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -51,7 +51,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.model.Service = svc
-	t.hosts = hosts
+	t.setHosts(hosts, now)
 	seen := make(map[string]bool, len(list))
 	t.order = t.order[:0]
 	for _, e := range list {
--- a/internal/core/retry/division_test.go
+++ b/internal/core/retry/division_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/roster"
 )
 
 // divisionHost is a host of TestDivisionOfDisagreeingHosts.
@@ -14,16 +16,19 @@
 	store    bool      // whether the host reaches the store
 	group    int       // it reaches the hosts of the same group
 	renewed  time.Time // when it last reached the store
+	entry    time.Time // when its process has written the entry that is in the store
+	own      time.Time // when its process last reached the store
 	listed   time.Time // when its list was known to be current, zero if it has none
 	list     []*divisionHost
-	division Division
+	roster   roster.Roster
 	budget   Budget
+	division Division
 }
 
 // restart begins a process that knows nothing.
 func (h *divisionHost) restart() {
-	h.listed, h.list = time.Time{}, nil
-	h.division = Division{}
+	h.listed, h.list, h.entry, h.own = time.Time{}, nil, time.Time{}, time.Time{}
+	h.roster, h.division = roster.Roster{}, Division{}
 	h.budget = Budget{Ratio: 0.16}
 	h.budget.SetLimit(firstPart)
 }
@@ -38,21 +43,18 @@
 	if h.listed.IsZero() {
 		return // it serves nobody
 	}
-	m := Members{Regions: regions, ListAge: now.Sub(h.listed)}
-	known := make(map[*divisionHost]bool)
+	v := roster.View{Self: h.name, ListedAt: h.listed, EntryAt: h.entry, RenewedAt: h.own}
 	for _, o := range h.list {
-		known[o] = true
+		if o.region == h.region {
+			v.Listed = append(v.Listed, o.name)
+		}
 	}
 	for _, o := range all {
-		if o.region != h.region || !known[o] && o.group != h.group {
-			continue
-		}
-		m.Names = append(m.Names, o.name)
-		if o.group == h.group {
-			m.Reachable++
+		if o != h && o.region == h.region && o.group == h.group {
+			v.Peers = append(v.Peers, roster.Peer{Name: o.name, Echo: now})
 		}
 	}
-	h.budget.SetLimit(h.division.Part(0.8*54, m, now))
+	h.budget.SetLimit(h.division.Part(0.8*54, regions, h.roster.Update(v, now), now))
 	for h.budget.Available() < h.budget.Limit() {
 		h.budget.Deposit()
 	}
@@ -102,7 +104,7 @@
 		for range 1 + rng.IntN(3) {
 			h := &divisionHost{name: fmt.Sprint("h", len(all)), region: region, store: true}
 			h.restart()
-			h.division.First = true
+			h.roster.First, h.division.First = true, true
 			all = append(all, h)
 		}
 	}
@@ -115,7 +117,10 @@
 		}
 		for _, h := range all {
 			if h.store {
-				h.renewed = now
+				if h.entry.IsZero() || now.Sub(h.renewed) > 10*time.Second {
+					h.entry = now
+				}
+				h.renewed, h.own = now, now
 			}
 		}
 		sum := 0.0
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -166,6 +166,16 @@
 		return rate
 	})
 	m.Gauge("yuccalb_retry_part", "Retries that the budget of each service may hold at this host.", e.fleet.RetryPart)
+	m.Gauge("yuccalb_sharing_hosts", "Hosts of the region among which this host divides limits over all of them.", func() float64 {
+		n, _ := e.fleet.Sharing()
+		return float64(n)
+	})
+	m.Gauge("yuccalb_parts_held", "Whether this host may use its parts of limits over all hosts.", func() float64 {
+		if _, holding := e.fleet.Sharing(); holding {
+			return 1
+		}
+		return 0
+	})
 	m.Gauge("yuccalb_path_lost", "Whether this host reaches no server of its region, or can open no connection to them.", func() float64 {
 		if e.fleet.Path().State() == reach.Reached {
 			return 0
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -38,7 +38,8 @@
 	"server limits its refusals":     "server",
 	"server ended its refusal limit": "server",
 
-	"retry budget": "retries",
+	"hosts that share limits": "sharing",
+	"retry budget":            "retries",
 
 	"lost path to servers":     "path",
 	"regained path to servers": "path",
@@ -50,7 +51,7 @@
 }
 
 // parts lists the parts of the state in the order of output.
-var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "path", "retries", "prompts", "requests", "server"}
+var parts = []string{"process", "configuration", "store", "readiness", "evacuation", "path", "sharing", "retries", "prompts", "requests", "server"}
 
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
--- a/internal/edge/fleet/budget.go
+++ b/internal/edge/fleet/budget.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/core/retry"
-	"github.com/yuccalb/yuccalb/internal/edge/clock"
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 )
 
@@ -15,23 +14,13 @@
 // as retries too.
 const retryShare = 0.8
 
-// refreshBudgets updates the budgets: the part of this host changes with time as well.
-func (f *Fleet) refreshBudgets() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if v := f.View(); v.Snapshot != nil && v.Listed() {
-		f.updateBudgets(v, time.Now())
-	}
-}
-
 // updateBudgets sets the part of the retry budgets that this host may hold, and logs
 // changes.
 func (f *Fleet) updateBudgets(v *track.View, now time.Time) {
-	m := f.budgetMembers(v, now)
-	part := f.division.Part(retryShare*float64(f.opts.Retries), m, now)
+	part := f.division.Part(retryShare*float64(f.opts.Retries), f.regionCount(), f.sharing, now)
 	if part != f.retryPart {
 		f.retryPart = part
-		f.opts.Log.Info("retry budget", zap.Int("hosts", len(m.Names)), zap.Int("reachable", m.Reachable), zap.Duration("list_age", m.ListAge), zap.Float64("part", part))
+		f.opts.Log.Info("retry budget", zap.Int("hosts", f.sharing.Lately), zap.Bool("holding", f.holding), zap.Float64("part", part))
 	}
 	f.budgets.SetPart(part)
 	var services []string
@@ -51,16 +40,6 @@
 	return f.retryPart
 }
 
-// budgetMembers returns the hosts of the region, among which its retries are divided.
-func (f *Fleet) budgetMembers(v *track.View, now time.Time) retry.Members {
-	local, _ := f.reachable(now)
-	m := retry.Members{Names: f.localNames(v, now), Reachable: len(local) + 1, Regions: f.regionCount()}
-	if confirmed := f.tracker.State().EntriesConfirmed; confirmed > 0 {
-		m.ListAge = clock.Now() - confirmed
-	}
-	return m
-}
-
 // regionCount returns the number of regions.
 func (f *Fleet) regionCount() int {
 	regions := make(map[string]bool)
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -18,9 +18,9 @@
 	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/core/roster"
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
-	"github.com/yuccalb/yuccalb/internal/core/spread"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
 	"github.com/yuccalb/yuccalb/internal/edge/hold"
@@ -92,8 +92,12 @@
 	mu       sync.Mutex // guards changes of tables and the fields below
 	listedAt time.Time  // of the first list of entries
 	absent   absentServices
-	// division gives this host its part of the retry budgets, in retries, the last of
+	// roster tells among which hosts limits are divided, and sharing is what it told
+	// last. division gives this host its part of the retry budgets, in retries, the last of
 	// which is retryPart.
+	roster    roster.Roster
+	sharing   roster.Members
+	holding   bool
 	division  retry.Division
 	retryPart float64
 
@@ -121,7 +125,7 @@
 func New(opts Options, e *gossip.Exchange) *Fleet {
 	f := &Fleet{
 		opts: opts, gossip: e, processStart: e.ProcessStart(), started: time.Now(), stop: make(chan struct{}), absent: make(absentServices),
-		limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio), division: retry.Division{First: opts.First},
+		limiter: share.NewLimiter(opts.First), budgets: retry.NewBudgets(retryShare * opts.RetryRatio), roster: roster.Roster{First: opts.First}, division: retry.Division{First: opts.First},
 	}
 	f.path = reach.NewPath(rand.New(rand.NewPCG(uint64(f.processStart), 0)))
 	f.tables.Store(&map[string]*Service{})
@@ -232,18 +236,14 @@
 		f.listedAt = now
 	}
 	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
-	f.updateBudgets(v, now)
+	f.updateMembers(v, now)
 	if !f.joined.Load() {
 		return
 	}
 	old := *f.tables.Load()
 	tables := make(map[string]*Service, len(v.Snapshot.Services))
 	servers := make(map[string]bool)
-	names := f.localNames(v, now)
-	hosts := pick.RegionHosts{
-		Self: f.opts.Self.Name, Hosts: names, Discovered: now.Sub(f.started) > registerTime,
-		ReportInterval: spread.Interval(len(names)),
-	}
+	hosts := f.regionHosts(now)
 	for _, svc := range v.Snapshot.Services {
 		s := old[svc.Name]
 		if s == nil {
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -223,9 +223,10 @@
 }
 
 // limiterPeers returns the names of the limiter's peers: the hosts of the local
-// region and the remote regions.
+// region, also those that have been neither registered nor reachable for a short time, and
+// the remote regions.
 func (f *Fleet) limiterPeers(v *track.View, now time.Time) []string {
-	names := f.localNames(v, now)
+	names := append(f.localNames(v, now), f.sharing.Names...)
 	for region := range f.remoteHosts() {
 		names = append(names, regionPeer(region))
 	}
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -79,7 +79,7 @@
 		f.join()
 	}
 	f.updateRegistered()
-	f.refreshBudgets()
+	f.refreshMembers()
 	f.refresh()
 	now := time.Now()
 	local, remote := f.reachable(now)
--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -204,6 +204,7 @@
 		return fmt.Errorf("state of host %s: %w", p.State.Host.Name, err)
 	}
 	if f.Echo > 0 && f.ProcessStart == e.processStart {
+		p.Echo = min(f.Echo, arrived)
 		sent := min(f.Echo+f.EchoAge, arrived)
 		p.ConfigConfirmed = before(sent, p.State.ConfigAge)
 		p.EntriesConfirmed = before(sent, p.State.EntriesAge)
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -119,6 +119,9 @@
 	// package clock, at which the peer's configuration and entries were last
 	// confirmed to be current, or 0 if unknown.
 	ConfigConfirmed, EntriesConfirmed time.Duration
+	// Echo is the time at which this host sent the last frame that the peer is known to
+	// have received, on the same clock, or 0 if unknown.
+	Echo time.Duration
 	// EraAt is the time that corresponds to State.EraAge, on the same clock. It is
 	// late by the transit time of the frame.
 	EraAt time.Duration
--- a/internal/edge/track/register.go
+++ b/internal/edge/track/register.go
@@ -62,6 +62,7 @@
 // renew renews the lease of the entry, and writes the entry if the lease has ended
 // or the value has changed.
 func (t *Tracker) renew() error {
+	began := clock.Now()
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	if t.entry.key != "" {
@@ -70,9 +71,15 @@
 		switch {
 		case errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrRestored):
 			t.entry = entry{}
-		case err != nil || t.entry.host == t.self():
+		case err != nil:
 			return err
 		}
+		if t.entry.key != "" {
+			t.renewed.Raise(began)
+			if t.entry.host == t.self() {
+				return nil
+			}
+		}
 	}
 	if t.entry.key == "" {
 		l, err := t.opts.Store.Grant(ctx, leaseTTL)
@@ -82,7 +89,22 @@
 		}
 		t.entry.lease = l
 	}
-	return t.write(ctx)
+	existed := t.entry.key != ""
+	if err := t.write(ctx); err != nil {
+		return err
+	}
+	if !existed {
+		t.entryWritten.Raise(clock.Now())
+	}
+	t.renewed.Raise(began)
+	return nil
+}
+
+// Entry returns when the entry of this host was written that is in the store, and when it was last
+// renewed, on the clock of package clock. Both are 0 if there was none yet.
+func (t *Tracker) Entry() (written, renewed time.Duration) {
+	renewed = t.renewed.At() // before the other: a new entry raises it last
+	return t.entryWritten.At(), renewed
 }
 
 // write writes the entry under its lease.
--- a/internal/edge/track/track.go
+++ b/internal/edge/track/track.go
@@ -98,6 +98,8 @@
 	// force to be current, on the clock of package clock.
 	configConfirmed  MaxTime
 	entriesConfirmed MaxTime
+	// entryWritten and renewed are when the own entry was written and last renewed.
+	entryWritten, renewed MaxTime
 	// pendingConfig is the newest version of the configuration that a peer has
 	// reported, and pendingEntries the newest revision of the store at which its
 	// entries differed.
