End the permission to probe before another host may be allowed the next probe

If no request came to it, or it was cut off from the store, another host replaced the record after the next hold, and both sent one. That only one host replaces a record at its revision holds; how long this is good for was not bounded. Change: a permission is that of one probe by its number, and ends 2 s before the hold after which others replace the record: the answer of the store may come this much later than others read the record. A probe that was returned after another host's does not count any more. Tests: TestProbeOfHostCutOff (two probes at a time) and TestProbeAfterUnusedOne (a probe after 170 s) failed before.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -142,10 +142,10 @@
 	since time.Time
 	// asked is when the last request with the part came.
 	asked time.Time
-	// probes is the number of probes allowed so far, over all hosts. mayProbe is set
-	// while this host may send the next one.
-	probes   int
-	mayProbe bool
+	// probes is the number of probes allowed so far, over all hosts, and allowed that of
+	// the last one which this host was allowed, 0 for none. sent is set once it was sent.
+	probes, allowed int
+	sent            bool
 	// own is set if this host has lost a request with the part itself.
 	own bool
 	// unlisted is the time since when the store holds no record of the suspicion, zero
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -172,6 +172,65 @@
 	}
 }
 
+// TestProbeOfHostCutOff guards against probes of two hosts at a time: one that was allowed a probe
+// gets no request for it, is cut off, and another host is allowed the next one.
+func TestProbeOfHostCutOff(t *testing.T) {
+	a, b := NewDetector(), NewDetector()
+	for i := range 3 {
+		crashAt(a, i, 1+float64(i), parts("dead"))
+	}
+	b.Merge(a.Report(Own, at(4)), Region, at(4.1))
+	record := Record{Part: NewPart("dead"), Rev: eras.Revision{Count: 5}}
+	a.Records([]Record{record}, at(5))
+	b.Records([]Record{record}, at(5))
+	refused(a, 30, "dead")
+	w := a.Writes(false, at(30))
+	if len(w) != 1 {
+		t.Fatalf("writes %+v", w)
+	}
+	w[0].Rev.Count = 9
+	b.Records(w, at(30.5))
+	a.Written(w[0], at(31.5)) // the answer of the store came late
+	refused(b, 75.6, "dead")
+	w = b.Writes(false, at(75.6))
+	if len(w) != 1 || w[0].Probes != 2 {
+		t.Fatalf("writes %+v", w)
+	}
+	b.Written(w[0], at(75.7))
+	if v := b.Check(parts("dead"), at(75.8)); !v.Probe {
+		t.Fatalf("the host that has replaced the record may not probe: %+v", v)
+	}
+	if !refused(a, 75.9, "dead") {
+		t.Error("a host that is cut off sends the probe before the last as well")
+	}
+	a.Records(w, at(76))
+	a.ReturnProbe(NewPart("dead")) // which it had sent before
+	if !refused(a, 76.1, "dead") {
+		t.Error("a host sends a returned probe again although another one was allowed the next")
+	}
+}
+
+// TestProbeAfterUnusedOne guards against a part that is never probed again since the host that was
+// allowed a probe got no request for it in time.
+func TestProbeAfterUnusedOne(t *testing.T) {
+	d := NewDetector()
+	for i := range 3 {
+		crashAt(d, i, 1+float64(i), parts("dead"))
+	}
+	record := Record{Part: NewPart("dead"), Rev: eras.Revision{Count: 5}}
+	d.Records([]Record{record}, at(5))
+	refused(d, 30, "dead")
+	for _, w := range d.Writes(false, at(30)) {
+		d.Written(w, at(30))
+	}
+	if !refused(d, 200, "dead") {
+		t.Error("a probe is sent after another host may have been allowed the next one")
+	}
+	if w := d.Writes(false, at(200)); len(w) != 1 || w[0].Probes != 2 {
+		t.Errorf("writes %+v", w)
+	}
+}
+
 // TestProbe guards against a suspicion that never ends for lack of requests, and against
 // probes of more than one host at a time.
 func TestProbe(t *testing.T) {
--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -83,19 +83,30 @@
 			v = Verdict{Refuse: true, Index: i, Wait: wait, Part: part}
 		}
 	}
-	if n != 1 || !d.suspects[v.Part].mayProbe {
+	if n != 1 || !d.suspects[v.Part].probeDue(v.Part, now) {
 		return v
 	}
-	d.suspects[v.Part].mayProbe = false
+	d.suspects[v.Part].sent = true
 	return Verdict{Probe: true, Part: v.Part}
 }
 
+// replaceTime is how long before the next hold ends a host may no longer send a probe that
+// it was allowed: another one may have read the record this much earlier, and replaces it.
+const replaceTime = 2 * time.Second
+
+// probeDue reports whether this host may send a probe: it has replaced the record, and no
+// other one may have replaced it since.
+func (s *suspect) probeDue(part Part, now time.Time) bool {
+	h := hold(part, s.probes)
+	return s.allowed > 0 && s.allowed == s.probes && !s.sent && (h == never || now.Sub(s.since) < h-replaceTime)
+}
+
 // ReturnProbe allows another request to be the probe of a part: the first one was not run.
 func (d *Detector) ReturnProbe(part Part) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.suspects[part]; s != nil {
-		s.mayProbe = true
+		s.sent = false
 	}
 }
 
@@ -165,7 +176,7 @@
 		switch {
 		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
 			list = append(list, Record{Part: part, Probes: s.probes})
-		case listed && !s.mayProbe && now.Sub(s.since) >= hold(part, s.probes) && now.Sub(s.asked) < time.Second:
+		case listed && !s.probeDue(part, now) && now.Sub(s.since) >= hold(part, s.probes) && now.Sub(s.asked) < time.Second:
 			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: d.records[part].Rev})
 		}
 	}
@@ -185,7 +196,7 @@
 	if r.Probes > s.probes {
 		s.probes = r.Probes
 		s.since = now
-		s.mayProbe = true
+		s.allowed, s.sent = r.Probes, false
 	}
 }
 
