Keep what servers state about their limits in one generic piece

Cause: limit.go and refusal.go held the same logic twice (the newest statement of a process: merge, end, expire, report), and relay/state.go recorded both with twin functions. Change: pick.Statement, statements and merge serve both; limitKind records either kind. ServerLimit and RefusalLimit are the two instances, with the field Value in place of Rate and Limit. Measured: go test ./internal/core/pick ./internal/edge/gossip ./internal/edge/relay ./internal/edge/fleet passes.

--- a/internal/core/pick/limit_test.go
+++ b/internal/core/pick/limit_test.go
@@ -178,7 +178,7 @@
 	r.limit = 1
 	for p := range r.tables[0].limits {
 		for _, tab := range r.tables {
-			tab.MergeLimits([]ServerLimit{{Process: p, Rate: r.limit}}, r.now)
+			tab.MergeLimits([]ServerLimit{{Process: p, Value: r.limit}}, r.now)
 		}
 	}
 	lowered := r.now
@@ -220,11 +220,11 @@
 	if _, ended := tab.EndLimit(&after, now.Add(time.Second)); !ended {
 		t.Error("the limit has not ended")
 	}
-	tab.MergeLimits([]ServerLimit{{Process: p, Rate: 1, Age: 2 * time.Second}}, now.Add(time.Second))
+	tab.MergeLimits([]ServerLimit{{Process: p, Value: 1, Age: 2 * time.Second}}, now.Add(time.Second))
 	if n, rate := tab.LimitedServers(); n != 0 {
 		t.Errorf("an older report brought back a limit of %v", rate)
 	}
-	changes := tab.MergeLimits([]ServerLimit{{Process: p, Rate: 1}}, now.Add(2*time.Second))
+	changes := tab.MergeLimits([]ServerLimit{{Process: p, Value: 1}}, now.Add(2*time.Second))
 	if diff := cmp.Diff([]LimitChange{{Server: p.ID, Limit: 1, Part: 1}}, changes); diff != "" {
 		t.Errorf("changes by a newer report (-want +got):\n%s", diff)
 	}
@@ -300,7 +300,7 @@
 			c := mustPick(t, tab, &Request{}, now)
 			tab.NameLimit(&c, 2, now)
 		}
-		tab.MergeLimits([]ServerLimit{{Process: Process{"s0", 1}, Rate: 2}, {Process: Process{"s1", 1}, Rate: 2}}, now.Add(time.Millisecond))
+		tab.MergeLimits([]ServerLimit{{Process: Process{"s0", 1}, Value: 2}, {Process: Process{"s1", 1}, Value: 2}}, now.Add(time.Millisecond))
 		w, ok := tab.ShortestWait(&Request{}, now)
 		if !ok || !w.Limited {
 			t.Fatalf("%s: no wait because of a limit: %v, %v", self, w, ok)
@@ -361,7 +361,7 @@
 	for _, limit := range []float64{5, 20, 40} {
 		r := newLimitedRegion(3, limit)
 		for _, tab := range r.tables {
-			tab.MergeLimits([]ServerLimit{{Process: Process{"s0", 1}, Rate: limit}}, epoch)
+			tab.MergeLimits([]ServerLimit{{Process: Process{"s0", 1}, Value: limit}}, epoch)
 		}
 		rng := rand.New(rand.NewPCG(1, 2))
 		sent, served := 0, 0
--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -159,7 +159,7 @@
 			a = allowance{rate: probationRate, burst: 1, total: probationRate}
 		}
 	}
-	if limit, ok := t.limit(s.process()); ok {
+	if limit, ok := t.limits.limit(s.process()); ok {
 		a = a.least(hosts.named(limit, t.rank(s)))
 	}
 	return a, !math.IsInf(a.rate, 1)
--- a/internal/core/pick/sharing_test.go
+++ b/internal/core/pick/sharing_test.go
@@ -106,7 +106,7 @@
 	hosts := RegionHosts{Self: h.name, Hosts: m.Names, Until: m.Until, Discovered: s.now.Sub(h.started) > sharingDiscover}
 	h.table.Update(s.svc, []spec.Server{s.server}, nil, hosts, s.now)
 	if s.limit > 0 {
-		h.table.MergeLimits([]ServerLimit{{Process: Process{s.server.ID, s.server.Born}, Rate: s.limit}}, s.now)
+		h.table.MergeLimits([]ServerLimit{{Process: Process{s.server.ID, s.server.Born}, Value: s.limit}}, s.now)
 	}
 }
 
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -31,10 +31,10 @@
 	// pauses holds when the pauses end that processes have requested of this host,
 	// and limits what they have stated about their limits.
 	pauses map[Process]time.Time
-	limits map[Process]namedLimit
+	limits statements[float64]
 	// refusalLimits holds what processes have stated about theirs, and implied the
 	// limit of processes of which nothing is known.
-	refusalLimits map[Process]refusalLimit
+	refusalLimits statements[int]
 	implied       impliedLimit
 	rng           *rand.Rand
 	arrivals      arrivals
@@ -42,7 +42,7 @@
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(map[Process]namedLimit), pauses: make(map[Process]time.Time), refusalLimits: make(map[Process]refusalLimit), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(statements[float64]), pauses: make(map[Process]time.Time), refusalLimits: make(statements[int]), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -71,7 +71,7 @@
 		}
 	}
 	t.expireLeaving(now)
-	t.expireLimits(now)
+	t.limits.expire(now)
 	t.expireRefusalLimits(now)
 	t.expirePauses(now)
 	slices.Sort(t.order)
@@ -103,7 +103,7 @@
 	_, extra := t.full(s, req, now)
 	_, refusalLimited := t.refusalLimit(s)
 	t.recordSent(s, req, c.unread, now)
-	limit, limited := t.limit(s.process())
+	limit, limited := t.limits.limit(s.process())
 	return Choice{
 		Limited: limited, Limit: limit, Version: s.Version,
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, PrefillTime: t.model.PrefillTime(c.unread),
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -38,12 +38,12 @@
 	}
 	for _, list := range s.Limits {
 		for _, l := range list {
-			errs = append(errs, amount("limit of "+l.Process.ID, l.Rate), age("limit of "+l.Process.ID, l.Age))
+			errs = append(errs, amount("limit of "+l.Process.ID, l.Value), age("limit of "+l.Process.ID, l.Age))
 		}
 	}
 	for _, list := range s.RefusalLimits {
 		for _, l := range list {
-			errs = append(errs, count("refusal limit of "+l.Process.ID, l.Limit), age("refusal limit of "+l.Process.ID, l.Age))
+			errs = append(errs, count("refusal limit of "+l.Process.ID, l.Value), age("refusal limit of "+l.Process.ID, l.Age))
 		}
 	}
 	for org, spent := range s.Admitted {
--- a/internal/edge/gossip/check_test.go
+++ b/internal/edge/gossip/check_test.go
@@ -35,8 +35,8 @@
 		"negative tokens of a part": func(s *State) {
 			s.Placements = map[string][]pick.Placement{"chat": {{Parts: []pick.Part{{Tokens: -1}}}}}
 		},
-		"negative limit":        func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Rate: -1}}} },
-		"limit not a number":    func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Rate: math.NaN()}}} },
+		"negative limit":        func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Value: -1}}} },
+		"limit not a number":    func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Value: math.NaN()}}} },
 		"limit from the future": func(s *State) { s.Limits = map[string][]pick.ServerLimit{"chat": {{Age: -time.Second}}} },
 		"infinite tokens":       func(s *State) { s.Admitted = map[string]float64{"o": math.Inf(1)} },
 		"crash in the future": func(s *State) {
--- a/internal/edge/relay/state.go
+++ b/internal/edge/relay/state.go
@@ -24,8 +24,8 @@
 	if resp.Header.Get(platform.HeaderLeaving) == platform.Leaving && svc.Table.MarkLeaving(&q.choice, now) {
 		q.s.log.Info("server leaves", zap.String("id", q.id), zap.String("server", q.server), zap.Int("status", resp.Status))
 	}
-	q.recordLimit(svc, resp, now)
-	q.recordRefusalLimit(svc, resp, now)
+	rateLimit.record(q, svc, resp, now)
+	refusalLimit.record(q, svc, resp, now)
 	if resp.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -34,45 +34,43 @@
 	}
 }
 
-// recordLimit records the limit that a response of a server names, or that it names
-// none any more. Only a success shows the end of a limit: a failure may come from a
-// part of the server that does not know it.
-func (q *request) recordLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
-	rate, named, err := platform.ParseServerLimit(resp.Header)
-	if err != nil {
-		q.s.log.Requests.Warn("limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
-		return
-	}
-	var c pick.LimitChange
-	changed := false
-	switch {
-	case named:
-		c, changed = svc.Table.NameLimit(&q.choice, rate, now)
-	case success(resp) && signed(resp):
-		c, changed = svc.Table.EndLimit(&q.choice, now)
+// limitKind is a kind of limit that servers state in their responses, with values V and
+// changes C.
+type limitKind[V, C any] struct {
+	name  string
+	parse func(h http.Header) (limit V, stated bool, err error)
+	state func(t *pick.Table, c *pick.Choice, limit V, now time.Time) (C, bool)
+	end   func(t *pick.Table, c *pick.Choice, now time.Time) (C, bool)
+	log   func(log *zap.Logger, c C, source ...zap.Field)
+}
+
+var (
+	rateLimit = limitKind[float64, pick.LimitChange]{
+		"limit", platform.ParseServerLimit, (*pick.Table).NameLimit, (*pick.Table).EndLimit, fleet.LogLimit,
 	}
-	if changed {
-		fleet.LogLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
+	refusalLimit = limitKind[int, pick.RefusalChange]{
+		"refusal limit", platform.ParseRefusalLimit, (*pick.Table).StateRefusalLimit, (*pick.Table).EndRefusalLimit, fleet.LogRefusalLimit,
 	}
-}
+)
 
-// recordRefusalLimit records the refusal limit that a response of a server states, or
-// that it states none any more, which only a success shows.
-func (q *request) recordRefusalLimit(svc *fleet.Service, resp *send.Response, now time.Time) {
-	limit, stated, err := platform.ParseRefusalLimit(resp.Header)
+// record records the limit that a response of a server states, or that it states none any
+// more. Only a success shows the end of a limit: a failure may come from a part of the
+// server that does not know it.
+func (k limitKind[V, C]) record(q *request, svc *fleet.Service, resp *send.Response, now time.Time) {
+	limit, stated, err := k.parse(resp.Header)
 	if err != nil {
-		q.s.log.Requests.Warn("refusal limit of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
+		q.s.log.Requests.Warn(k.name+" of server ignored", zap.String("id", q.id), zap.String("server", q.server), zap.Error(err))
 		return
 	}
-	var c pick.RefusalChange
+	var c C
 	changed := false
 	switch {
 	case stated:
-		c, changed = svc.Table.StateRefusalLimit(&q.choice, limit, now)
+		c, changed = k.state(svc.Table, &q.choice, limit, now)
 	case success(resp) && signed(resp):
-		c, changed = svc.Table.EndRefusalLimit(&q.choice, now)
+		c, changed = k.end(svc.Table, &q.choice, now)
 	}
 	if changed {
-		fleet.LogRefusalLimit(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
+		k.log(q.s.log.Requests, c, zap.String("id", q.id), zap.Int("status", resp.Status))
 	}
 }
