--- a/internal/edge/entry/reach_test.go
+++ b/internal/edge/entry/reach_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,15 +31,39 @@
 	t       *testing.T
 	mu      sync.Mutex
 	proxies map[string]*proxy.Proxy
+	fault   linkFault
+}
+
+// dialFault is what happens to a connection that is being opened.
+type dialFault int
+
+const (
+	dialOpens dialFault = iota
+	dialRefused
+	dialHangs
+)
+
+// linkFault is the fault of a link: that of its open connections, and of those being opened.
+type linkFault struct {
+	open proxy.Fault
+	dial dialFault
 }
 
 // dial opens a connection through the proxy of an address.
 func (l *links) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	l.mu.Lock()
-	p := l.proxies[addr]
+	p, fault := l.proxies[addr], l.fault.dial
 	l.mu.Unlock()
-	if p == nil {
+	switch {
+	case p == nil:
 		return nil, fmt.Errorf("no link to %s", addr)
+	case fault == dialRefused:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	case fault == dialHangs:
+		ctx, cancel := context.WithTimeout(ctx, send.DefaultDial)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
 	return send.NewDialer(send.DefaultDial).DialContext(ctx, network, p.Addr().String())
 }
@@ -50,12 +75,16 @@
 	l.proxies[addr.String()] = proxy.New(l.t, addr)
 }
 
-// set sets the fault of all links.
-func (l *links) set(f proxy.Fault) {
+// set sets the fault of all links, whose connections open as before.
+func (l *links) set(f proxy.Fault) { l.cut(linkFault{open: f}) }
+
+// cut sets the fault of all links.
+func (l *links) cut(f linkFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.fault = f
 	for _, p := range l.proxies {
-		p.Set(f)
+		p.Set(f.open)
 	}
 }
 
@@ -63,6 +92,12 @@
 func (cl *cluster) linkedHost(s boot.Settings) (*Entry, *links) {
 	cl.t.Helper()
 	l := &links{t: cl.t, proxies: make(map[string]*proxy.Proxy)}
+	return cl.hostBy(s, l), l
+}
+
+// hostBy starts a host whose paths to servers are the given links.
+func (cl *cluster) hostBy(s boot.Settings, l *links) *Entry {
+	cl.t.Helper()
 	out := logs.NewWriter(io.Discard)
 	e, err := start(s, logs.New(out, s.Host, true), l.dial)
 	if err != nil {
@@ -76,7 +111,7 @@
 		_ = out.Close()
 	})
 	cl.waitReady(e)
-	return e, l
+	return e
 }
 
 // region starts three hosts and three servers in region b, and a host in region a, which is
@@ -107,7 +142,7 @@
 
 // mixed answers requests of all routes, after some work.
 func mixed(x *origin.Exchange) bool {
-	if strings.Contains(x.URL.Path, "chat") {
+	if strings.Contains(x.URL.Path, "chat") || strings.Contains(x.URL.Path, "ask") {
 		return slowStream(3, 20*time.Millisecond)(x)
 	}
 	time.Sleep(20 * time.Millisecond)
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -35,6 +35,7 @@
 	fault   Fault
 	changed chan struct{} // closed and replaced by Set and Close
 	conns   map[*net.TCPConn]bool
+	chunks  int
 	closed  bool
 	done    sync.WaitGroup
 }
@@ -67,6 +68,13 @@
 	}
 }
 
+// Chunks returns how often data has been forwarded, in both directions.
+func (p *Proxy) Chunks() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.chunks
+}
+
 // drop resets all connections. The caller holds p.mu.
 func (p *Proxy) drop() {
 	for c := range p.conns {
@@ -169,6 +177,7 @@
 	for {
 		p.mu.Lock()
 		f, changed, closed := p.fault, p.changed, p.closed
+		p.chunks++
 		p.mu.Unlock()
 		switch {
 		case closed:
