Take a refused connection for a crash only over an intact path

What callers see: after some cuts in series, requests that never had a whole response are refused by all hosts for minutes, as requests that crash servers.

Cause: a host whose request broke off opens a connection to the server, and takes it for crashed once it, or any later request, is refused there. A host without a path to the servers sees the same. Each cut counts once within half a second and each process once, so that one cut raises no suspicion; a long request that is repeated and broken off by cut after cut, at one server each, does.

Ruled out: dropping what broke off when the path is lost. A request that really crashes most servers of a region looks like a lost path to the host that sent it, and would never be found. Going by the store alone takes seconds longer for each crash.

Change: a refused connection counts once the path has been intact for 0.5 s after it; until then the address is tried again, for 10 s at most. A crash behind a cut still shows in the store's entry. The check goes over the same dialer as requests, so that tests can cut it off.

What remains: a host that alone loses its path to one single server (not to all) takes its refused connection for a crash as before.

--- a/internal/edge/relay/poison.go
+++ b/internal/edge/relay/poison.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,9 +14,9 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
-	"github.com/yuccalb/yuccalb/internal/edge/send"
 )
 
 // checkPoison returns a refusal if the request, or a part of its prompt, is suspected to make
@@ -89,7 +90,7 @@
 	switch {
 	case !q.connLost || o == pick.Aborted || q.began && q.endUnknown:
 	case o == pick.NoConnect:
-		q.s.fleet.LogPoison(q.service, svc.Poison.Ended(c.Process(), now))
+		q.s.checkEnd(q.service, c.Process(), q.dest.addr)
 	default:
 		q.s.stats.BrokenOff(q.service)
 		parts := q.allParts()
@@ -104,24 +105,64 @@
 	}
 }
 
-// endCheckTimeout bounds the check whether a server has ended. Within a region, a refused
-// connection takes milliseconds.
-const endCheckTimeout = 500 * time.Millisecond
+const (
+	// endSettle is how long the path to the servers must have been intact when a refused
+	// connection counts for the end of a process: a host that is cut off sees the same.
+	endSettle = 500 * time.Millisecond
+	// endCheckTime bounds how long it is checked again because the path was not intact.
+	endCheckTime = 10 * time.Second
+)
+
+// ends are the processes that are being checked for their end.
+type ends struct {
+	mu      sync.Mutex
+	checked map[pick.Process]bool
+}
+
+// begin adds a process unless it is being checked already.
+func (e *ends) begin(p pick.Process) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.checked[p] {
+		return false
+	}
+	if e.checked == nil {
+		e.checked = make(map[pick.Process]bool)
+	}
+	e.checked[p] = true
+	return true
+}
 
-// checkEnd opens a connection to a server that broke off a request, and closes it: if nothing
-// listens there, the process has ended, which its entry shows only seconds later.
+// end removes a process.
+func (e *ends) end(p pick.Process) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.checked, p)
+}
+
+// checkEnd checks whether nothing listens any more at the address of a server that broke off
+// or refused a connection: then the process has ended, which its entry shows only seconds
+// later.
 func (s *Relay) checkEnd(service string, p pick.Process, addr netip.AddrPort) {
+	if !s.ends.begin(p) {
+		return
+	}
 	s.checks.Go(func() {
-		conn, err := send.NewDialer(endCheckTimeout).Dial("tcp4", addr.String())
-		if err == nil {
-			_ = conn.Close() // nothing was sent
-			return
-		}
-		svc := s.fleet.Service(service)
-		if svc == nil || !errors.Is(err, syscall.ECONNREFUSED) {
+		defer s.ends.end(p)
+		for began := time.Now(); time.Since(began) < endCheckTime && s.servers.Refused(addr); {
+			select {
+			case <-s.stop.ended.Done():
+				return
+			case <-time.After(endSettle):
+			}
+			if state, d := s.fleet.Path().Since(time.Now()); state != reach.Reached || d < endSettle {
+				continue
+			}
+			if svc := s.fleet.Service(service); svc != nil {
+				s.fleet.LogPoison(service, svc.Poison.Ended(p, time.Now()))
+			}
 			return
 		}
-		s.fleet.LogPoison(service, svc.Poison.Ended(p, time.Now()))
 	})
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -52,8 +52,9 @@
 	stop             *stopper
 	lengths          length.Estimator
 	bodyMemory       byteLimit
-	checks           sync.WaitGroup // of checks whether servers have ended, and of watchPath
+	checks           sync.WaitGroup // of checks whether servers have ended, of probes and of watchPath
 	hung             hung
+	ends             ends
 }
 
 // Options sets up a Relay.
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -180,6 +181,15 @@
 	return newConn(nc, addr, &c.long), nil
 }
 
+// Refused opens a connection to addr, closes it, and reports whether it was refused.
+func (c *Client) Refused(addr netip.AddrPort) bool {
+	nc, err := c.dial(context.Background(), "tcp4", addr.String())
+	if err == nil {
+		_ = nc.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // HasIdle reports whether there is an idle connection to addr that has not
 // expired.
 func (c *Client) HasIdle(addr netip.AddrPort) bool {
