--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -209,6 +210,15 @@
 	return asked, err
 }
 
+// Refused opens a connection to addr, closes it, and reports whether it was refused.
+func (c *Client) Refused(addr netip.AddrPort) bool {
+	nc, err := c.dial(context.Background(), "tcp4", addr.String())
+	if err == nil {
+		_ = nc.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // HasIdle reports whether there is an idle connection to addr that has not
 // expired.
 func (c *Client) HasIdle(addr netip.AddrPort) bool {
