Ask a server at most once a second that does not say which process it is

What servers saw: a new connection and a report for each stream that a host with an outdated list sends to a server which closes the connection with its answer. Cause: a leaving server does so, and the host does not know yet that it leaves. Change: after a new connection on which the server did not say, it is not asked on another one for a second; streams go elsewhere at once, at no cost.

--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -74,6 +75,8 @@
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
 	closed bool
+	// unknown holds until when servers are not asked again which process they are.
+	unknown map[netip.AddrPort]time.Time
 }
 
 // NewClient returns a client with the given dial timeout.
@@ -83,7 +86,7 @@
 
 // NewDialClient returns a client that opens its connections with dial.
 func NewDialClient(dial DialFunc) *Client {
-	return &Client{dial: dial, idle: make(map[netip.AddrPort][]*conn)}
+	return &Client{dial: dial, idle: make(map[netip.AddrPort][]*conn), unknown: make(map[netip.AddrPort]time.Time)}
 }
 
 // Opened returns the number of connections opened so far.
@@ -120,6 +123,7 @@
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.unknown, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	for addr, list := range c.idle {
 		kept := list[:0]
 		for _, cn := range list {
@@ -183,6 +187,9 @@
 		}
 		break // the server has closed this connection
 	}
+	if c.paused(req) {
+		return nil, false, fmt.Errorf("%w: it did not say so lately", ErrUnknownProcess)
+	}
 	nc, err := c.dial(ctx, "tcp4", req.Addr.String())
 	if err != nil {
 		return nil, false, fmt.Errorf("dial: %w", err)
@@ -205,6 +212,9 @@
 		c.put(cn)
 	default:
 		_ = cn.Close() // no request uses it
+		if ctx.Err() == nil {
+			c.pause(cn)
+		}
 	}
 	return asked, err
 }
--- a/internal/edge/send/process.go
+++ b/internal/edge/send/process.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/yuccalb/yuccalb/internal/edge/clock"
 )
 
 // Errors of requests that were not sent because of Request.Process.
@@ -22,6 +24,9 @@
 	// the response in bytes.
 	stateTimeout = 400 * time.Millisecond
 	maxState     = 64 << 10
+	// unknownPause is how long a server is not asked on a new connection after it did not
+	// answer on one, or closed it with its answer, as a leaving one does.
+	unknownPause = time.Second
 )
 
 // Process is the process of a server that a request is for. A connection leads to the same
@@ -110,3 +115,22 @@
 	}
 	return nil
 }
+
+// pause keeps a server from being asked again on new connections, after one that was new.
+func (c *Client) pause(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !cn.reused {
+		c.unknown[cn.addr] = time.Now().Add(unknownPause)
+	}
+}
+
+// paused reports whether the server would have to be asked on a new connection and is not.
+func (c *Client) paused(req *Request) bool {
+	if req.Process == nil || clock.Now() <= req.Process.Until {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.unknown[req.Addr])
+}
