Give the base version of a service an age

Cause: Bases did not know when its list was read: an absence was counted over gaps, and a base held for ever. Ruled out: refusing streams after a short outage: the base may then not be replaced for longer than an outage lasts. So the times were raised instead. Change: absence of the base counts only while the list is read without a gap of 10 s, and replaces it after 10 minutes, before 2; a list of more than 8 minutes does not know the base: no stream begins without a record then, nor goes on for the lack of one. By an outdated list (3 s) no host replaces the base. Gauge yuccalb_list_age_seconds. After a release streams are recorded for 10 minutes after the last server of the old version has left, before for 2. Conclusion: fixed; the minutes themselves are tested in core/resume only.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -19,10 +19,17 @@
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 )
 
-// absentTime is how long no server of the base version is listed before another version
-// becomes the base. Streams that began at the old base, which have no record, have ended by
-// then: no route lets a request run that long.
-const absentTime = 2 * time.Minute
+const (
+	// absentTime is how long no server of the base version is listed before another version
+	// becomes the base. A host that can't read the list may begin streams at servers of the old
+	// base for maxBaseAge; these streams, which have no record, have ended by then: no
+	// route lets a request run for the rest.
+	absentTime = 10 * time.Minute
+	maxBaseAge = 8 * time.Minute
+	// maxUnseen is how long the list may not have been read while the absence of the base is
+	// counted.
+	maxUnseen = 10 * time.Second
+)
 
 // Base is the store's record of the base version of a service: a stream of which the store
 // holds no record began at a server of that version. Hosts send it to each other in CBOR
@@ -48,8 +55,9 @@
 	known, listed bool
 	// versions counts the listed servers by version.
 	versions map[string]int
-	// absentSince is since when no server of the base version is listed, zero if one is.
-	absentSince time.Time
+	// absentSince is since when no server of the base version is listed, zero if one is. It
+	// was last seen to be absent at seenAt.
+	absentSince, seenAt time.Time
 }
 
 // Update replaces the listed servers of all regions and the store's records. The argument
@@ -87,9 +95,10 @@
 	switch {
 	case s.versions[s.base.Version] > 0:
 		s.absentSince = time.Time{}
-	case s.absentSince.IsZero():
-		s.absentSince = now
+	case s.absentSince.IsZero() || now.Sub(s.seenAt) > maxUnseen:
+		s.absentSince = now // it may have been listed meanwhile
 	}
+	s.seenAt = now
 }
 
 // most returns the version with the most servers, the least one of several, and false if
@@ -105,8 +114,9 @@
 }
 
 // Writes returns the records that should be written, each in place of the one at its
-// revision: the missing ones, and those whose version has left for good.
-func (b *Bases) Writes(now time.Time) []Base {
+// revision: the missing ones, and those whose version has left for good. By an outdated list
+// of servers it replaces none.
+func (b *Bases) Writes(listAge time.Duration, now time.Time) []Base {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Base
@@ -117,6 +127,7 @@
 			list = append(list, Base{Service: name, Version: s.base.Version})
 		case !s.known && ok:
 			list = append(list, Base{Service: name, Version: most})
+		case Outdated(listAge) || now.Sub(s.seenAt) > maxUnseen:
 		case s.known && ok && !s.absentSince.IsZero() && now.Sub(s.absentSince) >= absentTime:
 			list = append(list, Base{Service: name, Version: most, Rev: s.base.Rev})
 		}
@@ -124,45 +135,72 @@
 	return list
 }
 
-// Base returns the base version of a service, and false if it is unknown.
-func (b *Bases) Base(name string) (string, bool) {
+// Current reports whether a record that was read with a list of some age is still in force.
+func Current(listAge time.Duration) bool { return listAge <= maxBaseAge }
+
+// Base returns the base version of a service, and false if it is unknown, or no longer known
+// because the list was read so long ago.
+func (b *Bases) Base(name string, listAge time.Duration) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[name]
-	if s == nil || !s.known {
+	if s == nil || !s.known || !Current(listAge) {
 		return "", false
 	}
 	return s.base.Version, true
 }
 
-// Unrecorded returns the only version at which a stream of a service may begin without a record:
-// the base, for which hosts that find no record take it. It returns false if no server of the
-// base is listed, so that such a stream can't be taken up at all.
-func (b *Bases) Unrecorded(name string) (version string, only bool) {
+// Unrecorded tells at which versions a stream may begin without a record.
+type Unrecorded int
+
+// Values of Unrecorded. OnlyBase allows the base version, for which hosts that find no record take
+// such a stream. Any allows all: no server of the base is listed, so that the stream can't be
+// taken up at all. None is the value while the base is no longer known.
+const (
+	None Unrecorded = iota
+	OnlyBase
+	Any
+)
+
+// Unrecorded returns the versions at which a stream of a service may begin without a record, and
+// the base version.
+func (b *Bases) Unrecorded(name string, listAge time.Duration) (string, Unrecorded) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[name]
+	version, served := "", false
 	switch {
+	case !Current(listAge):
+		return "", None
 	case s == nil:
-		return "", false
-	case !s.known:
-		return s.most() // it becomes the base
+	case s.known:
+		version, served = s.base.Version, s.versions[s.base.Version] > 0
+	default:
+		version, served = s.most() // it becomes the base
+	}
+	if !served {
+		return version, Any
 	}
-	return s.base.Version, s.versions[s.base.Version] > 0
+	return version, OnlyBase
+}
+
+// Allows reports whether a stream at a version may begin without a record; base is the base version.
+func (u Unrecorded) Allows(version, base string) bool {
+	return u == Any || u == OnlyBase && version == base
 }
 
 // MustRecord reports whether a stream that begins at a version must be recorded. The argument
 // recorded is set if an earlier attempt may have written a record, which must be replaced.
-func (b *Bases) MustRecord(name, version string, recorded bool) bool {
-	base, known := b.Base(name)
+func (b *Bases) MustRecord(name, version string, recorded bool, listAge time.Duration) bool {
+	base, known := b.Base(name, listAge)
 	return recorded || !known || base != version
 }
 
 // Only returns the version at which a stream began of which nothing is known: the base, if no
 // server of another version is listed and no stream was recorded at one lately. The list alone
 // does not show it: it may be outdated, and servers may have come and gone.
-func (b *Bases) Only(name string, recorded []string) (string, bool) {
-	base, known := b.Base(name)
+func (b *Bases) Only(name string, recorded []string, listAge time.Duration) (string, bool) {
+	base, known := b.Base(name, listAge)
 	if !known || slices.ContainsFunc(recorded, func(v string) bool { return v != base }) {
 		return "", false
 	}
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -33,22 +33,22 @@
 func TestFirstBase(t *testing.T) {
 	var b Bases
 	b.Update(names, nil, nil, start)
-	if w := b.Writes(start); len(w) > 0 {
+	if w := b.Writes(0, start); len(w) > 0 {
 		t.Errorf("writes %+v without servers", w)
 	}
 	b.Update(names, servers("v2", "v1", "v1", "v2", "v2"), nil, start)
-	if !b.MustRecord("desk", "v2", false) {
+	if !b.MustRecord("desk", "v2", false, 0) {
 		t.Error("a stream need not be recorded although the base is unknown")
 	}
-	if diff := cmp.Diff([]Base{base("v2", 0)}, b.Writes(start)); diff != "" {
+	if diff := cmp.Diff([]Base{base("v2", 0)}, b.Writes(0, start)); diff != "" {
 		t.Errorf("writes (-want +got):\n%s", diff)
 	}
 	records := []Base{base("v2", 3)}
 	b.Update(names, servers("v1", "v1", "v2"), records, start)
-	if v, ok := b.Base("desk"); v != "v2" || !ok || len(b.Writes(start.Add(time.Hour))) > 0 {
-		t.Errorf("base %q, %v, writes %+v", v, ok, b.Writes(start.Add(time.Hour)))
+	if v, ok := b.Base("desk", 0); v != "v2" || !ok || len(b.Writes(0, start.Add(time.Hour))) > 0 {
+		t.Errorf("base %q, %v, writes %+v", v, ok, b.Writes(0, start.Add(time.Hour)))
 	}
-	if b.MustRecord("desk", "v2", false) || !b.MustRecord("desk", "v1", false) || !b.MustRecord("desk", "v2", true) {
+	if b.MustRecord("desk", "v2", false, 0) || !b.MustRecord("desk", "v1", false, 0) || !b.MustRecord("desk", "v2", true, 0) {
 		t.Error("only streams at another version, and those that were begun before, must be recorded")
 	}
 }
@@ -61,26 +61,84 @@
 	b.Update(names, servers("v1", "v2"), records, start)
 	b.Update(names, servers("v2", "v2"), records, start.Add(time.Second))
 	b.Update(names, servers("v1", "v2"), records, start.Add(time.Minute)) // one comes back
-	b.Update(names, servers("v2", "v2"), records, start.Add(2*time.Minute))
 	left := start.Add(2 * time.Minute)
-	if w := b.Writes(left.Add(absentTime - 1)); len(w) > 0 {
+	b.absent(left, left.Add(absentTime-1))
+	if w := b.Writes(0, left.Add(absentTime-1)); len(w) > 0 {
 		t.Errorf("writes %+v too early", w)
 	}
-	if diff := cmp.Diff([]Base{base("v2", 3)}, b.Writes(left.Add(absentTime))); diff != "" {
+	if diff := cmp.Diff([]Base{base("v2", 3)}, b.Writes(0, left.Add(absentTime))); diff != "" {
 		t.Errorf("writes (-want +got):\n%s", diff)
 	}
 }
 
+// absent updates b each few seconds, from one time to another, by lists without the base.
+func (b *Bases) absent(from, to time.Time) {
+	for now := from; now.Before(to); now = now.Add(maxUnseen / 2) {
+		b.Update(names, servers("v2", "v2"), []Base{base("v1", 3)}, now)
+	}
+	b.Update(names, servers("v2", "v2"), []Base{base("v1", 3)}, to)
+}
+
+// TestBaseReplacedByOldList guards against a host that stood still, or can't read the list of servers, and
+// takes the base for absent although its servers are back: streams without a record began at them.
+func TestBaseReplacedByOldList(t *testing.T) {
+	var b Bases
+	b.absent(start, start.Add(time.Minute))
+	end := start.Add(absentTime)
+	if w := b.Writes(time.Hour, end); len(w) > 0 {
+		t.Errorf("writes %+v by an old list", w)
+	}
+	if w := b.Writes(0, end); len(w) > 0 {
+		t.Errorf("writes %+v although the list was not read for minutes", w)
+	}
+	b.absent(end, end.Add(absentTime-1)) // it is absent again, or still
+	if w := b.Writes(0, end.Add(absentTime-1)); len(w) > 0 {
+		t.Errorf("writes %+v: the base may have been back", w)
+	}
+	if w := b.Writes(maxListAge+1, end.Add(absentTime)); len(w) > 0 {
+		t.Errorf("writes %+v by an outdated list", w)
+	}
+	if w := b.Writes(0, end.Add(absentTime)); len(w) != 1 {
+		t.Errorf("writes %+v", w)
+	}
+}
+
+// TestOldBase guards against streams that begin, or go on, by a base version that has been replaced since
+// the host has read it.
+func TestOldBase(t *testing.T) {
+	var b Bases
+	b.Update(names, servers("v1", "v1"), []Base{base("v1", 3)}, start)
+	const old = maxBaseAge + 1
+	if v, known := b.Base("desk", old); known {
+		t.Errorf("base %q", v)
+	}
+	if v, known := b.Only("desk", nil, old); known {
+		t.Errorf("only version %q", v)
+	}
+	if !b.MustRecord("desk", "v1", false, old) {
+		t.Error("a stream need not be recorded")
+	}
+	if v, u := b.Unrecorded("desk", old); u != None || u.Allows("v1", v) {
+		t.Errorf("begins without a record at %q, %v", v, u)
+	}
+	if v, u := b.Unrecorded("desk", maxBaseAge); u != OnlyBase || !u.Allows("v1", v) || u.Allows("v2", v) {
+		t.Errorf("begins without a record at %q, %v", v, u)
+	}
+	if absentTime-maxBaseAge < time.Minute {
+		t.Error("a stream without a record may last until the base is replaced")
+	}
+}
+
 // TestBaseLost guards against another base after the store was restored from a copy without
 // the record: streams at the former one have no record.
 func TestBaseLost(t *testing.T) {
 	var b Bases
 	b.Update(names, servers("v1", "v2", "v2"), []Base{base("v1", 3)}, start)
 	b.Update(names, servers("v2", "v2"), nil, start)
-	if diff := cmp.Diff([]Base{base("v1", 0)}, b.Writes(start)); diff != "" {
+	if diff := cmp.Diff([]Base{base("v1", 0)}, b.Writes(0, start)); diff != "" {
 		t.Errorf("writes (-want +got):\n%s", diff)
 	}
-	if v, ok := b.Base("desk"); v != "v1" || !ok {
+	if v, ok := b.Base("desk", 0); v != "v1" || !ok {
 		t.Errorf("base %q, %v", v, ok)
 	}
 }
@@ -107,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			var b Bases
 			b.Update(names, tt.servers, tt.records, start)
-			if v, ok := b.Only("desk", tt.recorded); v != tt.want || ok != tt.ok {
+			if v, ok := b.Only("desk", tt.recorded, 0); v != tt.want || ok != tt.ok {
 				t.Errorf("%q, %v", v, ok)
 			}
 		})
@@ -121,18 +179,18 @@
 		servers []spec.Server
 		records []Base
 		want    string
-		only    bool
+		rule    Unrecorded
 	}{
-		"two versions":           {servers("v1", "v2", "v2"), []Base{base("v1", 3)}, "v1", true},
-		"the base unknown":       {servers("v1", "v2", "v2"), nil, "v2", true},
-		"the base has just left": {servers("v2", "v2"), []Base{base("v1", 3)}, "v1", false},
-		"no servers":             {nil, nil, "", false},
+		"two versions":           {servers("v1", "v2", "v2"), []Base{base("v1", 3)}, "v1", OnlyBase},
+		"the base unknown":       {servers("v1", "v2", "v2"), nil, "v2", OnlyBase},
+		"the base has just left": {servers("v2", "v2"), []Base{base("v1", 3)}, "v1", Any},
+		"no servers":             {nil, nil, "", Any},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b Bases
 			b.Update(names, tt.servers, tt.records, start)
-			if v, only := b.Unrecorded("desk"); v != tt.want || only != tt.only {
-				t.Errorf("%q, %v", v, only)
+			if v, rule := b.Unrecorded("desk", 0); v != tt.want || rule != tt.rule {
+				t.Errorf("%q, %v", v, rule)
 			}
 		})
 	}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -153,6 +153,7 @@
 		}
 		return 0
 	})
+	m.Gauge("yuccalb_list_age_seconds", "Time since the list of servers was last known to be current.", func() float64 { return e.fleet.ListAge().Seconds() })
 	m.Gauge("yuccalb_key_age_seconds", "Time since the keys were last known to be current.", func() float64 {
 		age, _ := e.fleet.KeyAge()
 		return age.Seconds()
--- a/internal/edge/entry/process_test.go
+++ b/internal/edge/entry/process_test.go
@@ -46,7 +46,7 @@
 	o.entry = plattest.Server{ID: "s1-a1", Service: "desk", Site: "a1", Addr: o.server.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1}
 	o.store.PutEntry(o.entry)
 	o.waitServers([]string{"s1-a1"}, true)
-	o.eventually("base version", func() bool { _, known := o.e.fleet.Bases().Base("desk"); return known })
+	o.eventually("base version", func() bool { _, known := o.e.fleet.Bases().Base("desk", 0); return known })
 	before(o)
 	o.p.Set(held)
 	o.eventually("old list", func() bool { return o.e.fleet.ListAge() > 3*time.Second })
@@ -189,7 +189,7 @@
 	e, _ := cl.hostBehind("a1")
 	base := origin.New(t, versioned("v1"))
 	cl.store.PutEntry(plattest.Server{ID: "s1-a1", Service: "desk", Site: "a1", Addr: base.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
-	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk"); return known })
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk", 0); return known })
 	var back atomic.Bool
 	first, second := versioned("v2"), versioned("v1")
 	s := origin.New(t, func(x *origin.Exchange) bool {
--- a/internal/edge/entry/records_test.go
+++ b/internal/edge/entry/records_test.go
@@ -23,7 +23,7 @@
 		}
 		return first(x)
 	})
-	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk"); return known })
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk", 0); return known })
 	cl.warmUp(e)
 	s := origin.New(t, func(x *origin.Exchange) bool {
 		switch {
--- a/internal/edge/entry/step_test.go
+++ b/internal/edge/entry/step_test.go
@@ -125,7 +125,7 @@
 	e, p := cl.hostBehind("a1")
 	base := origin.New(t, versioned("v1"))
 	cl.store.PutEntry(plattest.Server{ID: "s1-a1", Service: "desk", Site: "a1", Addr: base.Addr(), State: "ready", Version: "v1", Born: 1, Seq: 1})
-	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk"); return known })
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk", 0); return known })
 	var back atomic.Bool
 	first, second := versioned("v2"), versioned("v1")
 	s := origin.New(t, func(x *origin.Exchange) bool {
--- a/internal/edge/entry/version_test.go
+++ b/internal/edge/entry/version_test.go
@@ -415,7 +415,7 @@
 	cl := newCluster(t)
 	cl.host("a1")
 	cl.addVersion("v1")
-	cl.eventually("base version", func() bool { _, known := cl.hosts[0].fleet.Bases().Base("desk"); return known })
+	cl.eventually("base version", func() bool { _, known := cl.hosts[0].fleet.Bases().Base("desk", 0); return known })
 	a := cl.begin(1)[0]
 	call := a.resume().With(platform.HeaderResumes, "")
 	wantStatus(t, cl.do(cl.hosts[0], call), http.StatusOK)
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -70,7 +70,7 @@
 		return true
 	}
 	ok := true
-	for _, b := range f.bases.Writes(time.Now()) {
+	for _, b := range f.bases.Writes(f.ListAge(), time.Now()) {
 		err := f.writeBase(b)
 		switch {
 		case err == nil:
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -20,23 +20,28 @@
 // host can't record streams, it allows only servers at which they need no record, or hosts of
 // another region, which may be able to.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
-	q.target = q.avoidRecords(now)
-	c, local, ref := q.chooseTarget(now, remaining)
-	if ref == nil || q.target == &q.pick {
-		return c, local, ref
+	var ok bool
+	ref := &refusal{http.StatusServiceUnavailable, reasonNotRecorded, retryAfterBusy}
+	if q.target, ok = q.avoidRecords(now); ok {
+		var c pick.Choice
+		var local bool
+		c, local, ref = q.chooseTarget(now, remaining)
+		if ref == nil || q.target == &q.pick {
+			return c, local, ref
+		}
+		ref.reason = reasonNotRecorded
 	}
-	ref.reason = reasonNotRecorded
 	if q.forwarded {
-		return c, local, ref
+		return pick.Choice{}, false, ref
 	}
 	q.target = &q.pick
 	demand := q.demand(q.s.fleet.Service(q.service), remaining)
 	dest, remote, ok := q.bestRemote(demand)
 	if !ok {
-		return c, local, ref
+		return pick.Choice{}, false, ref
 	}
 	q.dest = dest
-	return c, false, q.checkLate(demand, remote.First)
+	return pick.Choice{}, false, q.checkLate(demand, remote.First)
 }
 
 // chooseTarget is choose for q.target.
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -109,7 +109,7 @@
 	if _, source, ref = q.beganAtBase(); ref != nil {
 		return "", source, ref
 	}
-	version, only := q.s.fleet.Bases().Only(q.service, recorded)
+	version, only := q.s.fleet.Bases().Only(q.service, recorded, q.s.fleet.ListAge())
 	if !only {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, 0}
 	}
@@ -133,7 +133,7 @@
 // beganAtBase is the result of beganAt if the store holds no record. It has lost records if it
 // was restored from a copy, until hosts have written them again.
 func (q *request) beganAtBase() (version, source string, ref *refusal) {
-	base, known := q.s.fleet.Bases().Base(q.service)
+	base, known := q.s.fleet.Bases().Base(q.service, q.s.fleet.ListAge())
 	if !known || !q.s.fleet.StoreSettled() {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
 	}
@@ -152,19 +152,20 @@
 }
 
 // avoidRecords returns the request for the choice of a server, which allows only servers at which
-// the stream may begin without a record while this host can't write records.
-func (q *request) avoidRecords(now time.Time) *pick.Request {
+// the stream may begin without a record while this host can't write records. It returns
+// false if there are none.
+func (q *request) avoidRecords(now time.Time) (*pick.Request, bool) {
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
-		return &q.pick
+		return &q.pick, true
 	}
-	version, only := q.s.fleet.Bases().Unrecorded(q.service)
-	if !only {
-		return &q.pick
+	version, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge())
+	if unrecorded != resume.OnlyBase {
+		return &q.pick, unrecorded == resume.Any
 	}
 	r := q.pick
 	r.Pinned = true
 	r.Version = version
-	return &r
+	return &r, true
 }
 
 // recordVersion begins to record at which version the stream begins, if it may begin with this
@@ -174,7 +175,7 @@
 	if !q.resumable() || q.headerWritten || q.lastEvent != "" {
 		return
 	}
-	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0) {
+	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0, q.s.fleet.ListAge()) {
 		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records, Service: q.service})
 		q.records++
 	}
@@ -228,8 +229,8 @@
 	if q.aborted() {
 		return retry.Unknown, false
 	}
-	base, only := q.s.fleet.Bases().Unrecorded(q.service)
-	if record.Number == 0 && (!only || base == record.Version) {
+	base, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge())
+	if record.Number == 0 && unrecorded.Allows(record.Version, base) {
 		q.s.stats.Unrecorded(q.service)
 		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
 		q.passRecord()
