Let a host that others may have forgotten use little of organisations' limits

A host that is cut off assumes that the others use equal shares, and goes on with its own; once it is no longer registered the others use the whole limit. One such host stays within the rule, several one after the other do not. Ruled out: reducing each host without its lease. During an outage of the store beside one dead host all hosts of its region have none, though they reach the others and see what these use. Change: a host without its lease that does not reach at least half of the hosts uses a tenth of what it would; the group it reaches is counted as one.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -4,7 +4,8 @@
 // peers have admitted; another region reports the total of its hosts. Between
 // reports a peer is assumed to continue at its last rate. A host without a
 // recent report is assumed to use an equal share of the rate, as it assumes of
-// this host, so that the sides of a partition stay within the limit together.
+// this host, so that the sides of a partition stay within the limit together. A
+// host that is cut off for so long that others no longer count it uses little.
 //
 // A Limiter is safe for concurrent use. It reads no clock.
 package share
@@ -39,6 +40,9 @@
 	// reportThreshold is how much a region may admit before it sends a report
 	// ahead of schedule, as a fraction of one second's rate.
 	reportThreshold = 0.08
+	// lapsedShare is the fraction of its equal share that a host uses which others may have
+	// forgotten: what the bound on the requests of an organisation leaves for such hosts.
+	lapsedShare = 0.1
 	// maxRetryAfter bounds the retry time given to a refused caller.
 	maxRetryAfter = 10 * time.Second
 )
@@ -52,6 +56,7 @@
 	fresh   bool
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	lapsed  bool // set by SetHolding
 }
 
 // Report states how many tokens another host, or all hosts of another region
@@ -141,6 +146,14 @@
 	return v
 }
 
+// SetHolding tells whether all other hosts still count this one. If they may have forgotten
+// it, and it does not reach at least half of them, it uses little of the limits.
+func (l *Limiter) SetHolding(holding bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lapsed = !holding
+}
+
 // unreachable returns the number of unreachable hosts.
 func (l *Limiter) unreachable(now time.Time) int {
 	n := 0
@@ -198,6 +211,9 @@
 	}
 	equal := b.limit.Rate / float64(hosts)
 	b.level += b.limit.Rate * d
+	if missing := l.unreachable(now); l.lapsed && 2*missing >= hosts {
+		b.level -= (1 - lapsedShare) * equal * float64(hosts-missing) * d
+	}
 	for name, p := range l.peers {
 		u := b.peers[name]
 		if u == nil {
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -335,3 +335,32 @@
 		t.Errorf("rejected for %v although no peer has admitted anything for 2 s", v.Wait)
 	}
 }
+
+// TestOfHostsCutOff guards against hosts that are cut off one after the other and together exceed the
+// limit of an organisation: those that remain divide the parts of the others as well, once these are no
+// longer registered.
+func TestOfHostsCutOff(t *testing.T) {
+	const hosts, interval, registered = 7, 20 * time.Second, 12 * time.Second
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	for _, groups := range []int{1, 3} {
+		f := newFleet(hosts, groups, true)
+		cutAt := func(i int) time.Duration { return time.Duration(i+1) * interval }
+		f.cut = func(i, j int, at time.Duration) bool { return at > cutAt(i) || at > cutAt(j) }
+		var got []float64
+		for range int((hosts - 1) * interval / time.Second) {
+			got = append(got, f.run(limit, 3*limit.Rate, 2000, time.Second)...)
+			for i, l := range f.limiters {
+				var known []string
+				for j := range hosts {
+					if f.at < cutAt(j)+registered || i != j && f.at > cutAt(i) && cutAt(i) < cutAt(j)+registered {
+						known = append(known, fmt.Sprint("h", j))
+					}
+				}
+				l.Retain(known)
+				l.SetHolding(f.at < cutAt(i)+6*time.Second)
+			}
+		}
+		wantAtMost(t, limit, got)
+		wantAtLeast(t, limit, got[len(got)-1000:])
+	}
+}
--- a/internal/edge/fleet/sharing.go
+++ b/internal/edge/fleet/sharing.go
@@ -39,6 +39,7 @@
 		f.opts.Log.Info("hosts that share limits", zap.Strings("hosts", m.Names), zap.Bool("holding", holding), zap.Duration("list_age", f.ListAge()))
 	}
 	f.sharing, f.holding = m, holding
+	f.limiter.SetHolding(holding)
 	f.updateBudgets(v, now)
 }
 
