Let a region that others forget use little of organisations' limits

A region's report is removed 20 s after the last one; the others then use the whole limit, while the region that is cut off goes on with the shares of its hosts. Change: a host whose list was last current 15 s ago counts as one that others may have forgotten; it uses a tenth unless it reaches more than half of the hosts. Cuts that are shorter change nothing. Remains: a region with more than half of all hosts that is cut off for longer than 20 s keeps its share, and a host that has restarted beside a region that is cut off for that long does not know of it at all.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -146,7 +146,7 @@
 	return v
 }
 
-// SetHolding tells whether all other hosts still count this one. If they may have forgotten
+// SetHolding tells whether all other hosts still count this one and its region. If they may have forgotten
 // it, and it does not reach at least half of them, it uses little of the limits.
 func (l *Limiter) SetHolding(holding bool) {
 	l.mu.Lock()
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -364,3 +364,34 @@
 		wantAtLeast(t, limit, got[len(got)-1000:])
 	}
 }
+
+// TestOfRegionCutOffForLong guards against a region that is cut off and goes on with its share of an
+// organisation's limit after the others have removed its report and use the whole limit.
+func TestOfRegionCutOffForLong(t *testing.T) {
+	const begin, removed, lapsed = 5 * time.Second, 20 * time.Second, 15 * time.Second
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	f := newFleet(7, 3, true)
+	f.delay = 350 * time.Millisecond
+	f.cut = func(i, j int, at time.Duration) bool {
+		return at > begin && (f.group(i) == 0) != (f.group(j) == 0)
+	}
+	var got []float64
+	for range 45 {
+		got = append(got, f.run(limit, 3*limit.Rate, 2000, time.Second)...)
+		for i, l := range f.limiters {
+			known := []string{"region1", "region2"}
+			if f.at < begin+removed || f.group(i) == 0 {
+				known = append(known, "region0")
+			}
+			for j := range f.limiters {
+				if f.group(j) == f.group(i) {
+					known = append(known, fmt.Sprint("h", j))
+				}
+			}
+			l.SetHolding(f.group(i) != 0 || f.at < begin+lapsed)
+			l.Retain(known)
+		}
+	}
+	wantAtMost(t, limit, got)
+	wantAtLeast(t, limit, got[len(got)-1000:])
+}
--- a/internal/edge/fleet/sharing.go
+++ b/internal/edge/fleet/sharing.go
@@ -13,6 +13,10 @@
 	"github.com/yuccalb/yuccalb/internal/edge/track"
 )
 
+// maxLimiterListAge is the age of the list from which on a region that is cut off gives up most of
+// its share of the limits of organisations: below reportTTL, after which other regions forget it.
+const maxLimiterListAge = reportTTL - 5*time.Second
+
 // refreshMembers updates the hosts among which limits are divided, and this host's parts:
 // both change with time as well.
 func (f *Fleet) refreshMembers() {
@@ -39,7 +43,7 @@
 		f.opts.Log.Info("hosts that share limits", zap.Strings("hosts", m.Names), zap.Bool("holding", holding), zap.Duration("list_age", f.ListAge()))
 	}
 	f.sharing, f.holding = m, holding
-	f.limiter.SetHolding(holding)
+	f.limiter.SetHolding(holding && f.ListAge() < maxLimiterListAge)
 	f.updateBudgets(v, now)
 }
 
