--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -335,3 +335,63 @@
 		t.Errorf("rejected for %v although no peer has admitted anything for 2 s", v.Wait)
 	}
 }
+
+// TestOfHostsCutOff guards against hosts that are cut off one after the other and together exceed the
+// limit of an organisation: those that remain divide the parts of the others as well, once these are no
+// longer registered.
+func TestOfHostsCutOff(t *testing.T) {
+	const hosts, interval, registered = 7, 20 * time.Second, 12 * time.Second
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	for _, groups := range []int{1, 3} {
+		f := newFleet(hosts, groups, true)
+		cutAt := func(i int) time.Duration { return time.Duration(i+1) * interval }
+		f.cut = func(i, j int, at time.Duration) bool { return at > cutAt(i) || at > cutAt(j) }
+		var got []float64
+		for range int((hosts - 1) * interval / time.Second) {
+			got = append(got, f.run(limit, 3*limit.Rate, 2000, time.Second)...)
+			for i, l := range f.limiters {
+				var known []string
+				for j := range hosts {
+					if f.at < cutAt(j)+registered || i != j && f.at > cutAt(i) && cutAt(i) < cutAt(j)+registered {
+						known = append(known, fmt.Sprint("h", j))
+					}
+				}
+				l.Retain(known)
+				l.SetHolding(f.at < cutAt(i)+6*time.Second)
+			}
+		}
+		wantAtMost(t, limit, got)
+		wantAtLeast(t, limit, got[len(got)-1000:])
+	}
+}
+
+// TestOfRegionCutOffForLong guards against a region that is cut off and goes on with its share of an
+// organisation's limit after the others have removed its report and use the whole limit.
+func TestOfRegionCutOffForLong(t *testing.T) {
+	const begin, removed, lapsed = 5 * time.Second, 20 * time.Second, 15 * time.Second
+	limit := Limit{Rate: 350_000, Burst: 350_000}
+	f := newFleet(7, 3, true)
+	f.delay = 350 * time.Millisecond
+	f.cut = func(i, j int, at time.Duration) bool {
+		return at > begin && (f.group(i) == 0) != (f.group(j) == 0)
+	}
+	var got []float64
+	for range 45 {
+		got = append(got, f.run(limit, 3*limit.Rate, 2000, time.Second)...)
+		for i, l := range f.limiters {
+			known := []string{"region1", "region2"}
+			if f.at < begin+removed || f.group(i) == 0 {
+				known = append(known, "region0")
+			}
+			for j := range f.limiters {
+				if f.group(j) == f.group(i) {
+					known = append(known, fmt.Sprint("h", j))
+				}
+			}
+			l.SetHolding(f.group(i) != 0 || f.at < begin+lapsed)
+			l.Retain(known)
+		}
+	}
+	wantAtMost(t, limit, got)
+	wantAtLeast(t, limit, got[len(got)-1000:])
+}
