State the deadline of a forwarded request on the clock of the other host

Cause: a host that forwards a request states the time left, and the other one counts it from when it reads the request. If the request was held between the regions or the other host stood still, the server is given time that the caller does not wait any more.

Change: responses to other hosts carry a reading of the host's boot clock. The reading less the arrival is at most the difference of the clocks, and the best bound of a process is kept, less one part in a thousand of its age. The deadline is stated on the receiver's clock besides the time left, and the earlier one counts. Before the first response of a host only the time left is known.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -150,6 +150,9 @@
 	return f.gossip.Close()
 }
 
+// ProcessStart returns the start of this process in Unix nanoseconds.
+func (f *Fleet) ProcessStart() int64 { return f.processStart }
+
 // SetSeeds replaces Options.Seeds.
 func (f *Fleet) SetSeeds(seeds []netip.AddrPort) { f.seeds.Store(&seeds) }
 
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/edge/clock"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -29,6 +30,9 @@
 	defer func() { _ = resp.Close() }() // it returns no errors
 	q.recordFraming(resp)
 	q.parseRecorded(resp)
+	if q.fromPeerHost() {
+		q.s.clocks.record(q.dest.addr, resp.Header.Get(headerClock), clock.Now())
+	}
 	q.recordServerState(resp)
 	if o, notRun := q.notRun(resp); notRun {
 		q.recordRefusal(resp)
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -85,7 +85,9 @@
 	delete(h, headerFraming)
 	delete(h, headerVersion)
 	delete(h, headerRecorded)
+	delete(h, headerClock)
 	if q.forwarded {
+		h[headerClock] = []string{q.s.clockNow()}
 		setVersion(h, q.choice.Version)
 		q.setRecorded(h)
 	}
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerUntil, headerClock, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
@@ -82,6 +82,9 @@
 	h[headerRoute] = []string{q.encodeRoute()}
 	h[headerService] = []string{q.service}
 	h[headerTimeout] = []string{formatMillis(q.remaining())}
+	if until, ok := q.stateDeadline(); ok {
+		h[headerUntil] = []string{until}
+	}
 	h[headerPriority] = []string{strconv.Itoa(q.priority())}
 	h[headerOrg] = []string{q.organisation()}
 	if q.route.Goal > 0 {
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -49,6 +49,9 @@
 		return fmt.Errorf("header %s: %q is not a number of milliseconds", headerTimeout, h.Get(headerTimeout))
 	}
 	q.deadline = q.arrived.Add(remaining)
+	if until, ok := q.statedDeadline(); ok && until.Before(q.deadline) {
+		q.deadline = until
+	}
 	var err error
 	if q.forwardedPriority, err = strconv.Atoi(h.Get(headerPriority)); err != nil {
 		return fmt.Errorf("header %s: %w", headerPriority, err)
@@ -92,6 +95,7 @@
 		outcome = outcomeNotRun
 	}
 	q.w.Header().Set(headerOutcome, outcome)
+	q.w.Header().Set(headerClock, q.s.clockNow())
 	q.dropRecord()
 	q.setRecorded(q.w.Header())
 	if q.tally.Sends == 0 {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -51,6 +51,7 @@
 	disableKeepAlive func() bool
 	stop             *stopper
 	lengths          length.Estimator
+	clocks           peerClocks
 	bodyMemory       byteLimit
 	checks           sync.WaitGroup // of checks whether servers have ended, and of watchPath
 	hung             hung
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -30,6 +30,8 @@
 	headerService  = "Yuccalb-Service"  // the service that serves the request
 	headerOrg      = "Yuccalb-Org"      // the organisation, if any
 	headerTimeout  = "Yuccalb-Millis"   // remaining time in milliseconds
+	headerUntil    = "Yuccalb-Until"    // the deadline on the receiver's clock, see formatClock
+	headerClock    = "Yuccalb-Clock"    // on responses: the clock of the host
 	headerPriority = "Yuccalb-Urgency"  // the priority
 	headerGoal     = "Yuccalb-Goal"     // the route's latency target for the first byte in ms
 	headerProbe    = "Yuccalb-Probe"    // set if the request tests a suspected part of prompts
