Let a change of a server's slots reach all hosts

What was seen: hosts kept 8 slots of servers whose entries named 6 since, and a server with a limit of 0 fell.

Cause: the digest of the entries leaves the slots out, so that a host whose neighbour has read the new entry takes its own for current until something else changes.

Ruled out: the entries that hosts pass on hold the slots.

TestDigestOfSlots fails before ("6 and 8 slots have the same digest") and passes now. A heartbeat still leaves the digest as it is.

--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -121,7 +121,7 @@
 func digest(e platform.Entries) uint64 {
 	lines := make([]string, 0, len(e.Servers)+len(e.Hosts)+len(e.Evacuated))
 	for _, s := range e.Servers {
-		lines = append(lines, fmt.Sprint("s", s.ID, s.Service, s.Addr, s.Site, s.Leaving, s.Warm > 0, s.Born, s.Version))
+		lines = append(lines, fmt.Sprint("s", s.ID, s.Service, s.Addr, s.Site, s.Leaving, s.Warm > 0, s.Born, s.Version, s.Slots))
 	}
 	for _, h := range e.Hosts {
 		lines = append(lines, fmt.Sprint("h", h.Name, h.Site, h.Front, h.Peer))
