Tell callers of a host without own slots when the region has room

Cause: the expected time until a server has room was the time of a slot divided by this host's own requests in progress, at least one. A host without own slots told its callers to come back after the time of a whole request, although it sends by hosts that have room.

Change: the requests in progress of all hosts count.

TestWaitOfHostWithoutSlots fails before (3 s instead of 0.6 s for requests of 3 s, 5 in progress) and passes now.

--- a/internal/core/pick/room.go
+++ b/internal/core/pick/room.go
@@ -168,7 +168,7 @@
 
 // roomWait returns the time until a server that is full is expected to have room.
 func (t *Table) roomWait(s *server, now time.Time) time.Duration {
-	d := t.model.SlotTime / time.Duration(max(s.local.Running, 1))
+	d := t.model.SlotTime / time.Duration(max(s.total().Running, 1)) // others lend their room
 	if refused, own := s.refusals.count(now); own && refused > 0 {
 		d = max(d, s.refusals.list[0].at.Add(refusalWindow).Sub(now))
 	}
--- a/internal/core/pick/room_test.go
+++ b/internal/core/pick/room_test.go
@@ -329,6 +329,27 @@
 	}
 }
 
+// TestWaitOfHostWithoutSlots guards against callers of a host without own slots that are told
+// to come back as if the server processed one request at a time.
+func TestWaitOfHostWithoutSlots(t *testing.T) {
+	s := &frailSim{frailty: frailty{slots: 6}, rng: rand.New(rand.NewPCG(1, 2)), begin: epoch}
+	for range 40 {
+		s.add(epoch)
+	}
+	for i, tab := range s.tables {
+		s.update(i, s.names, true, epoch)
+		tab.MergeRefusalLimits([]RefusalLimit{{Process: Process{ID: "s0", Born: 1}, Limit: 0}}, epoch)
+		tab.MergePeer("other", map[string]Load{"s0": {Running: 5}}, nil, epoch)
+		tab.model.SlotTime = 3 * time.Second
+		if tab.rank(tab.servers["s0"]) < 6 {
+			continue
+		}
+		if w := tab.roomWait(tab.servers["s0"], epoch); w != 600*time.Millisecond {
+			t.Errorf("host %d: room in %v, want 3s for 5 requests", i, w)
+		}
+	}
+}
+
 // TestServerWithoutSlots guards against hosts that send on to a server that refuses all
 // requests although its slots seem free.
 func TestServerWithoutSlots(t *testing.T) {
