Keep the order of requests that wait for room, the more urgent first

Cause: each waiting request looked for room at its own intervals of 20 ms, so that a later one could take room before the first; and a full line refused an urgent request while less urgent ones waited, although servers put urgent requests first.

Change: only the first request looks; if it may not use what others may (another version, a server that has refused it, no second hop), it passes the turn on. The line is ordered by priority, then by arrival; in a full line the last, less urgent request gives way and is refused at once.

Ruled out: order by deadline. Requests wait 200 ms at most, well below the deadlines, so that it would order by route only.

--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -22,7 +22,7 @@
 )
 
 // chooseInTurn is choose for a request that waits if the servers have no room, after those
-// that wait already. If too many do, it is refused at once.
+// that wait already and are as urgent. If too many do, it is refused at once.
 func (q *request) chooseInTurn(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.pick.Extra = false
 	svc := q.s.fleet.Service(q.service)
@@ -32,7 +32,7 @@
 			return c, local, ref
 		}
 	}
-	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld))
+	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), q.priority())
 	if !ok {
 		return q.choose(now, remaining)
 	}
@@ -54,6 +54,11 @@
 		select {
 		case <-place.Ready():
 		case <-step.C:
+			if !place.First() && time.Now().Before(q.holdUntil) {
+				continue // the requests before this one look first
+			}
+		case <-place.Lost():
+			return q.choose(time.Now(), q.remaining())
 		case <-q.ctx.Done():
 			return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoRoom, retryAfterBusy}
 		}
@@ -64,9 +69,17 @@
 		if last == nil || last.reason != reasonNoRoom || !now.Before(q.holdUntil) {
 			return c, local, last
 		}
+		if q.restricted() {
+			place.Pass()
+		}
 	}
 }
 
+// restricted reports whether other requests may use room that this one may not use.
+func (q *request) restricted() bool {
+	return q.forwarded || q.pick.Pinned || len(q.pick.Exclude) > 0 || q.target != &q.pick
+}
+
 // holdTime returns for how long the request may wait for room.
 func (q *request) holdTime() time.Duration {
 	d := min(holdTime, q.remaining()/timeShare)
