Play faults beside servers with refusal limits

TestRefusalsAfterFaults plays four hosts at loads of 0.6 and 3, servers with 6 and 64 slots and limits of 0, 3 and 20: a server that falls over and comes back, a host that ends and is forgotten 2 s later, and a restart of all hosts, which know nothing then.

--- a/internal/core/pick/room_test.go
+++ b/internal/core/pick/room_test.go
@@ -69,6 +69,9 @@
 	held         [][]frailRequest // requests that wait
 	running      map[string]int
 	refused      map[string][]time.Time
+	silent       map[int]bool  // hosts that have ended
+	down         map[int]bool  // servers that are not listed
+	born         map[int]int64 // restarts of servers
 	sent, served int
 	begin        time.Time
 }
@@ -81,7 +84,9 @@
 func (s *frailSim) update(i int, names []string, discovered bool, now time.Time) {
 	var list []spec.Server
 	for k := range frailServers {
-		list = append(list, spec.Server{ID: fmt.Sprint("s", k), Born: 1, Slots: s.slots})
+		if !s.down[k] {
+			list = append(list, spec.Server{ID: fmt.Sprint("s", k), Born: 1 + s.born[k], Slots: s.slots})
+		}
 	}
 	h := RegionHosts{Self: s.names[i], Hosts: names, Discovered: discovered, ReportInterval: frailReports}
 	s.tables[i].Update(spec.Service{}, list, nil, h, now)
@@ -93,7 +98,7 @@
 	limits := s.tables[i].RefusalLimits(now)
 	room := s.tables[i].HostRoom(len(s.held[i]), now)
 	for k, t := range s.tables {
-		if k != i && s.rng.IntN(5) > 0 {
+		if k != i && s.rng.IntN(5) > 0 && !s.silent[i] {
 			t.MergePeer(s.names[i], loads, nil, now)
 			t.MergeRefusalLimits(limits, now)
 			t.MergeRoom(s.names[i], room, now)
@@ -111,7 +116,7 @@
 	if s.skewed && s.rng.IntN(2) == 0 {
 		i = 0
 	}
-	if s.ready[i] {
+	if s.ready[i] && !s.silent[i] {
 		s.sent++
 		s.accept(i, frailRequest{came: now, from: -1}, now)
 	}
@@ -120,6 +125,10 @@
 // accept sends a request that has come to a host, or lets it wait or end.
 func (s *frailSim) accept(i int, r frailRequest, now time.Time) {
 	r.joined = now
+	if s.silent[i] {
+		s.refuse(i, r, now) // its connections are refused
+		return
+	}
 	if len(s.held[i]) == 0 && s.try(i, r, now) {
 		return
 	}
@@ -243,13 +252,7 @@
 // play returns the most refusals by a server within a second, and the part of what the
 // servers can do that was served.
 func (f frailty) play() (most int, served float64) {
-	s := &frailSim{frailty: f, rng: rand.New(rand.NewPCG(1, 2)), running: make(map[string]int), refused: make(map[string][]time.Time), begin: time.Unix(1000, 0)}
-	for range f.hosts {
-		s.add(s.begin)
-	}
-	for i := range s.tables {
-		s.update(i, s.names, true, s.begin)
-	}
+	s := f.newFrailSim()
 	if f.joins {
 		s.after(s.begin, frailPeriod/2, func(now time.Time) {
 			joined := s.add(now)
@@ -261,11 +264,7 @@
 			}
 		})
 	}
-	s.arrive(s.begin)
-	for s.queue[0].at.Sub(s.begin) < frailPeriod {
-		e := heap.Pop(&s.queue).(event)
-		e.run(e.at)
-	}
+	s.run(frailPeriod)
 	most = mostWithinSecond(s.refused)
 	able := frailServers / frailWork.Seconds() * frailPeriod.Seconds()
 	return most, float64(s.served) / min(able, float64(s.sent))
