Ask a host that can't be reached for room only after its next report

Cause: a host that has ended counts as one with room until its last report is 1.5 s old. A request that could not be sent there used up a try, and the next ones went there as well.

Change: a host that is not reached, or breaks a request off, is not asked for room until it reports again, as one that has refused; and a request that was not sent goes on as if it had been refused.

TestLenders (new) covers the reports and the refusal. The lost connection is played by "host ends" of TestRefusalsAfterFaults in the simulation only, not with processes.

--- a/internal/edge/relay/lend.go
+++ b/internal/edge/relay/lend.go
@@ -40,13 +40,13 @@
 }
 
 // endLoan records the outcome of an attempt at a host that had room, and returns whether that
-// host had none left, so that another one may be asked.
+// host had none left or was not reached, so that another one may be asked.
 func (q *request) endLoan(res retry.Result, o pick.Outcome) (again bool) {
 	if q.lentBy == "" {
 		return false
 	}
-	again = res == retry.NotRun && o == pick.NotRun && q.unsent
-	q.chosenFrom.Table.Lent(q.lentBy, again)
+	again = res == retry.NotRun && (o == pick.NotRun && q.unsent || o == pick.NoConnect)
+	q.chosenFrom.Table.Lent(q.lentBy, again || o == pick.Broken)
 	q.s.stats.Lent(q.service, outcomeName(o))
 	return again && time.Now().Before(q.holdUntil) && !cancelled(q.ctx)
 }
