Show that the load of a host that has ended counts for good

A table keeps the requests that each other host has last reported, until it reports again. A host that has ended and comes back under another name, or not at all, is counted at the servers as long as they live: they seem fuller than they are to the choice of a server. Found beside the work on room, where the same loads showed which slots are free.

--- a/internal/core/pick/lend_test.go
+++ b/internal/core/pick/lend_test.go
@@ -34,3 +34,13 @@
 		t.Errorf("lenders %v by old reports, want none", got)
 	}
 }
+
+// TestLoadOfEndedHost guards against the load of a host that has ended and counts for good.
+func TestLoadOfEndedHost(t *testing.T) {
+	tab := newTable(1)
+	tab.MergePeer("ended", map[string]Load{"s0": {Running: 5}}, nil, epoch)
+	tab.Update(engine, entries(1), nil, allDiscovered("h0", "other"), epoch.Add(time.Minute))
+	if c, ok := tab.Pick(&Request{}, epoch.Add(time.Minute)); !ok || c.Load.Running != 0 {
+		t.Errorf("%d requests of a host that has ended count", c.Load.Running)
+	}
+}
