Use the room of hosts that start or stop

What callers saw: while a server had fallen over, one of four hosts stopped and another one started, at a load of 0.6, a tenth of the requests was refused for want of room.

Cause: a host has no part of the room for 1.5 s after its start, and one that stops gets no requests any more, but their parts count as theirs. The others may use room beyond their own parts, within their parts of the refusals, only beside a host that is silent.

Change: a host reports that it does not use its part, and counts as a silent one in this. With a limit of 0 such room stays unused.

Ruled out: keys that the store can't confirm.

--- a/internal/core/pick/lend.go
+++ b/internal/core/pick/lend.go
@@ -19,6 +19,8 @@
 	// Limited is set if a server has a refusal limit, and Limit is the least one.
 	Limited bool `cbor:"4,keyasint,omitempty"`
 	Limit   int  `cbor:"5,keyasint,omitempty"`
+	// Idle is set if the host does not use its part: it has just started, or stops.
+	Idle bool `cbor:"6,keyasint,omitempty"`
 }
 
 // lentTTL is the age after which a report about room no longer counts.
@@ -66,6 +68,7 @@
 			r.Limit = limit
 		}
 		r.Limited = true
+		r.Idle = !t.hosts.Discovered
 		r.Waiting = waiting
 		if t.leaving(s) {
 			continue
@@ -102,12 +105,12 @@
 	return limit, limited
 }
 
-// silent reports whether one of the hosts that share limits has reported nothing lately, so
-// that its part of the room may be unused.
-func (t *Table) silent(now time.Time) bool {
+// unused reports whether one of the hosts that share limits has reported nothing lately, or
+// that it does not use its part of the room.
+func (t *Table) unused(now time.Time) bool {
 	return slices.ContainsFunc(t.hosts.Hosts, func(host string) bool {
 		l := t.lenders[host]
-		return host != t.hosts.Self && (l == nil || now.Sub(l.reported) > lentTTL)
+		return host != t.hosts.Self && (l == nil || l.Idle || now.Sub(l.reported) > lentTTL)
 	})
 }
 
--- a/internal/core/pick/room.go
+++ b/internal/core/pick/room.go
@@ -160,7 +160,7 @@
 	if running < r.own {
 		return false, false
 	}
-	if !req.Extra || !t.silent(now) || running >= r.own+r.refusals-refused || s.total().Running >= slots {
+	if !req.Extra || !t.unused(now) || running >= r.own+r.refusals-refused || s.total().Running >= slots {
 		return true, false
 	}
 	return false, true
--- a/internal/edge/entry/falls_test.go
+++ b/internal/edge/entry/falls_test.go
@@ -174,18 +174,20 @@
 	sent, served, refused atomic.Int64
 }
 
-// press sends rate requests a second from callers that do not retry, and counts those
-// from fallNotice on. If skewed is set, half of the callers use one host, and their part of
-// the others.
-func (cl *cluster) press(rate float64, callers int, skewed bool) *counts {
+// uneven returns the hosts for press so that 5/8 of the requests come to the first of four.
+func uneven(hosts []*Entry) []*Entry {
+	first := hosts[0]
+	return []*Entry{first, hosts[1], first, hosts[2], first, hosts[3], first, first}
+}
+
+// press sends rate requests a second from callers that do not retry, spread evenly over the
+// given hosts, and counts those from fallNotice on.
+func (cl *cluster) press(rate float64, callers int, hosts []*Entry) *counts {
 	var c counts
 	begin := time.Now()
 	var done sync.WaitGroup
 	for i := range callers {
-		e := cl.hosts[i%len(cl.hosts)]
-		if skewed && i < callers/2 {
-			e = cl.hosts[0]
-		}
+		e := hosts[i%len(hosts)]
 		rng := rand.New(rand.NewPCG(2, uint64(i)))
 		done.Go(func() {
 			var conn *line.Conn
@@ -246,7 +248,11 @@
 		for _, f := range servers {
 			f.state(tt.limit)
 		}
-		c := cl.press(tt.load*capacity, 200, tt.skewed)
+		hosts := cl.hosts
+		if tt.skewed {
+			hosts = uneven(hosts)
+		}
+		c := cl.press(tt.load*capacity, 200, hosts)
 		falls, most := 0, 0
 		for _, f := range servers {
 			f.mu.Lock()
--- a/internal/edge/fleet/lend.go
+++ b/internal/edge/fleet/lend.go
@@ -48,6 +48,7 @@
 	rooms := make(map[string]pick.HostRoom)
 	for name, svc := range *f.tables.Load() {
 		if r := svc.Table.HostRoom(svc.Held.Len(), now); r.Limited {
+			r.Idle = r.Idle || f.Leaving()
 			rooms[name] = r
 		}
 	}
