--- a/internal/edge/entry/moved_test.go
+++ b/internal/edge/entry/moved_test.go
@@ -21,7 +21,7 @@
 	for _, e := range cl.hosts {
 		for _, service := range []string{"desk", "shop"} {
 			cl.eventually("base version", func() bool {
-				base, known := e.fleet.Bases().Base(service)
+				base, known := e.fleet.Bases().Base(service, 0)
 				return known && e.fleet.ServesVersion(service, base, func(string) bool { return true })
 			})
 		}
