Use parts of limits only by lists that name this host

What servers see: two hosts of a region use the whole of a limit each.

Cause: the proof of core/roster holds if the list of a host that uses its part names this host, which was not asked. A host counted as known to all others while its list was current and it heard nobody else, also before its entry was written, after the store had dropped it in an outage or while the store refuses its renewals, and for as long as it renewed the lease of an entry that a late write had put under another lease. The class: absence (of others from a list) read as permission.

Ruled out: waiting 6 s after each new entry in these cases too, as the way by the list does. It is not needed: of two hosts whose current lists each name the host itself, one names both.

Change: the way by echoes goes by the hosts of a current list only if this names the host and its entry was renewed within 8 s, else by all that were known in the last minute, as it does for an old list. The way by the list requires that it names the host.

A host that starts uses its part up to a second later, once it has read a list with its own entry or all others have heard it.

--- a/internal/core/pick/sharing_test.go
+++ b/internal/core/pick/sharing_test.go
@@ -25,6 +25,7 @@
 type sharingHost struct {
 	name      string
 	store     bool // whether it reaches the store
+	readOnly  bool // whether the store refuses its writes
 	group     int  // it reaches the hosts of the same group
 	mute      bool // whether it hears the others, and they do not hear it
 	leaving   bool
@@ -52,11 +53,12 @@
 	now      time.Time
 	arrivals []time.Time
 	limit    float64 // that the server names, unless it is 0
+	refuses  bool    // whether the store refuses the writes of hosts at times, and drops entries
 }
 
 // start begins a process of a host.
 func (s *sharingSim) start(h *sharingHost, first bool) {
-	*h = sharingHost{name: h.name, store: h.store, group: h.group, mute: h.mute, started: s.now, heard: make(map[string]time.Time), lookAt: s.now, entryEnd: h.entryEnd}
+	*h = sharingHost{name: h.name, store: h.store, readOnly: h.readOnly, group: h.group, mute: h.mute, started: s.now, heard: make(map[string]time.Time), lookAt: s.now, entryEnd: h.entryEnd}
 	h.roster.First = first
 	h.table = NewTable(s.svc, rand.New(rand.NewPCG(s.rng.Uint64(), 1)))
 }
@@ -84,7 +86,7 @@
 
 // look updates which hosts a host divides limits among.
 func (s *sharingSim) look(h *sharingHost) {
-	if h.store && !h.mute {
+	if h.store && !h.mute && !h.readOnly {
 		if h.entryAt.IsZero() || !s.now.Before(h.entryEnd) {
 			h.entryAt = s.now
 		}
@@ -113,6 +115,10 @@
 // disturb lets something happen to a host.
 func (s *sharingSim) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	if s.refuses && s.rng.IntN(2) == 0 {
+		h.readOnly = s.rng.IntN(3) > 0
+		return
+	}
 	switch s.rng.IntN(8) {
 	case 0:
 		s.start(h, false)
@@ -189,10 +195,18 @@
 // TestNamedLimitOfDisagreeingHosts guards against hosts that know different ones of the others, since
 // they are cut off, stand still, start or stop, and together exceed the limit of a server.
 func TestNamedLimitOfDisagreeingHosts(t *testing.T) {
+	for name, refuses := range map[string]bool{"calls succeed or fail": false, "writes fail alone": true} {
+		t.Run(name, func(t *testing.T) { checkNamedLimit(t, refuses) })
+	}
+}
+
+// checkNamedLimit plays trials in which the store refuses only writes at times, or not.
+func checkNamedLimit(t *testing.T, refuses bool) {
 	const seeds = 150
 	above, used := 0, 0
 	for seed := range uint64(seeds) {
 		s := newSharingSim(1+int(seed%5), seed)
+		s.refuses = refuses
 		s.limit = []float64{1, 2, 5, 20, 40}[s.rng.IntN(5)]
 		s.play(time.Duration(1+s.rng.IntN(8)) * time.Second)
 		got, want := limits.Most(s.arrivals), limits.Allowed(s.limit)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -149,10 +149,16 @@
 // current reports whether the list is known to have been current lately.
 func (v *View) current(now time.Time) bool { return now.Sub(v.ListedAt) <= listLease }
 
+// attested reports whether all lists that are current name this host: the last one does, and its
+// entry was renewed lately. Two hosts with such lists can't both lack the other one.
+func (v *View) attested(now time.Time) bool {
+	return v.current(now) && now.Sub(v.RenewedAt) <= entryLease && slices.Contains(v.Listed, v.Self)
+}
+
 // untilListed returns until when this host may use its part by the store. Any other one that does
 // so has read a list with this host in it.
 func (r *Roster) untilListed(v View, now time.Time) time.Time {
-	if v.EntryAt.IsZero() || v.ListedAt.IsZero() {
+	if v.EntryAt.IsZero() || v.ListedAt.IsZero() || !slices.Contains(v.Listed, v.Self) {
 		return time.Time{}
 	}
 	if r.firstEntry.IsZero() {
@@ -170,12 +176,12 @@
 }
 
 // untilEchoed returns until when this host may use its part since all others have heard of it: those
-// that it counts or, if its list is old, all that may have come back since. With an old list there must
-// be others, and the list must have been current once: a host that hears nobody can't tell an outage
+// that it counts or, if its list is old or lacks its entry, all that may have come back since. Then there
+// must be others, and the list must have been current once: a host that hears nobody can't tell an outage
 // of the store from being cut off itself.
 func (r *Roster) untilEchoed(v View, now time.Time) time.Time {
 	others := r.seen
-	if !v.current(now) {
+	if !v.attested(now) {
 		others = r.known
 		if !r.listed || len(others) < 2 {
 			return time.Time{}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -120,3 +120,53 @@
 	x.run(2 * time.Second)
 	x.check(t, "listed for long", true, "a", "b", "c")
 }
+
+// TestEntriesLost guards against two hosts that use the whole of a limit each: the store has dropped
+// their entries in an outage, they read its list before they have written them again, and do
+// not hear each other.
+func TestEntriesLost(t *testing.T) {
+	x := newTrial(true)
+	x.view.Listed, x.view.Peers = []string{"a", "b"}, []Peer{{Name: "b"}}
+	x.run(10 * time.Second)
+	x.check(t, "before", true, "a", "b")
+	x.store, x.view.Peers = false, nil
+	x.run(20 * time.Second)
+	x.check(t, "in the outage", false, "a", "b")
+	x.view.Listed = nil
+	for range 10 {
+		x.run(300 * time.Millisecond)
+		x.view.ListedAt = x.now
+	}
+	x.check(t, "by a list without an entry of its own", false, "a")
+	x.store, x.view.Listed, x.view.EntryAt = true, []string{"a"}, time.Time{}
+	x.run(300 * time.Millisecond)
+	x.check(t, "by a list with its entry", true, "a")
+}
+
+// TestEntryGone guards against a host that uses its part by the renewals of an entry which the store
+// does not list: a late write under another lease has replaced it.
+func TestEntryGone(t *testing.T) {
+	x := newTrial(true)
+	x.run(10 * time.Second)
+	x.view.Peers, x.view.Listed = nil, []string{"b", "c"}
+	x.run(5 * time.Second)
+	x.check(t, "while others may have forgotten it", false, "a", "b", "c")
+	x.view.Listed = nil
+	x.run(5 * time.Second)
+	x.check(t, "while others may not be listed either", false, "a")
+}
+
+// TestRenewalsFail guards against a host that uses the whole of a limit by a list with its entry, although
+// others may have read one without it since.
+func TestRenewalsFail(t *testing.T) {
+	x := newTrial(true)
+	x.view.Listed, x.view.Peers = []string{"a"}, nil
+	x.run(10 * time.Second)
+	x.check(t, "before", true, "a")
+	x.store = false
+	for range 30 {
+		x.view.ListedAt = x.now
+		x.run(300 * time.Millisecond)
+	}
+	x.check(t, "9 s after the last renewal", false, "a")
+}
