Write the entry of a host again once the store does not list it

What callers see: nothing for a while. Other hosts know the host by its frames only; one that has just started, or does not hear it, does not count it, while it counts itself as listed for ever.

Cause: the entry of a host has one key for all its processes and leases. A write without an answer is repeated under another lease; if the first one is carried out after it, or that of the process before a restart, the entry is under the earlier lease and goes with it, within 10 s. The host renews a lease without keys from then on: Keep succeeds. The class: the order of writes taken for the order of what they state.

Ruled out: expecting a revision with each write, which the late write of a former process does not know of either way; keeping the lease after a write without an answer, which does not cover a restart.

Change: at each renewal the host looks whether a list that is newer than its entry lacks it, and writes the entry under a new lease then. It counts as a new one, so that the host waits until all lists hold it.

Measured: TestEntryReplaced fails before (not written again within 10 s), and passes after, with the race detector too. The late write itself is played by the removal of the key.

--- a/internal/edge/track/register.go
+++ b/internal/edge/track/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,6 +75,10 @@
 		case err != nil:
 			return err
 		}
+		if t.entry.key != "" && t.replaced() {
+			t.opts.Log.Warn("the entry of this host is gone although its lease lasts; it is written again")
+			t.entry = entry{}
+		}
 		if t.entry.key != "" {
 			t.renewed.Raise(began)
 			if t.entry.host == t.self() {
@@ -100,6 +105,13 @@
 	return nil
 }
 
+// replaced reports whether a list that is newer than the entry lacks it. An earlier write, of this process
+// or of the one before it, may be carried out late, and takes the entry with it when its lease ends.
+func (t *Tracker) replaced() bool {
+	v := t.View()
+	return v.EntriesRev.After(t.entry.rev) && !slices.ContainsFunc(v.Hosts, func(h spec.Host) bool { return h.Name == t.opts.Self.Name })
+}
+
 // Entry returns when the entry of this host was written that is in the store, and when it was last
 // renewed, on the clock of package clock. Both are 0 if there was none yet.
 func (t *Tracker) Entry() (written, renewed time.Duration) {
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -249,3 +249,33 @@
 	before := s.Calls("/-/kv-txn")
 	eventually(t, "entry written again", func() bool { return s.Calls("/-/kv-txn") > before })
 }
+
+// TestEntryReplaced guards against a host that is listed no more, because a late write of its entry under
+// an earlier lease has replaced it, and keeps renewing the lease that no key has any longer.
+func TestEntryReplaced(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	tr := start(t, s, 0)
+	listed := func() bool {
+		return slices.ContainsFunc(tr.View().Hosts, func(h spec.Host) bool { return h.Name == "h0" })
+	}
+	eventually(t, "entry", listed)
+	before, _ := tr.Entry()
+	key, _, err := platform.EncodeHost(tr.opts.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Remove(key) // the earlier lease has ended
+	eventually(t, "list without the entry", func() bool { return !listed() })
+	eventually(t, "entry written again", listed)
+	if written, _ := tr.Entry(); written <= before {
+		t.Errorf("written %v, first %v", written, before)
+	}
+	lists := s.Calls("/-/kv-range")
+	writes := s.Calls("/-/kv-txn")
+	eventually(t, "more lists", func() bool { return s.Calls("/-/kv-range") > lists+5 })
+	time.Sleep(renewInterval)
+	if n := s.Calls("/-/kv-txn") - writes; n > 0 {
+		t.Errorf("written %d times more", n)
+	}
+}
