Refuse streams that are taken up where another route selects their service now

What callers see: a stream goes on at a server of another service than it began at, although its route was not moved: a version has added or removed a route with a longer prefix, which its path fits too.

Cause: resume.Moves remembered former targets by the host and prefix of the route that a request selects now. It knew nothing of a route that is new at this place, and did not look for one that is gone.

Ruled out: a mark of each service at which a stream began, in the store: nothing is written while a stream begins at the base version.

Change: Moves keeps the routes of former versions, 10 min and 64 versions at most, and looks up the host and path of the request in each. Versions that change no route are not kept. Former routes count only if streams on them could be resumed.

Moved takes host and path in place of the route; the former cases are kept.

A host that has started since knows no former version, and a move that lowers the time limit of the route is remembered for the lower one; both open.

--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -1,7 +1,6 @@
 package resume
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,72 +8,61 @@
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 )
 
-// absentRouteTime is how long a route is remembered that no version holds any more, with its
-// former services.
-const absentRouteTime = time.Minute
+const (
+	// formerTime is how long the routes of former versions are remembered, longer than any stream
+	// lasts, and maxFormer bounds the versions.
+	formerTime = 10 * time.Minute
+	maxFormer  = 64
+)
 
-// Moves remembers to which services routes sent streams before versions of the configuration
-// moved them. What servers of two services write does not fit together. Its zero value knows
+// Moves remembers to which services the routes of former versions of the configuration sent
+// streams. What servers of two services write does not fit together. Its zero value knows
 // none. It is safe for concurrent use.
 type Moves struct {
-	mu     sync.Mutex
-	routes map[routeKey]*movedRoute
-}
-
-type routeKey struct{ host, prefix string }
-
-// movedRoute is a route with the targets that it had before.
-type movedRoute struct {
-	targets []spec.Target
-	former  []formerTargets
-	listed  time.Time // when a version held the route last
+	mu      sync.Mutex
+	current *spec.Snapshot // of routes only, nil before the first version
+	former  []formerRoutes // by the time up to which they were in force
 }
 
-// formerTargets are targets of a route until a time.
-type formerTargets struct {
-	targets []spec.Target
-	until   time.Time
+// formerRoutes are the routes of a version that was in force until a time.
+type formerRoutes struct {
+	*spec.Snapshot
+	until time.Time
 }
 
 // Update replaces the routes by those of the version in force.
 func (m *Moves) Update(routes []spec.Route, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.routes == nil {
-		m.routes = make(map[routeKey]*movedRoute)
-	}
-	for _, r := range routes {
-		k := routeKey{r.Host, r.Prefix}
-		old := m.routes[k]
-		if old == nil {
-			old = &movedRoute{targets: r.Targets}
-			m.routes[k] = old
+	m.former = slices.DeleteFunc(m.former, func(f formerRoutes) bool { return now.Sub(f.until) > formerTime })
+	if m.current != nil {
+		if slices.EqualFunc(m.current.Routes, routes, sameRouting) {
+			return
 		}
-		if !slices.Equal(old.targets, r.Targets) {
-			old.former = append(old.former, formerTargets{old.targets, now})
-			old.targets = r.Targets
+		m.former = append(m.former, formerRoutes{m.current, now})
+		if len(m.former) > maxFormer {
+			m.former = slices.Delete(m.former, 0, 1)
 		}
-		old.listed = now
-		old.former = slices.DeleteFunc(old.former, func(f formerTargets) bool { return now.Sub(f.until) > absentRouteTime })
 	}
-	maps.DeleteFunc(m.routes, func(_ routeKey, r *movedRoute) bool { return now.Sub(r.listed) > absentRouteTime })
+	m.current = spec.NewSnapshot(spec.Config{Routes: routes})
+}
+
+// sameRouting reports whether two routes send the same streams to the same services.
+func sameRouting(a, b spec.Route) bool {
+	return a.Host == b.Host && a.Prefix == b.Prefix && a.Resumable == b.Resumable && slices.Equal(a.Targets, b.Targets)
 }
 
-// Moved reports whether a stream on a route may have begun at another service than the one that
-// its hash selects now: a version in force within a time before now selects another.
-func (m *Moves) Moved(r *spec.Route, hash uint64, within time.Duration, now time.Time) bool {
+// Moved reports whether a stream that a caller takes up, and that a service gets now, may have begun at
+// another one: a version in force within a time before now selects that for its host, path and hash.
+func (m *Moves) Moved(service, host, path string, hash uint64, within time.Duration, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := m.routes[routeKey{r.Host, r.Prefix}]
-	if known == nil {
-		return false
+	other := func(s *spec.Snapshot) bool {
+		r := s.Route(host, path)
+		return r != nil && r.Resumable && r.Target(hash) != service
 	}
-	service := r.Target(hash)
-	if current := (spec.Route{Targets: known.targets}); current.Target(hash) != service {
-		return true // the version of r came into force after the last update
+	if m.current != nil && other(m.current) {
+		return true // the caller's request goes by a version that came into force after the last update
 	}
-	return slices.ContainsFunc(known.former, func(f formerTargets) bool {
-		former := spec.Route{Targets: f.targets}
-		return now.Sub(f.until) <= within && former.Target(hash) != service
-	})
+	return slices.ContainsFunc(m.former, func(f formerRoutes) bool { return now.Sub(f.until) <= within && other(f.Snapshot) })
 }
--- a/internal/core/resume/moves_test.go
+++ b/internal/core/resume/moves_test.go
@@ -12,7 +12,7 @@
 func TestMoved(t *testing.T) {
 	const within = 10 * time.Second
 	route := func(services ...string) spec.Route {
-		r := spec.Route{Host: "h", Prefix: "/ask/"}
+		r := spec.Route{Host: "h", Prefix: "/ask/", Resumable: true}
 		for _, s := range services {
 			r.Targets = append(r.Targets, spec.Target{Service: s, Weight: 1})
 		}
@@ -40,7 +40,7 @@
 				m.Update([]spec.Route{r}, start)
 			}
 			last := tt.versions[len(tt.versions)-1]
-			if got := m.Moved(&last, tt.hash, within, start.Add(tt.after)); got != tt.want {
+			if got := m.Moved(last.Target(tt.hash), last.Host, "/ask/x", tt.hash, within, start.Add(tt.after)); got != tt.want {
 				t.Errorf("got %v", got)
 			}
 		})
@@ -51,8 +51,8 @@
 // of which the host has not taken notice otherwise.
 func TestMovedBeforeUpdate(t *testing.T) {
 	var m Moves
-	m.Update([]spec.Route{{Targets: []spec.Target{{Service: "desk", Weight: 1}}}}, start)
-	if shop := (spec.Route{Targets: []spec.Target{{Service: "shop", Weight: 1}}}); !m.Moved(&shop, 0, 0, start) {
+	m.Update([]spec.Route{{Prefix: "/ask/", Resumable: true, Targets: []spec.Target{{Service: "desk", Weight: 1}}}}, start)
+	if !m.Moved("shop", "", "/ask/x", 0, 0, start) {
 		t.Error("the move is not noticed")
 	}
 }
@@ -61,12 +61,56 @@
 // left the route out.
 func TestMovedWhileLeftOut(t *testing.T) {
 	var m Moves
-	desk := spec.Route{Prefix: "/ask/", Targets: []spec.Target{{Service: "desk", Weight: 1}}}
-	shop := spec.Route{Prefix: "/ask/", Targets: []spec.Target{{Service: "shop", Weight: 1}}}
+	desk := spec.Route{Prefix: "/ask/", Resumable: true, Targets: []spec.Target{{Service: "desk", Weight: 1}}}
+	shop := spec.Route{Prefix: "/ask/", Resumable: true, Targets: []spec.Target{{Service: "shop", Weight: 1}}}
 	m.Update([]spec.Route{desk}, start)
 	m.Update(nil, start.Add(time.Second))
 	m.Update([]spec.Route{shop}, start.Add(2*time.Second))
-	if !m.Moved(&shop, 0, 10*time.Second, start.Add(3*time.Second)) {
+	if !m.Moved("shop", "", "/ask/x", 0, 10*time.Second, start.Add(3*time.Second)) {
+		t.Error("the move is not noticed")
+	}
+}
+
+// TestMovedByLongerPrefix guards against a stream that is taken up at another service, because a version has
+// added or removed a route with a longer prefix, while no route was moved itself.
+func TestMovedByLongerPrefix(t *testing.T) {
+	to := func(prefix, service string, resumable bool) spec.Route {
+		return spec.Route{Prefix: prefix, Resumable: resumable, Targets: []spec.Target{{Service: service, Weight: 1}}}
+	}
+	all, part, plain := to("/ask/", "desk", true), to("/ask/x/", "shop", true), to("/", "desk", false)
+	for name, tt := range map[string]struct {
+		versions [][]spec.Route
+		service  string
+		path     string
+		want     bool
+	}{
+		"added":                     {[][]spec.Route{{all}, {all, part}}, "shop", "/ask/x/1", true},
+		"removed":                   {[][]spec.Route{{all, part}, {all}}, "desk", "/ask/x/1", true},
+		"another path":              {[][]spec.Route{{all}, {all, part}}, "desk", "/ask/1", false},
+		"added where nothing was":   {[][]spec.Route{{}, {all}}, "desk", "/ask/1", false},
+		"added below a plain route": {[][]spec.Route{{plain}, {plain, part}}, "shop", "/ask/x/1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var m Moves
+			for _, routes := range tt.versions {
+				m.Update(routes, start)
+			}
+			if got := m.Moved(tt.service, "", tt.path, 0, 10*time.Second, start.Add(time.Second)); got != tt.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
+// TestMovedDuringLongStream guards against a move that is forgotten before a long stream has ended.
+func TestMovedDuringLongStream(t *testing.T) {
+	var m Moves
+	shop := []spec.Route{{Prefix: "/ask/", Resumable: true, Targets: []spec.Target{{Service: "shop", Weight: 1}}}}
+	m.Update([]spec.Route{{Prefix: "/ask/", Resumable: true, Targets: []spec.Target{{Service: "desk", Weight: 1}}}}, start)
+	for s := range 100 {
+		m.Update(shop, start.Add(time.Duration(s)*time.Second))
+	}
+	if !m.Moved("shop", "", "/ask/x", 0, 2*time.Minute, start.Add(100*time.Second)) {
 		t.Error("the move is not noticed")
 	}
 }
--- a/internal/edge/entry/moved_test.go
+++ b/internal/edge/entry/moved_test.go
@@ -8,8 +8,24 @@
 )
 
 // TestTakeUpAfterRouteMoved guards against streams that go on at a server of another service,
-// because a version has moved their route since they began.
+// because a version has moved their route since they began, or put another one in its place.
 func TestTakeUpAfterRouteMoved(t *testing.T) {
+	for name, change := range map[string]func(plattest.Route) []plattest.Route{
+		"moved": func(r plattest.Route) []plattest.Route {
+			r.Service = "shop"
+			return []plattest.Route{r}
+		},
+		"replaced by a shorter prefix": func(r plattest.Route) []plattest.Route {
+			r.Prefix, r.Service = "/", "shop"
+			return []plattest.Route{r}
+		},
+	} {
+		t.Run(name, func(t *testing.T) { checkTakeUpAfter(t, change) })
+	}
+}
+
+// checkTakeUpAfter checks that no stream is taken up after a change of its route to another service.
+func checkTakeUpAfter(t *testing.T, change func(plattest.Route) []plattest.Route) {
 	cl := newCluster(t)
 	for _, site := range []string{"a1", "b1"} {
 		cl.host(site)
@@ -31,7 +47,8 @@
 	moved.Routes = nil
 	for _, r := range routes {
 		if r.Prefix == "/resume/" {
-			r.Service = "shop"
+			moved.Routes = append(moved.Routes, change(r)...)
+			continue
 		}
 		moved.Routes = append(moved.Routes, r)
 	}
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -19,10 +19,10 @@
 // Bases returns the base versions of the services.
 func (f *Fleet) Bases() *resume.Bases { return &f.bases }
 
-// Moved reports whether a stream on a route may have begun at another service than the one that its
-// hash selects now.
-func (f *Fleet) Moved(r *spec.Route, hash uint64, within time.Duration) bool {
-	return f.moves.Moved(r, hash, within, time.Now())
+// Moved reports whether a stream that a service gets now may have begun at another one, to which a version
+// has sent its host, path and hash.
+func (f *Fleet) Moved(service, host, path string, hash uint64, within time.Duration) bool {
+	return f.moves.Moved(service, host, path, hash, within, time.Now())
 }
 
 // ServesVersion reports whether a region that is allowed has servers of a service at a software
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -83,13 +83,14 @@
 }
 
 // moved reports whether the stream that the caller takes up may have begun at another service: a
-// version has moved its route since.
+// version has moved its route since, or added or removed one with a longer prefix.
 func (q *request) moved() bool {
 	timeout := q.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return q.s.fleet.Moved(q.route, q.hash(), timeout+moveMargin)
+	path, _ := q.path()
+	return q.s.fleet.Moved(q.service, q.r.Host, path, q.hash(), timeout+moveMargin)
 }
 
 // beganAt returns the version at which the stream began that the caller takes up, and where it
