Allow a probe also if the host reads its record before the store's answer

What callers see: a request with a part that is suspected wrongly is refused for 45 s, 2 min or 5 min more than needed.

Cause: the host that replaces the record of a suspicion is the one that may send the probe. If it read the list with the new record before the answer to its write came, it took the record for another host's, and nobody sent the probe.

Ruled out: allowing the probe for any record that this host has written: one that the store has lost and that is written again allows none.

Change: Writes notes for which probe the record is replaced, and Written goes by that.

Measured: TestProbeListedBeforeAnswer fails before (no probe), passes after; internal/core/poison passes under the race detector.

Conclusion: fixed; how often it happened was not measured.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -146,6 +146,8 @@
 	// the last one which this host was allowed, 0 for none. sent is set once it was sent.
 	probes, allowed int
 	sent            bool
+	// replacing is the number of the probe for which this host replaces the record now, 0 for none.
+	replacing int
 	// own is set if this host has lost a request with the part itself.
 	own bool
 	// unlisted is the time since when the store holds no record of the suspicion, zero
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -210,6 +210,39 @@
 	}
 }
 
+// TestProbeListedBeforeAnswer guards against a probe that no host sends: the host that has replaced the
+// record reads it before the store's answer to its write arrives.
+func TestProbeListedBeforeAnswer(t *testing.T) {
+	d := NewDetector()
+	for i := range 3 {
+		crashAt(d, i, 1+float64(i), parts("dead"))
+	}
+	d.Records([]Record{{Part: NewPart("dead"), Rev: eras.Revision{Count: 5}}}, at(5))
+	refused(d, 30, "dead")
+	w := d.Writes(false, at(30))
+	if len(w) != 1 {
+		t.Fatalf("writes %+v", w)
+	}
+	w[0].Rev.Count = 9
+	d.Records(w, at(30.5))
+	d.Written(w[0], at(31))
+	if refused(d, 31.1, "dead") {
+		t.Error("the host that has replaced the record sends no probe")
+	}
+	if !refused(d, 31.2, "dead") {
+		t.Error("it sends another one")
+	}
+	d.Records(nil, at(32)) // the store was restored from a copy
+	w = d.Writes(true, at(34))
+	if len(w) != 1 || w[0].Probes != 1 {
+		t.Fatalf("writes %+v", w)
+	}
+	d.Written(w[0], at(34))
+	if !refused(d, 34.1, "dead") {
+		t.Error("it sends another one since it has written the record again")
+	}
+}
+
 // TestProbeAfterUnusedOne guards against a part that is never probed again since the host that was
 // allowed a probe got no request for it in time.
 func TestProbeAfterUnusedOne(t *testing.T) {
--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -173,11 +173,13 @@
 	var list []Record
 	for part, s := range d.suspects {
 		listed := s.unlisted.IsZero()
+		s.replacing = 0
 		switch {
 		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
 			list = append(list, Record{Part: part, Probes: s.probes})
 		case listed && !s.probeDue(part, now) && now.Sub(s.since) >= hold(part, s.probes) && now.Sub(s.asked) < time.Second:
-			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: d.records[part].Rev})
+			s.replacing = s.probes + 1
+			list = append(list, Record{Part: part, Probes: s.replacing, Rev: d.records[part].Rev})
 		}
 	}
 	return list
@@ -193,7 +195,7 @@
 		return
 	}
 	s.unlisted = time.Time{}
-	if r.Probes > s.probes {
+	if r.Probes == s.replacing && r.Probes >= s.probes { // the host may have read r already
 		s.probes = r.Probes
 		s.since = now
 		s.allowed, s.sent = r.Probes, false
