Count the permission to probe from before the call that obtains it

What servers see: two probes of a suspected request at about the same time, so that both servers may crash.

The bound of 2 s held only for answers within the timeout of the call, which a host that stood still does not notice in time.

Ruled out: going by the timeout of the call alone; an answer that lies ready may be taken although the time is over.

Change: Written gets the time before the call.

Conclusion: fixed. Suspensions, which the clock of this code does not count, remain.

--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -185,8 +185,9 @@
 	return list
 }
 
-// Written records that this host has replaced the record of a part by r.
-func (d *Detector) Written(r Record, now time.Time) {
+// Written records that this host has replaced the record of a part by r, by a call that began at asked: the
+// answer may have come late.
+func (d *Detector) Written(r Record, asked time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records[r.Part] = r
@@ -197,7 +198,7 @@
 	s.unlisted = time.Time{}
 	if r.Probes == s.replacing && r.Probes >= s.probes { // the host may have read r already
 		s.probes = r.Probes
-		s.since = now
+		s.since = asked
 		s.allowed, s.sent = r.Probes, false
 	}
 }
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -129,13 +129,14 @@
 func (f *Fleet) writeRecords(service string, d *poison.Detector) bool {
 	ok := true
 	for _, r := range d.Writes(f.Position() == 0, time.Now()) {
+		asked := time.Now()
 		rev, err := f.writeRecord(service, r)
 		if err != nil {
 			ok = f.logRecord("record of suspicion not written", service, r, err) && ok
 			continue
 		}
 		r.Rev = rev
-		d.Written(r, time.Now())
+		d.Written(r, asked)
 		f.opts.Log.Info("record of suspicion written", zap.String("service", service), zap.Stringer("part_hash", r.Part), zap.Int("probes", r.Probes))
 	}
 	for _, r := range d.Removals(f.Position() == 0) {
