Date statements about limits by when their frame may have been sent

What servers see: a host that stood still goes by a limit that was lowered, or that had ended and begun again, while it did: more requests than it may send until a newer response states the limit.

Cause: the ages in a frame count from its sending, and were taken to count from its reading. Frames wait in the socket while a host stands still, the oldest ones stay if it is full, and their statements, dated as new, kept out the newer ones of other hosts. The class: a local view without an age. They are not passed on to others.

Ruled out: dropping such frames; the rest of the state is counted by totals or replaced by the next frame.

Change: the echo in a frame bounds how long ago it was sent, as it does for the confirmation of lists; this time is added to the ages of statements. Frames without an echo to this process are read as before.

Conclusion: fixed for limits. Ages in reports of suspected requests and announcements of leaving servers are dated as before: they err to the safe side.

--- a/internal/edge/gossip/gossip.go
+++ b/internal/edge/gossip/gossip.go
@@ -208,6 +208,7 @@
 		sent := min(f.Echo+f.EchoAge, arrived)
 		p.ConfigConfirmed = before(sent, p.State.ConfigAge)
 		p.EntriesConfirmed = before(sent, p.State.EntriesAge)
+		p.State.delay(arrived - sent)
 	}
 	e.mu.Lock()
 	old, ok := e.echo[from]
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -64,6 +64,21 @@
 	Regions []Region `cbor:"15,keyasint,omitempty"`
 }
 
+// delay adds to the ages of statements about limits, of which the newest counts, how long ago the state may
+// have been sent: a host that stood still reads frames that have waited for it.
+func (s *State) delay(d time.Duration) {
+	for _, list := range s.Limits {
+		for i := range list {
+			list[i].Age += d
+		}
+	}
+	for _, list := range s.RefusalLimits {
+		for i := range list {
+			list[i].Age += d
+		}
+	}
+}
+
 // Region is a report of the state of a region, which one of its hosts sends to
 // other regions.
 type Region struct {
