--- a/internal/core/poison/probe.go
+++ b/internal/core/poison/probe.go
@@ -173,18 +173,21 @@
 	var list []Record
 	for part, s := range d.suspects {
 		listed := s.unlisted.IsZero()
+		s.replacing = 0
 		switch {
 		case !listed && (s.own || first && now.Sub(s.unlisted) > unlistedTime):
 			list = append(list, Record{Part: part, Probes: s.probes})
 		case listed && !s.probeDue(part, now) && now.Sub(s.since) >= hold(part, s.probes) && now.Sub(s.asked) < time.Second:
-			list = append(list, Record{Part: part, Probes: s.probes + 1, Rev: d.records[part].Rev})
+			s.replacing = s.probes + 1
+			list = append(list, Record{Part: part, Probes: s.replacing, Rev: d.records[part].Rev})
 		}
 	}
 	return list
 }
 
-// Written records that this host has replaced the record of a part by r.
-func (d *Detector) Written(r Record, now time.Time) {
+// Written records that this host has replaced the record of a part by r, by a call that began at asked: the
+// answer may have come late.
+func (d *Detector) Written(r Record, asked time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records[r.Part] = r
@@ -193,9 +196,9 @@
 		return
 	}
 	s.unlisted = time.Time{}
-	if r.Probes > s.probes {
+	if r.Probes == s.replacing && r.Probes >= s.probes { // the host may have read r already
 		s.probes = r.Probes
-		s.since = now
+		s.since = asked
 		s.allowed, s.sent = r.Probes, false
 	}
 }
