Drop the loads of hosts that report none any more

Callers: requests avoided servers for load that was not there, after a host had ended with requests in progress and did not come back under its name. Cause: a table keeps the loads that each other host has last reported until it reports again. Ruled out: going by the hosts that share limits; a host that leaves is not among them, but its last requests still run. Change: loads count for 5 s after the last report of their host, which is longer than hosts of any size of region wait between two.

--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -191,6 +191,7 @@
 		}
 	}
 	t.hosts = hosts
+	t.expireLoads(now)
 }
 
 // hostsAt returns the hosts that share limits at now.
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -36,6 +36,8 @@
 	// limit of processes of which nothing is known.
 	refusalLimits statements[int]
 	implied       impliedLimit
+	// reported is when each other host of the region has last reported its loads.
+	reported map[string]time.Time
 	// lenders are the other hosts of the region that have reported their room.
 	lenders  map[string]*lender
 	rng      *rand.Rand
@@ -44,7 +46,7 @@
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(statements[float64]), pauses: make(map[Process]time.Time), refusalLimits: make(statements[int]), lenders: make(map[string]*lender), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(statements[float64]), pauses: make(map[Process]time.Time), refusalLimits: make(statements[int]), reported: make(map[string]time.Time), lenders: make(map[string]*lender), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -301,11 +303,30 @@
 	return false
 }
 
+// loadTTL is how long the loads that a host has reported count after its last report. A host that
+// has ended, or does not come back under its name, reports none any more.
+const loadTTL = 5 * time.Second
+
+// expireLoads removes the loads of hosts that report none any more.
+func (t *Table) expireLoads(now time.Time) {
+	for host, at := range t.reported {
+		if now.Sub(at) <= loadTTL {
+			continue
+		}
+		delete(t.reported, host)
+		for _, s := range t.servers {
+			delete(s.peers, host)
+			s.updateLateShare(&t.model, now)
+		}
+	}
+}
+
 // MergePeer replaces the loads that another host of the region has reported for its
 // requests, by server, and applies its placements.
 func (t *Table) MergePeer(host string, loads map[string]Load, placements []Placement, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reported[host] = now
 	for id, s := range t.servers {
 		l, ok := loads[id]
 		if !ok {
