Send no request that may not run twice over a path in doubt

What callers see: while a host loses its path to the servers, requests that may not run twice get no answer before their deadline, if packets are held, or 502, if new connections are accepted and then reset. The host goes on sending them until the path counts as lost: two probes of 0.8 s each one after the other, or two servers that have failed.

Change: until it is known whether the path is lost, such requests go by what is not in doubt. After a new connection has failed, and until one is opened, which probes decide, they go by idle connections only, or by a neighbour; by a neighbour once a probe of a silent path has had no answer for 150 ms. A request that is to use an idle connection and finds it taken chooses again, as it has not been sent. Up to three servers are probed at a time while the path is in doubt, so that this takes about 0.8 s instead of twice as long; a lost path is probed as before. The watch of the path no longer waits for probes, so that requests which hang are broken off in time.

A single silent server raises no doubt, see TestSilentServer and TestCautious. A server that crashes makes these requests avoid new connections until a probe has opened one.

Weighed and not done: counting requests that end at their deadline as failures.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -26,8 +26,13 @@
 	// to answer, after which the path is doubted.
 	silence = 700 * time.Millisecond
 	// probeInterval is the mean time between two probes, which is varied by half so
-	// that hosts do not probe together.
+	// that hosts do not probe together. Up to maxProbes run at a time while the path is in
+	// doubt, and one while it is known not to be intact.
 	probeInterval = 250 * time.Millisecond
+	maxProbes     = 3
+	// probeWait is the time without an answer to a probe after which requests that may not
+	// run twice are no longer sent over a silent path.
+	probeWait = 150 * time.Millisecond
 	// maxServers bounds the servers that are remembered.
 	maxServers = 64
 )
@@ -137,12 +142,16 @@
 	waiting         map[string]*waiting
 	heardAt         time.Time // the last byte from any server
 	probeAt         time.Time // of the next probe
-	rng             *rand.Rand
+	// probing are the servers being probed, and probedAt is when the first probe since
+	// the last byte from any server was sent, zero if there was none.
+	probing  map[string]bool
+	probedAt time.Time
+	rng      *rand.Rand
 }
 
 // NewPath returns a path that counts as intact; rng varies the times of probes.
 func NewPath(rng *rand.Rand) *Path {
-	return &Path{waiting: make(map[string]*waiting), rng: rng}
+	return &Path{waiting: make(map[string]*waiting), probing: make(map[string]bool), rng: rng}
 }
 
 // SetServers sets the servers of the region.
@@ -161,6 +170,23 @@
 	return p.state
 }
 
+// Cautious returns the state to go by for a request that may not run twice. Before it is
+// known whether the path is intact, such a request goes by an open connection once a new one
+// has failed, and by none once a probe of a silent path is not answered.
+func (p *Path) Cautious(now time.Time) State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.state != Reached:
+		return p.state
+	case p.doubted(now) && !p.probedAt.IsZero() && now.Sub(p.probedAt) >= probeWait:
+		return Lost
+	case p.newDoubted(now):
+		return OpenOnly
+	}
+	return Reached
+}
+
 // Since returns the state of the path and how long it has lasted.
 func (p *Path) Since(now time.Time) (State, time.Duration) {
 	p.mu.Lock()
@@ -206,6 +232,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heardAt = now
+	p.probedAt = time.Time{}
 	p.failed.respond(server)
 	if opened {
 		p.refused.respond(server)
@@ -248,13 +275,46 @@
 func (p *Path) Probe(wanted bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !wanted && p.state == Reached && !p.doubted(now) || now.Before(p.probeAt) {
+	limit := 1
+	switch {
+	case p.state != Reached:
+	case p.doubted(now), p.newDoubted(now):
+		limit = maxProbes
+	case !wanted:
+		return false
+	}
+	if len(p.probing) >= limit || now.Before(p.probeAt) {
 		return false
 	}
 	p.probeAt = now.Add(probeInterval/2 + time.Duration(p.rng.Int64N(int64(probeInterval))))
 	return true
 }
 
+// ProbeSent records that a probe is sent to a server. ProbeEnded must be called once it has
+// ended.
+func (p *Path) ProbeSent(server string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing[server] = true
+	if p.probedAt.IsZero() {
+		p.probedAt = now
+	}
+}
+
+// ProbeEnded records the end of a probe of a server, whatever its outcome.
+func (p *Path) ProbeEnded(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.probing, server)
+}
+
+// Probing reports whether a server is being probed.
+func (p *Path) Probing(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.probing[server]
+}
+
 // Bad reports whether the last attempt at a server failed.
 func (p *Path) Bad(server string) bool {
 	p.mu.Lock()
@@ -276,3 +336,9 @@
 	}
 	return n > 0 && n >= min(minServers, p.servers)
 }
+
+// newDoubted reports whether a new connection has failed lately, and none has been opened
+// since.
+func (p *Path) newDoubted(now time.Time) bool {
+	return p.refused.count > 0 && now.Sub(p.refused.last) <= evidenceTTL
+}
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -109,3 +109,99 @@
 		t.Error("probed although no request waits")
 	}
 }
+
+// TestCautious guards against requests that may not run twice and are sent over a path in doubt,
+// and against a doubt that a single silent server raises, or that does not end.
+func TestCautious(t *testing.T) {
+	const wait = silence + probeWait
+	start := time.Unix(1_700_000_000, 0)
+	send := func(p *Path, servers ...string) {
+		for _, s := range servers {
+			p.Sent(s, start)
+		}
+	}
+	tests := []struct {
+		name  string
+		at    time.Duration
+		event func(p *Path)
+		want  State
+	}{
+		{"nothing", 0, func(*Path) {}, Reached},
+		{"a new connection fails", ms, func(p *Path) { p.Failed("1", true, start) }, OpenOnly},
+		{"an old connection fails", ms, func(p *Path) { p.Failed("1", false, start) }, Reached},
+		{"one is opened after it", 2 * ms, func(p *Path) {
+			p.Failed("1", true, start)
+			p.Responded("2", true, start.Add(ms))
+		}, Reached},
+		{"it failed long ago", evidenceTTL + ms, func(p *Path) { p.Failed("1", true, start) }, Reached},
+		{"silence without a probe", wait, func(p *Path) { send(p, "1", "2") }, Reached},
+		{"silence and a probe without an answer", wait, func(p *Path) {
+			send(p, "1", "2")
+			p.ProbeSent("3", start.Add(silence))
+		}, Lost},
+		{"a probe that was sent just now", wait, func(p *Path) {
+			send(p, "1", "2")
+			p.ProbeSent("3", start.Add(wait))
+		}, Reached},
+		{"the probe is answered", wait, func(p *Path) {
+			send(p, "1", "2")
+			p.ProbeSent("3", start.Add(silence))
+			p.Responded("3", true, start.Add(silence+ms))
+		}, Reached},
+		{"one server is silent for a second and more", 1500 * ms, func(p *Path) {
+			send(p, "1")
+			p.ProbeSent("3", start.Add(silence))
+		}, Reached},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := NewPath(rand.New(rand.NewPCG(1, 2)))
+			p.SetServers(listed(4))
+			tt.event(p)
+			if got := p.Cautious(start.Add(tt.at)); got != tt.want {
+				t.Errorf("%v, want %v", got, tt.want)
+			}
+			if got := p.State(); got != Reached {
+				t.Errorf("the path counts as %v", got)
+			}
+		})
+	}
+}
+
+// TestProbesAtATime guards against a path in doubt that is decided late because probes wait for
+// one another, and against many probes over a path that is known to be lost.
+func TestProbesAtATime(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	p := NewPath(rand.New(rand.NewPCG(1, 2)))
+	p.SetServers(listed(8))
+	p.Sent("1", start)
+	p.Sent("2", start)
+	n := 0
+	probe := func(at time.Duration) {
+		if p.Probe(false, start.Add(at)) {
+			n++
+			p.ProbeSent(fmt.Sprint(n), start.Add(at))
+		}
+	}
+	for at := silence; at < 5*time.Second; at += 10 * ms {
+		probe(at)
+	}
+	if n != maxProbes {
+		t.Errorf("%d probes at a time while the path is in doubt, want %d", n, maxProbes)
+	}
+	for i := range n {
+		p.Failed(fmt.Sprint(i+1), true, start.Add(5*time.Second))
+		p.ProbeEnded(fmt.Sprint(i + 1))
+	}
+	p.Tick(start.Add(5*time.Second + settle))
+	if got := p.State(); got != Lost {
+		t.Fatalf("state %v, want %v", got, Lost)
+	}
+	n = 0
+	for at := 6 * time.Second; at < 10*time.Second; at += 10 * ms {
+		probe(at)
+	}
+	if n != 1 {
+		t.Errorf("%d probes at a time while the path is lost, want 1", n)
+	}
+}
--- a/internal/edge/fleet/reach.go
+++ b/internal/edge/fleet/reach.go
@@ -174,10 +174,11 @@
 			}
 		}
 	}
-	if f.path.State() == reach.Reached && len(services) == 0 {
-		// Servers that are known to fail tell nothing about a path in doubt.
-		list = slices.DeleteFunc(list, func(t Target) bool { return f.path.Bad(t.Server.ID) })
-	}
+	// Servers that are known to fail tell nothing about a path in doubt.
+	doubted := f.path.State() == reach.Reached && len(services) == 0
+	list = slices.DeleteFunc(list, func(t Target) bool {
+		return doubted && f.path.Bad(t.Server.ID) || f.path.Probing(t.Server.ID)
+	})
 	for _, i := range rand.Perm(len(list)) {
 		t := list[i]
 		if svc := f.Service(t.Service); svc != nil && svc.Table.TakeProbe(t.Server.ID, now) {
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -163,6 +163,9 @@
 	if ref != nil {
 		return retry.NotRun, ref
 	}
+	if q.cautious {
+		q.s.stats.CautiousSend(q.service)
+	}
 	if local {
 		return q.sendLocal(choice), nil
 	}
--- a/internal/edge/relay/exchange.go
+++ b/internal/edge/relay/exchange.go
@@ -21,6 +21,11 @@
 	q.began = false
 	q.connLost = false
 	resp, err := c.Do(ctx, req)
+	if errors.Is(err, send.ErrNoIdle) { // another request has taken it
+		q.pick.Exclude = append(q.pick.Exclude, q.choice.ID)
+		q.reason = reasonNoServer
+		return retry.NotRun, pick.Aborted
+	}
 	if err != nil {
 		q.recordSilence(err)
 		return q.classifyError(err, c, req)
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -36,14 +36,19 @@
 // send it to one all the same.
 func (q *request) neighbour(svc *fleet.Service, usable bool, now time.Time) (netip.AddrPort, bool) {
 	q.target.ConnectedOnly = false
-	if svc == nil || q.forwarded || !q.allows(q.s.fleet.LocalRegion()) || q.s.fleet.Reaches(q.service) {
+	if svc == nil || q.forwarded || !q.allows(q.s.fleet.LocalRegion()) {
+		return netip.AddrPort{}, false
+	}
+	state := q.pathState(now)
+	q.reached, q.cautious = state, state != q.s.fleet.Path().State()
+	if state == reach.Reached && q.s.fleet.Reaches(q.service) {
 		return netip.AddrPort{}, false
 	}
 	hosts := q.s.fleet.Neighbours(q.service, now)
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, false
 	}
-	switch q.s.fleet.Path().State() {
+	switch state {
 	case reach.Reached:
 		if usable && !svc.Table.Failing() {
 			return netip.AddrPort{}, false // one of the single requests to servers on probation
@@ -63,6 +68,14 @@
 	return addr, ok
 }
 
+// pathState returns the state of the path to the servers to go by for the request.
+func (q *request) pathState(now time.Time) reach.State {
+	if q.route.Idempotent || q.route.Resumable {
+		return q.s.fleet.Path().State()
+	}
+	return q.s.fleet.Path().Cautious(now)
+}
+
 // via returns the request for the choice of a server by another host.
 func (q *request) via() *pick.Request {
 	r := *q.target
@@ -119,7 +132,9 @@
 	path := q.s.fleet.Path()
 	path.Sent(q.choice.ID, time.Now())
 	defer path.Ended(q.choice.ID)
-	return q.exchange(ctx, q.s.servers, q.outgoing(q.serverHeader(q.choice.ID), q.dest), onFirstByte)
+	req := q.outgoing(q.serverHeader(q.choice.ID), q.dest)
+	req.IdleOnly = q.target.ConnectedOnly
+	return q.exchange(ctx, q.s.servers, req, onFirstByte)
 }
 
 // serverOutcome returns the outcome to record for the chosen server. While this host is cut
@@ -171,7 +186,7 @@
 	}
 }
 
-// watchPath probes servers while this host does not seem to reach them, one at a time.
+// watchPath probes servers while this host does not seem to reach them.
 func (s *Relay) watchPath() {
 	t := time.NewTicker(pathInterval)
 	defer t.Stop()
@@ -187,7 +202,8 @@
 			s.hung.breakOff()
 		}
 		if target, ok := s.fleet.ProbeDue(now); ok {
-			s.probe(target)
+			s.fleet.Path().ProbeSent(target.Server.ID, now)
+			s.checks.Go(func() { s.probe(target) })
 		}
 	}
 }
@@ -195,6 +211,7 @@
 // probe asks a server for its health on a new connection. Any response shows that it is
 // reached; the connection is kept for requests.
 func (s *Relay) probe(t fleet.Target) {
+	defer s.fleet.Path().ProbeEnded(t.Server.ID)
 	resp, err := s.servers.Do(context.Background(), &send.Request{
 		Addr: t.Server.Addr, Method: http.MethodGet, Target: t.HealthPath, Host: t.Server.Addr.String(),
 		Header: http.Header{}, Deadline: time.Now().Add(probeTimeout), NewConn: true,
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -15,6 +15,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
@@ -117,6 +118,10 @@
 	// connection as well.
 	endUnknown, endUnmarked, endsWithConn bool
 	choice                                pick.Choice // of the last attempt in the local region
+	// reached is the state of the path to the servers that the choice of a server went by. The
+	// flag cautious is set if only a request that may not run twice went by it.
+	reached  reach.State
+	cautious bool
 	// chosenFrom is the service of choice. A version may leave the service out before the
 	// request is sent.
 	chosenFrom    *fleet.Service
@@ -300,6 +305,9 @@
 	if q.grant != "" {
 		fields = append(fields, zap.String("retry", string(q.grant)))
 	}
+	if q.reached != reach.Reached {
+		fields = append(fields, zap.Stringer("path", q.reached))
+	}
 	if q.choice.Limited {
 		fields = append(fields, zap.Float64("limit", q.choice.Limit))
 	}
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -34,6 +34,9 @@
 	maxStrayResponses = 3
 )
 
+// ErrNoIdle is the cause of the error of a request with IdleOnly that found no idle connection.
+var ErrNoIdle = errors.New("no idle connection")
+
 var (
 	errClosed = errors.New("client is closed")
 	errStray  = errors.New("response belongs to another request")
@@ -58,6 +61,8 @@
 	// NewConn requires a new connection. On a reused one, a late response to an
 	// earlier attempt with the same ID could be taken for the response.
 	NewConn bool
+	// IdleOnly forbids a new connection.
+	IdleOnly bool
 }
 
 // DialFunc opens a connection to an address, as net.Dialer.DialContext does.
@@ -173,6 +178,9 @@
 		}
 		_ = cn.Close() // no request uses it
 	}
+	if req.IdleOnly {
+		return nil, ErrNoIdle
+	}
 	nc, err := c.dial(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -41,6 +41,7 @@
 	unrecorded     *prometheus.CounterVec
 	store          *prometheus.CounterVec
 	probes         *prometheus.CounterVec
+	cautiousSends  *prometheus.CounterVec
 }
 
 // New returns metrics with their own registries.
@@ -86,6 +87,9 @@
 		unrecorded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_unrecorded_streams_total", Help: "Streams whose first event was passed on before the store had recorded their version, by service.",
 		}, []string{"service"}),
+		cautiousSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_cautious_sends_total", Help: "Requests that may not run twice and went by open connections or by another host because the path to the servers was in doubt, by service.",
+		}, []string{"service"}),
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_probes_total", Help: "Probes of servers that this host seemed not to reach, by service and outcome.",
 		}, []string{"service", "outcome"}),
@@ -93,7 +97,7 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes)
+	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.cautiousSends)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -176,6 +180,10 @@
 	m.streamEnds.WithLabelValues(service, framing, place).Inc()
 }
 
+// CautiousSend records a request that may not run twice and was sent with the path to the
+// servers in doubt.
+func (m *Metrics) CautiousSend(service string) { m.cautiousSends.WithLabelValues(service).Inc() }
+
 // Probe records a probe of a server.
 func (m *Metrics) Probe(service string, err error) {
 	outcome := "ok"
