--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -36,14 +36,19 @@
 // send it to one all the same.
 func (q *request) neighbour(svc *fleet.Service, usable bool, now time.Time) (netip.AddrPort, bool) {
 	q.target.ConnectedOnly = false
-	if svc == nil || q.forwarded || !q.allows(q.s.fleet.LocalRegion()) || q.s.fleet.Reaches(q.service) {
+	if svc == nil || q.forwarded || !q.allows(q.s.fleet.LocalRegion()) {
+		return netip.AddrPort{}, false
+	}
+	state := q.pathState(now)
+	q.reached, q.cautious = state, state != q.s.fleet.Path().State()
+	if state == reach.Reached && q.s.fleet.Reaches(q.service) {
 		return netip.AddrPort{}, false
 	}
 	hosts := q.s.fleet.Neighbours(q.service, now)
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, false
 	}
-	switch q.s.fleet.Path().State() {
+	switch state {
 	case reach.Reached:
 		if usable && !svc.Table.Failing() {
 			return netip.AddrPort{}, false // one of the single requests to servers on probation
@@ -63,6 +68,14 @@
 	return addr, ok
 }
 
+// pathState returns the state of the path to the servers to go by for the request.
+func (q *request) pathState(now time.Time) reach.State {
+	if q.route.Idempotent || q.route.Resumable {
+		return q.s.fleet.Path().State()
+	}
+	return q.s.fleet.Path().Cautious(now)
+}
+
 // via returns the request for the choice of a server by another host.
 func (q *request) via() *pick.Request {
 	r := *q.target
@@ -121,6 +134,7 @@
 	defer path.Ended(q.choice.ID)
 	req := q.outgoing(q.serverHeader(q.choice.ID), q.dest)
 	req.Process = q.process()
+	req.IdleOnly = q.target.ConnectedOnly
 	return q.exchange(ctx, q.s.servers, req, onFirstByte)
 }
 
@@ -173,7 +187,7 @@
 	}
 }
 
-// watchPath probes servers while this host does not seem to reach them, one at a time.
+// watchPath probes servers while this host does not seem to reach them.
 func (s *Relay) watchPath() {
 	t := time.NewTicker(pathInterval)
 	defer t.Stop()
@@ -189,7 +203,8 @@
 			s.hung.breakOff()
 		}
 		if target, ok := s.fleet.ProbeDue(now); ok {
-			s.probe(target)
+			s.fleet.Path().ProbeSent(target.Server.ID, now)
+			s.checks.Go(func() { s.probe(target) })
 		}
 	}
 }
@@ -197,6 +212,7 @@
 // probe asks a server for its health on a new connection. Any response shows that it is
 // reached; the connection is kept for requests.
 func (s *Relay) probe(t fleet.Target) {
+	defer s.fleet.Path().ProbeEnded(t.Server.ID)
 	resp, err := s.servers.Do(context.Background(), &send.Request{
 		Addr: t.Server.Addr, Method: http.MethodGet, Target: t.HealthPath, Host: t.Server.Addr.String(),
 		Header: http.Header{}, Deadline: time.Now().Add(probeTimeout), NewConn: true,
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -36,6 +36,9 @@
 	maxStrayResponses = 3
 )
 
+// ErrNoIdle is the cause of the error of a request with IdleOnly that found no idle connection.
+var ErrNoIdle = errors.New("no idle connection")
+
 var (
 	errClosed = errors.New("client is closed")
 	errStray  = errors.New("response belongs to another request")
@@ -62,6 +65,8 @@
 	NewConn bool
 	// Process is the process that the request is for, nil for any at Addr.
 	Process *Process
+	// IdleOnly forbids a new connection.
+	IdleOnly bool
 }
 
 // DialFunc opens a connection to an address, as net.Dialer.DialContext does.
@@ -188,6 +193,9 @@
 		}
 		break // the server has closed this connection
 	}
+	if req.IdleOnly {
+		return nil, false, ErrNoIdle
+	}
 	if c.paused(req) {
 		return nil, false, fmt.Errorf("%w: it did not say so lately", ErrUnknownProcess)
 	}
