Doubt a silent path also if requests wait one after the other

Callers: a host with few requests whose packets to the servers are held did not notice that for longer than 5 s, and its requests ended at their deadline. Cause: the path is doubted while several servers owe responses at the same time, and a request that ends at its deadline is no failure, since the server may be slow. With one request at a time neither happened. Ruled out: counting such requests as failures, as a slow service with short deadlines would make a host lose its path; a doubt costs probes only, and any answer ends it.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -129,6 +129,9 @@
 	since time.Time // when the first of them was sent
 }
 
+// silent reports whether the server owes a response for some time.
+func (w *waiting) silent(now time.Time) bool { return now.Sub(w.since) >= silence }
+
 // Path is the path from a host to the servers of its region.
 type Path struct {
 	mu sync.Mutex
@@ -140,8 +143,11 @@
 	failed, refused evidence
 	changedAt       time.Time // the last change of state
 	waiting         map[string]*waiting
-	heardAt         time.Time // the last byte from any server
-	probeAt         time.Time // of the next probe
+	// overdue are the servers to which a request has ended without a byte from any server,
+	// by the time of its end. They still count as waiting.
+	overdue map[string]time.Time
+	heardAt time.Time // the last byte from any server
+	probeAt time.Time // of the next probe
 	// probing are the servers being probed, and probedAt is when the first probe since
 	// the last byte from any server was sent, zero if there was none.
 	probing  map[string]bool
@@ -151,7 +157,7 @@
 
 // NewPath returns a path that counts as intact; rng varies the times of probes.
 func NewPath(rng *rand.Rand) *Path {
-	return &Path{waiting: make(map[string]*waiting), probing: make(map[string]bool), rng: rng}
+	return &Path{waiting: make(map[string]*waiting), overdue: make(map[string]time.Time), probing: make(map[string]bool), rng: rng}
 }
 
 // SetServers sets the servers of the region.
@@ -214,13 +220,16 @@
 }
 
 // Ended records the end of a request to a server, whatever its outcome.
-func (p *Path) Ended(server string) {
+func (p *Path) Ended(server string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.waiting[server]
 	if w == nil {
 		return
 	}
+	if w.silent(now) && p.heardAt.Before(w.since) && len(p.overdue) < maxServers {
+		p.overdue[server] = now
+	}
 	if w.count--; w.count <= 0 {
 		delete(p.waiting, server)
 	}
@@ -232,6 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heardAt = now
+	clear(p.overdue)
 	p.probedAt = time.Time{}
 	p.failed.respond(server)
 	if opened {
@@ -323,14 +333,20 @@
 }
 
 // doubted reports whether several servers owe responses, and no byte of any has come for
-// some time. A single server may be silent and go on.
+// some time. A single server may be silent and go on. A host with few requests has one in
+// progress at a time, so that those which have ended lately count as well.
 func (p *Path) doubted(now time.Time) bool {
 	if now.Sub(p.heardAt) < silence {
 		return false
 	}
 	n := 0
 	for _, w := range p.waiting {
-		if now.Sub(w.since) >= silence {
+		if w.silent(now) {
+			n++
+		}
+	}
+	for server, at := range p.overdue {
+		if w := p.waiting[server]; now.Sub(at) <= evidenceTTL && (w == nil || !w.silent(now)) {
 			n++
 		}
 	}
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -83,7 +83,7 @@
 	p.SetServers(listed(4))
 	p.Sent("1", start)
 	p.Sent("1", start)
-	p.Ended("1")
+	p.Ended("1", start)
 	if p.Probe(false, start.Add(5*time.Second)) {
 		t.Error("probed because one server is silent")
 	}
@@ -104,12 +104,53 @@
 	if want := int(10 * time.Second / probeInterval); n < want/2 || n > 2*want {
 		t.Errorf("%d probes in 10 s of silence, want about %d", n, want)
 	}
-	p.Ended("2")
+	p.Ended("2", start.Add(11*time.Second))
 	if p.Probe(false, start.Add(12*time.Second)) {
 		t.Error("probed although no request waits")
 	}
 }
 
+// TestOverdue guards against a silent path that nobody probes, since requests to its servers wait
+// one after the other, and against probes once any server has sent a byte.
+func TestOverdue(t *testing.T) {
+	const deadline = time.Second
+	start := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		server string        // of the second request
+		heard  time.Duration // after the start, 0 for never
+		at     time.Duration // after the second request was sent
+		want   bool
+	}{
+		"two servers":               {"2", 0, silence, true},
+		"not long enough":           {"2", 0, silence - ms, false},
+		"the same server":           {"1", 0, silence, false},
+		"a byte during the first":   {"2", 500 * ms, silence, false},
+		"a byte during the second":  {"2", deadline + ms, silence + 2*ms, false},
+		"the first ended long ago":  {"2", 0, evidenceTTL + ms, false},
+		"both ended, the last late": {"2", 0, 2 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPath(rand.New(rand.NewPCG(1, 2)))
+			p.SetServers(listed(4))
+			p.Sent("1", start)
+			if c.heard > 0 && c.heard < deadline {
+				p.Responded("3", false, start.Add(c.heard))
+			}
+			p.Ended("1", start.Add(deadline))
+			p.Sent(c.server, start.Add(deadline))
+			if c.heard > deadline {
+				p.Responded("3", false, start.Add(c.heard))
+			}
+			if c.at > deadline {
+				p.Ended(c.server, start.Add(2*deadline))
+			}
+			if got := p.Probe(false, start.Add(deadline+c.at)); got != c.want {
+				t.Errorf("probed: %v", got)
+			}
+		})
+	}
+}
+
 // TestCautious guards against requests that may not run twice and are sent over a path in doubt,
 // and against a doubt that a single silent server raises, or that does not end.
 func TestCautious(t *testing.T) {
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -131,7 +131,7 @@
 	}
 	path := q.s.fleet.Path()
 	path.Sent(q.choice.ID, time.Now())
-	defer path.Ended(q.choice.ID)
+	defer func() { path.Ended(q.choice.ID, time.Now()) }()
 	req := q.outgoing(q.serverHeader(q.choice.ID), q.dest)
 	req.Process = q.process()
 	req.IdleOnly = q.target.ConnectedOnly
