Say in the record of the base version that none of its servers is listed

Cause: a host that finds no record takes the stream for one of the base, whether or not the base served when the stream began. Ruled out: refusing such streams (none would be served in an outage of the store after a release); knowing the absence from each host's own list (a host that has just started has not seen it). Change: the first host of a region writes "absent" into the record of the base when it lists none of its servers. Only once a host has listed that for 4 s do its streams begin elsewhere without a record, so that all hosts whose list is not outdated know it; while it stands no stream without a record is taken for one of the base, and streams of the base are recorded too. It ends when the base has been listed for 90 s.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -29,6 +29,12 @@
 	// maxUnseen is how long the list may not have been read while the absence of the base is
 	// counted.
 	maxUnseen = 10 * time.Second
+	// absentKept is how long streams may last, and be taken up, that began without a record
+	// while the base was absent.
+	absentKept = 90 * time.Second
+	// absentListed is how long the list must have named the base absent before streams begin at
+	// other versions without a record: after that all hosts whose list is not outdated know it.
+	absentListed = maxListAge + time.Second
 )
 
 // Base is the store's record of the base version of a service: a stream of which the store
@@ -36,6 +42,9 @@
 // under the names of its fields.
 type Base struct {
 	Service, Version string
+	// Absent is set while no server of the version is listed, and for absentKept after that:
+	// streams may have begun at others without a record.
+	Absent bool
 	// Rev is the revision of the record.
 	Rev eras.Revision
 }
@@ -55,9 +64,11 @@
 	known, listed bool
 	// versions counts the listed servers by version.
 	versions map[string]int
-	// absentSince is since when no server of the base version is listed, zero if one is. It
-	// was last seen to be absent at seenAt.
-	absentSince, seenAt time.Time
+	// absentSince is since when no server of the base version is listed, zero if one is, and
+	// servedSince since when there is one. The list was last seen at seenAt.
+	absentSince, servedSince, seenAt time.Time
+	// markedSince is since when the record names the base absent, zero if it does not.
+	markedSince time.Time
 }
 
 // Update replaces the listed servers of all regions and the store's records. The argument
@@ -92,13 +103,24 @@
 			s.versions[e.Version]++
 		}
 	}
+	gap := now.Sub(s.seenAt) > maxUnseen // the base may have come or left meanwhile
+	served := s.versions[s.base.Version] > 0
+	s.absentSince = since(s.absentSince, !served, gap, now)
+	s.servedSince = since(s.servedSince, served, gap, now)
+	s.markedSince = since(s.markedSince, s.base.Absent, false, now)
+	s.seenAt = now
+}
+
+// since returns since when a condition holds that holds at now if holds is set: since the former
+// time unless there was a gap, zero if it does not hold.
+func since(former time.Time, holds, gap bool, now time.Time) time.Time {
 	switch {
-	case s.versions[s.base.Version] > 0:
-		s.absentSince = time.Time{}
-	case s.absentSince.IsZero() || now.Sub(s.seenAt) > maxUnseen:
-		s.absentSince = now // it may have been listed meanwhile
+	case !holds:
+		return time.Time{}
+	case former.IsZero() || gap:
+		return now
 	}
-	s.seenAt = now
+	return former
 }
 
 // most returns the version with the most servers, the least one of several, and false if
@@ -114,8 +136,8 @@
 }
 
 // Writes returns the records that should be written, each in place of the one at its
-// revision: the missing ones, and those whose version has left for good. By an outdated list
-// of servers it replaces none.
+// revision: the missing ones, those whose version has left for good, and those that must name
+// it absent or no longer absent. By an outdated list of servers it replaces none.
 func (b *Bases) Writes(listAge time.Duration, now time.Time) []Base {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -124,12 +146,16 @@
 		most, ok := s.most()
 		switch {
 		case s.known && !s.listed: // lost in a restore of the store
-			list = append(list, Base{Service: name, Version: s.base.Version})
+			list = append(list, Base{Service: name, Version: s.base.Version, Absent: s.base.Absent})
 		case !s.known && ok:
 			list = append(list, Base{Service: name, Version: most})
 		case Outdated(listAge) || now.Sub(s.seenAt) > maxUnseen:
 		case s.known && ok && !s.absentSince.IsZero() && now.Sub(s.absentSince) >= absentTime:
 			list = append(list, Base{Service: name, Version: most, Rev: s.base.Rev})
+		case s.known && !s.absentSince.IsZero() && !s.base.Absent:
+			list = append(list, Base{Service: name, Version: s.base.Version, Absent: true, Rev: s.base.Rev})
+		case s.known && s.base.Absent && !s.servedSince.IsZero() && now.Sub(s.servedSince) >= absentKept:
+			list = append(list, Base{Service: name, Version: s.base.Version, Rev: s.base.Rev})
 		}
 	}
 	return list
@@ -138,6 +164,21 @@
 // Current reports whether a record that was read with a list of some age is still in force.
 func Current(listAge time.Duration) bool { return listAge <= maxBaseAge }
 
+// Began returns the version at which a stream of which the store holds no record began: the base. It
+// returns false if that is unknown, by a list that may not yet name the base absent too.
+func (b *Bases) Began(name string, listAge time.Duration) (string, bool) {
+	base, known := b.Base(name, listAge)
+	return base, known && !Outdated(listAge) && !b.isAbsent(name)
+}
+
+// isAbsent reports whether the record of the base names it absent.
+func (b *Bases) isAbsent(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[name] // a version may have left it out since
+	return s != nil && s.base.Absent
+}
+
 // Base returns the base version of a service, and false if it is unknown, or no longer known
 // because the list was read so long ago.
 func (b *Bases) Base(name string, listAge time.Duration) (string, bool) {
@@ -154,8 +195,9 @@
 type Unrecorded int
 
 // Values of Unrecorded. OnlyBase allows the base version, for which hosts that find no record take
-// such a stream. Any allows all: no server of the base is listed, so that the stream can't be
-// taken up at all. None is the value while the base is no longer known.
+// such a stream. Any allows all: no server of the base is listed, and the hosts know that, so that
+// the stream is not taken up at all. None is the value while hosts may not know it yet, or
+// the base itself is no longer known.
 const (
 	None Unrecorded = iota
 	OnlyBase
@@ -164,7 +206,7 @@
 
 // Unrecorded returns the versions at which a stream of a service may begin without a record, and
 // the base version.
-func (b *Bases) Unrecorded(name string, listAge time.Duration) (string, Unrecorded) {
+func (b *Bases) Unrecorded(name string, listAge time.Duration, now time.Time) (string, Unrecorded) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[name]
@@ -178,10 +220,13 @@
 	default:
 		version, served = s.most() // it becomes the base
 	}
-	if !served {
-		return version, Any
+	switch {
+	case served:
+		return version, OnlyBase
+	case s != nil && s.known && (s.markedSince.IsZero() || now.Sub(s.markedSince) < absentListed):
+		return version, None
 	}
-	return version, OnlyBase
+	return version, Any
 }
 
 // Allows reports whether a stream at a version may begin without a record; base is the base version.
@@ -189,18 +234,19 @@
 	return u == Any || u == OnlyBase && version == base
 }
 
-// MustRecord reports whether a stream that begins at a version must be recorded. The argument
-// recorded is set if an earlier attempt may have written a record, which must be replaced.
+// MustRecord reports whether a stream that begins at a version should be recorded, if that is possible.
+// The argument recorded is set if an earlier attempt may have written a record, which must be
+// replaced.
 func (b *Bases) MustRecord(name, version string, recorded bool, listAge time.Duration) bool {
 	base, known := b.Base(name, listAge)
-	return recorded || !known || base != version
+	return recorded || !known || base != version || b.isAbsent(name)
 }
 
 // Only returns the version at which a stream began of which nothing is known: the base, if no
 // server of another version is listed and no stream was recorded at one lately. The list alone
 // does not show it: it may be outdated, and servers may have come and gone.
 func (b *Bases) Only(name string, recorded []string, listAge time.Duration) (string, bool) {
-	base, known := b.Base(name, listAge)
+	base, known := b.Began(name, listAge)
 	if !known || slices.ContainsFunc(recorded, func(v string) bool { return v != base }) {
 		return "", false
 	}
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -71,12 +71,15 @@
 	}
 }
 
+// marked is the record of a base that is absent.
+var marked = Base{Service: "desk", Version: "v1", Absent: true, Rev: eras.Revision{Count: 3}}
+
 // absent updates b each few seconds, from one time to another, by lists without the base.
 func (b *Bases) absent(from, to time.Time) {
 	for now := from; now.Before(to); now = now.Add(maxUnseen / 2) {
-		b.Update(names, servers("v2", "v2"), []Base{base("v1", 3)}, now)
+		b.Update(names, servers("v2", "v2"), []Base{marked}, now)
 	}
-	b.Update(names, servers("v2", "v2"), []Base{base("v1", 3)}, to)
+	b.Update(names, servers("v2", "v2"), []Base{marked}, to)
 }
 
 // TestBaseReplacedByOldList guards against a host that stood still, or can't read the list of servers, and
@@ -103,6 +106,46 @@
 	}
 }
 
+// TestBaseBack guards against streams of other versions that began without a record while no server of the
+// base was listed, and are taken for streams of the base once one is back.
+func TestBaseBack(t *testing.T) {
+	var b Bases
+	b.Update(names, servers("v2"), []Base{base("v1", 3)}, start)
+	if diff := cmp.Diff([]Base{marked}, b.Writes(0, start)); diff != "" {
+		t.Errorf("writes (-want +got):\n%s", diff)
+	}
+	b.absent(start, start.Add(absentListed))
+	if _, u := b.Unrecorded("desk", 0, start.Add(absentListed-1)); u != None {
+		t.Errorf("hosts may not know that the base is absent: %v", u)
+	}
+	if _, u := b.Unrecorded("desk", 0, start.Add(absentListed)); u != Any {
+		t.Errorf("a stream can't begin although all hosts know: %v", u)
+	}
+	back := start.Add(absentListed)
+	for at := time.Duration(0); at <= absentKept; at += maxUnseen / 2 {
+		b.Update(names, servers("v1", "v2"), []Base{marked}, back.Add(at))
+		if v, known := b.Began("desk", 0); known {
+			t.Fatalf("a stream without a record is taken for one of %q", v)
+		}
+		if !b.MustRecord("desk", "v1", false, 0) {
+			t.Fatal("a stream of the base is not recorded, and can't be taken up")
+		}
+		if w := b.Writes(0, back.Add(at)); (len(w) > 0) != (at >= absentKept) {
+			t.Errorf("after %v writes %+v", at, w)
+		}
+	}
+	b.Update(names, servers("v1", "v2"), []Base{base("v1", 4)}, back.Add(absentKept))
+	if v, known := b.Began("desk", 0); v != "v1" || !known {
+		t.Errorf("began at %q, %v", v, known)
+	}
+	if v, known := b.Began("desk", maxListAge+1); known {
+		t.Errorf("began at %q by an outdated list", v)
+	}
+	if b.MustRecord("desk", "v1", false, maxListAge+1) {
+		t.Error("streams of the base wait for a record during an outage of the store")
+	}
+}
+
 // TestOldBase guards against streams that begin, or go on, by a base version that has been replaced since
 // the host has read it.
 func TestOldBase(t *testing.T) {
@@ -118,10 +161,10 @@
 	if !b.MustRecord("desk", "v1", false, old) {
 		t.Error("a stream need not be recorded")
 	}
-	if v, u := b.Unrecorded("desk", old); u != None || u.Allows("v1", v) {
+	if v, u := b.Unrecorded("desk", old, start); u != None || u.Allows("v1", v) {
 		t.Errorf("begins without a record at %q, %v", v, u)
 	}
-	if v, u := b.Unrecorded("desk", maxBaseAge); u != OnlyBase || !u.Allows("v1", v) || u.Allows("v2", v) {
+	if v, u := b.Unrecorded("desk", maxBaseAge, start); u != OnlyBase || !u.Allows("v1", v) || u.Allows("v2", v) {
 		t.Errorf("begins without a record at %q, %v", v, u)
 	}
 	if absentTime-maxBaseAge < time.Minute {
@@ -183,13 +226,14 @@
 	}{
 		"two versions":           {servers("v1", "v2", "v2"), []Base{base("v1", 3)}, "v1", OnlyBase},
 		"the base unknown":       {servers("v1", "v2", "v2"), nil, "v2", OnlyBase},
-		"the base has just left": {servers("v2", "v2"), []Base{base("v1", 3)}, "v1", Any},
+		"the base has just left": {servers("v2", "v2"), []Base{base("v1", 3)}, "v1", None},
+		"hosts may not know it":  {servers("v2", "v2"), []Base{marked}, "v1", None},
 		"no servers":             {nil, nil, "", Any},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b Bases
 			b.Update(names, tt.servers, tt.records, start)
-			if v, rule := b.Unrecorded("desk", 0); v != tt.want || rule != tt.rule {
+			if v, rule := b.Unrecorded("desk", 0, start); v != tt.want || rule != tt.rule {
 				t.Errorf("%q, %v", v, rule)
 			}
 		})
--- a/internal/edge/entry/records_test.go
+++ b/internal/edge/entry/records_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,3 +49,30 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// TestTakeUpAfterBaseIsBack guards against a stream that began without a record while no server of the base
+// was listed and the store took none, and that goes on at a server of the base which is back.
+func TestTakeUpAfterBaseIsBack(t *testing.T) {
+	cl := newCluster(t)
+	e, other := cl.host("a1"), cl.host("a1")
+	first := cl.addVersion("v1")
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk", 0); return known })
+	cl.addVersion("v2")
+	cl.removeServers(first)
+	time.Sleep(6 * time.Second) // all hosts know it
+	cl.store.SetFault(func(r *http.Request) int {
+		if r.URL.Path == "/-/kv-txn" || r.URL.Path == "/-/kv-lease" {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+	list := cl.beginTogether(e, 12)
+	if len(list) < 9 {
+		t.Errorf("%d streams began", len(list))
+	}
+	cl.addVersion("v1")
+	cl.hosts = []*Entry{other}
+	if r := cl.resumeAll(list); r.joined > 0 {
+		t.Errorf("of %d streams: %+v", len(list), r)
+	}
+}
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -74,7 +74,7 @@
 		err := f.writeBase(b)
 		switch {
 		case err == nil:
-			f.opts.Log.Info("base version written", zap.String("service", b.Service), zap.String("version", b.Version))
+			f.opts.Log.Info("base version written", zap.String("service", b.Service), zap.String("version", b.Version), zap.Bool("absent", b.Absent))
 		case errors.Is(err, platform.ErrConflict): // another host was faster
 		default:
 			f.opts.Log.Debug("base version not written", zap.String("service", b.Service), zap.Error(err))
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -133,7 +133,7 @@
 // beganAtBase is the result of beganAt if the store holds no record. It has lost records if it
 // was restored from a copy, until hosts have written them again.
 func (q *request) beganAtBase() (version, source string, ref *refusal) {
-	base, known := q.s.fleet.Bases().Base(q.service, q.s.fleet.ListAge())
+	base, known := q.s.fleet.Bases().Began(q.service, q.s.fleet.ListAge())
 	if !known || !q.s.fleet.StoreSettled() {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonVersionUnknown, retryAfterHostState}
 	}
@@ -158,7 +158,7 @@
 	if q.pick.Pinned || !q.resumable() || q.lastEvent != "" || q.s.records.Healthy(now) {
 		return &q.pick, true
 	}
-	version, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge())
+	version, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge(), time.Now())
 	if unrecorded != resume.OnlyBase {
 		return &q.pick, unrecorded == resume.Any
 	}
@@ -229,7 +229,7 @@
 	if q.aborted() {
 		return retry.Unknown, false
 	}
-	base, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge())
+	base, unrecorded := q.s.fleet.Bases().Unrecorded(q.service, q.s.fleet.ListAge(), time.Now())
 	if record.Number == 0 && unrecorded.Allows(record.Version, base) {
 		q.s.stats.Unrecorded(q.service)
 		q.s.log.Requests.Warn("stream passed on without a record", zap.String("id", q.id), zap.String("version", record.Version), zap.Bool("forwarded", q.forwarded))
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -133,7 +133,7 @@
 		lines = append(lines, fmt.Sprint("p", s.Service, " ", s.Part, " ", s.Probes))
 	}
 	for _, b := range e.Bases {
-		lines = append(lines, fmt.Sprint("b", b.Service, " ", b.Version))
+		lines = append(lines, fmt.Sprint("b", b.Service, " ", b.Version, " ", b.Absent))
 	}
 	slices.Sort(lines)
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
