Leave hosts without a lease their whole part of a cold server's rate

Suspected: restarted hosts beside dead ones have no lease for some seconds, and warm the new servers with half of their parts, two of them only. Not traced in logs. Change: the rate of cold servers is not cut for hosts without a lease.

--- a/internal/core/pick/share.go
+++ b/internal/core/pick/share.go
@@ -32,10 +32,10 @@
 	// below one and a half times the limit and 5 requests.
 	namedBurst    = 1250 * time.Millisecond
 	minNamedBurst = 2.0
-	// What a host may use of its part once it has to give it up, if its rank is below
-	// minSharing: what the bounds leave for such hosts beside those that use the whole limit.
+	// What a host may use of its part once it has to give it up: what the bounds leave for
+	// such hosts beside those that use the whole limit. Of named limits that holds for ranks
+	// below minSharing. A cold server's bound leaves the whole part, see warmupRateShare.
 	lapsedNamedShare   = 0.125
-	lapsedWarmupShare  = 0.5
 	lapsedRefusalShare = 0.25
 )
 
@@ -110,17 +110,12 @@
 // share returns the part of a limit of total requests per second that falls to a host
 // with a rank, if at most maxHosts hosts share it. With more hosts, those of the
 // lowest ranks share it, since each may send a request at any time.
-// A host that has to give up its part may use at most the share lapsed of it.
-func (h *RegionHosts) share(total float64, maxHosts, rank int, lapsed float64) allowance {
+func (h *RegionHosts) share(total float64, maxHosts, rank int) allowance {
 	n := h.parts(maxHosts)
-	if !h.Discovered || rank >= n || h.lapsed && rank >= minSharing {
+	if !h.Discovered || rank >= n {
 		return allowance{total: total}
 	}
-	a := allowance{rate: total / float64(n), burst: 1, total: total}
-	if h.lapsed {
-		a.rate *= lapsed
-	}
-	return a
+	return allowance{rate: total / float64(n), burst: 1, total: total}
 }
 
 // parts returns the number of parts of a limit that at most maxHosts hosts share.
@@ -137,14 +132,19 @@
 	if svc.WarmupRate <= 0 {
 		return unlimited
 	}
-	return h.share(warmupRateShare*svc.WarmupRate, min(h.sharing(svc.WarmupRate), maxWarmupHosts), rank, lapsedWarmupShare)
+	return h.share(warmupRateShare*svc.WarmupRate, min(h.sharing(svc.WarmupRate), maxWarmupHosts), rank)
 }
 
 // named returns the allowance of a server that names a limit.
 func (h *RegionHosts) named(limit float64, rank int) allowance {
 	hosts := h.sharing(limit)
-	a := h.share(max(limit, minNamedRate), hosts, rank, lapsedNamedShare)
-	if a.burst > 0 && !h.lapsed {
+	a := h.share(max(limit, minNamedRate), hosts, rank)
+	switch {
+	case h.lapsed && rank >= minSharing:
+		return allowance{total: a.total}
+	case h.lapsed:
+		a.rate *= lapsedNamedShare
+	case a.burst > 0:
 		a.burst = max(1, (minNamedBurst+limit*namedBurst.Seconds())/float64(h.parts(hosts)))
 	}
 	return a
