Give no part to a host without an entry, and test parts of refusals

Change: the echoes of the others count only for a host whose entry was written. Test: TestRefusalPartsOfDisagreeingHosts adds up the parts of refusals of all hosts at each moment. The simulated hosts count a peer as heard for 1.5 s, as the code does, and one that stops looks at once.

--- a/internal/core/pick/sharing_test.go
+++ b/internal/core/pick/sharing_test.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	sharingEntryTTL = 10 * time.Second // of the entry of a host in the store
-	sharingLook     = 400 * time.Millisecond
-	sharingStep     = 50 * time.Millisecond
-	sharingTime     = 100 * time.Second
-	sharingStart    = 10 * time.Second // before the first fault
-	sharingDiscover = 1500 * time.Millisecond
+	sharingEntryTTL    = 10 * time.Second        // of the entry of a host in the store
+	sharingPeerTimeout = 1500 * time.Millisecond // from the last frame of a host
+	sharingLook        = 400 * time.Millisecond
+	sharingStep        = 50 * time.Millisecond
+	sharingTime        = 100 * time.Second
+	sharingStart       = 10 * time.Second // before the first fault
+	sharingDiscover    = 1500 * time.Millisecond
 )
 
 // sharingHost is a host of a sharingSim.
@@ -52,6 +53,7 @@
 	now      time.Time
 	arrivals []time.Time
 	limit    float64 // that the server names, unless it is 0
+	onStep   func()  // called after each step if it is set
 }
 
 // start begins a process of a host.
@@ -96,7 +98,13 @@
 	}
 	v := roster.View{Self: h.name, Listed: h.list, ListedAt: h.listed, EntryAt: h.entryAt, RenewedAt: h.renewed, Leaving: h.leaving}
 	for _, o := range s.hosts {
-		if o == h || !h.hears(o) || s.now.Before(o.frozenTil) {
+		if o == h {
+			continue
+		}
+		if !h.hears(o) || s.now.Before(o.frozenTil) {
+			if at := o.heard[h.name]; s.now.Sub(at) < sharingPeerTimeout {
+				v.Peers = append(v.Peers, roster.Peer{Name: o.name})
+			}
 			continue
 		}
 		o.heard[h.name] = s.now
@@ -125,6 +133,9 @@
 	case 5:
 		if !h.leaving {
 			h.leaving, h.stopped = true, s.now.Add(time.Duration(s.rng.IntN(8))*time.Second)
+			if !s.now.Before(h.frozenTil) {
+				s.look(h) // a host acts on its own stop at once
+			}
 		}
 	case 6:
 		h.frozenTil = s.now.Add(time.Duration(s.rng.IntN(25)) * time.Second)
@@ -151,6 +162,9 @@
 		for _, h := range s.hosts {
 			s.step(h, busy)
 		}
+		if s.onStep != nil {
+			s.onStep()
+		}
 	}
 }
 
@@ -238,3 +252,36 @@
 		t.Errorf("the limit is exceeded with %d of %d seeds", above, seeds)
 	}
 }
+
+// TestRefusalPartsOfDisagreeingHosts guards against hosts that know different ones of the others and
+// together may cause more refusals than a server can turn away.
+func TestRefusalPartsOfDisagreeingHosts(t *testing.T) {
+	const seeds, slots = 400, 6
+	above := 0
+	for seed := range uint64(seeds) {
+		s := newSharingSim(1+int(seed%5), seed)
+		s.server.Warm = time.Hour // what is sent must be bounded
+		limit := []int{4, 10, 20, 40}[s.rng.IntN(4)]
+		most := 0
+		s.onStep = func() {
+			refusals := 0
+			for _, h := range s.hosts {
+				hosts := h.table.hostsAt(s.now)
+				r := hosts.room(slots, limit, hosts.rank(s.server.ID))
+				if len(hosts.Hosts) == 0 {
+					continue // it has no list yet
+				}
+				refusals += r.refusals
+			}
+			most = max(most, refusals)
+		}
+		s.play(time.Duration(1+s.rng.IntN(8)) * time.Second)
+		if most > limit {
+			above++
+			t.Logf("seed %d: %d hosts, parts of %d refusals of %d", seed, len(s.hosts), most, limit)
+		}
+	}
+	if above > 0 {
+		t.Errorf("more than the whole with %d of %d seeds", above, seeds)
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -172,8 +172,12 @@
 // untilEchoed returns until when this host may use its part since all others have heard of it: those
 // that it counts or, if its list is old, all that may have come back since. With an old list there must
 // be others, and the list must have been current once: a host that hears nobody can't tell an outage
-// of the store from being cut off itself.
+// of the store from being cut off itself. A host without an entry is not known to those that it does
+// not hear.
 func (r *Roster) untilEchoed(v View, now time.Time) time.Time {
+	if v.EntryAt.IsZero() {
+		return time.Time{}
+	}
 	others := r.seen
 	if !v.current(now) {
 		others = r.known
