Let hosts that leave together divide what they may still use

Since hosts without a lease use their whole part of a cold server's rate, each would use that of all. Change: a host that leaves counts the others that leave as well. Test: TestPlannedStopOfAll failed before.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -102,12 +102,24 @@
 	r.listed = r.listed || v.current(now)
 	r.seen[v.Self], r.known[v.Self] = now, now
 	m := Members{Names: slices.Sorted(maps.Keys(r.seen)), Lately: len(r.known), Until: now}
-	if !v.Leaving {
+	if v.Leaving {
+		m.Names = withPeers(m.Names, v.Peers)
+	} else {
 		m.Until = later(now, later(r.untilListed(v, now), r.untilEchoed(v, now)))
 	}
 	return m
 }
 
+// withPeers adds the names of peers, also those that leave: hosts that leave together divide what
+// they may still use among all of them.
+func withPeers(names []string, peers []Peer) []string {
+	for _, p := range peers {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // hear records from which hosts frames have arrived.
 func (r *Roster) hear(peers []Peer, now time.Time) {
 	for _, p := range peers {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -69,6 +69,16 @@
 	x.check(t, "when a leaves", false, "a", "b", "c")
 }
 
+// TestPlannedStopOfAll guards against hosts that all leave at a time, count themselves only, and use the
+// parts of one host each.
+func TestPlannedStopOfAll(t *testing.T) {
+	x := newTrial(true)
+	x.run(10 * time.Second)
+	x.view.Leaving, x.view.Peers[0].Leaving, x.view.Peers[1].Leaving = true, true, true
+	x.run(4 * time.Second)
+	x.check(t, "all leave", false, "a", "b", "c")
+}
+
 // TestDeadHost guards against a part that lies unused long after the store has dropped its host,
 // and against hosts that give up theirs since another one has died.
 func TestDeadHost(t *testing.T) {
