--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -102,12 +102,24 @@
 	r.listed = r.listed || v.current(now)
 	r.seen[v.Self], r.known[v.Self] = now, now
 	m := Members{Names: slices.Sorted(maps.Keys(r.seen)), Lately: len(r.known), Until: now}
-	if !v.Leaving {
+	if v.Leaving {
+		m.Names = withPeers(m.Names, v.Peers)
+	} else {
 		m.Until = later(now, later(r.untilListed(v, now), r.untilEchoed(v, now)))
 	}
 	return m
 }
 
+// withPeers adds the names of peers, also those that leave: hosts that leave together divide what
+// they may still use among all of them.
+func withPeers(names []string, peers []Peer) []string {
+	for _, p := range peers {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // hear records from which hosts frames have arrived.
 func (r *Roster) hear(peers []Peer, now time.Time) {
 	for _, p := range peers {
@@ -178,8 +190,12 @@
 // untilEchoed returns until when this host may use its part since all others have heard of it: those
 // that it counts or, if its list is old or lacks its entry, all that may have come back since. Then there
 // must be others, and the list must have been current once: a host that hears nobody can't tell an outage
-// of the store from being cut off itself.
+// of the store from being cut off itself. A host without an entry is not known to those that it does
+// not hear.
 func (r *Roster) untilEchoed(v View, now time.Time) time.Time {
+	if v.EntryAt.IsZero() {
+		return time.Time{}
+	}
 	others := r.seen
 	if !v.attested(now) {
 		others = r.known
