--- a/cmd/yuccalbe/fleet_check_test.go
+++ b/cmd/yuccalbe/fleet_check_test.go
@@ -301,7 +301,7 @@
 
 // unpaid returns the requests with more arrivals after their first than retries that hosts have
 // withdrawn from their budgets, as their logs say. The end of the log of a host that was killed
-// is lost.
+// is lost, and of many lines in a second only some are kept.
 func (c *fleetChecks) unpaid() []string {
 	paid := make(map[string]int)
 	for _, h := range c.f.hosts {
