Send streams by the first lists after an outage only to processes that are asked

What callers see: a stream begins, right after an outage of the store, at a server that started again at another version in it, under its identifier, and is taken for one of the former version (ORDER).

Cause: the list is fresh, but its entries are as old as the outage: servers could not register in it, and are back within about 2 s after it. Only the age of the list was asked, and 2 s for the registration only before an outage. The class: a local view whose age is not that of what it states.

Ruled out: the mark of the tracker for an outage (RetainUntil): it counts from the first call that has failed, and was not set after 3 s without a list. Distrusting all of the list: servers that do not state their start would be refused for 2 s, also those that registered after the outage (TestBeginByOldList failed with that).

Change: resume.Lists remembers the servers listed before the last time of 3 s without a list. Until a list is confirmed 2 s after that time, these processes count as confirmed before it, so that they are asked on connections opened since. A host that stood still asks as well.

Measured: TestBeginAfterOutage fails with the one line in Confirmed undone (3 of 3 streams at the wrong version), passes after, with the race detector and beside the six tests of processes and old lists. TestListsAfterOutage passes.

Conclusion: fixed for outages that the host sees itself. A server that alone can't reach the store, outages of under 3 s, and a host that starts right after an outage remain.

--- a/internal/core/resume/process.go
+++ b/internal/core/resume/process.go
@@ -1,6 +1,12 @@
 package resume
 
-import "time"
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/spec"
+)
 
 const (
 	// maxListAge is the age from which on a list of servers is too old to tell to which process a
@@ -29,3 +35,45 @@
 	}
 	return confirmed + maxListAge
 }
+
+// Lists tells by which lists of servers processes may be told apart. The first lists after an outage of the
+// store may still name processes that ended in it. Its zero value is ready to use. It is safe for
+// concurrent use.
+type Lists struct {
+	mu      sync.Mutex
+	last    time.Duration // when the list was last confirmed
+	servers []spec.Server // of that list
+	// before is when the list was last confirmed before the last time without lists, with its servers, and
+	// after when it was first confirmed after that. All are zero if there was none.
+	before, after time.Duration
+	former        []spec.Server
+}
+
+// Update takes over the list of servers, which was last confirmed at a time.
+func (l *Lists) Update(servers []spec.Server, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last != 0 && Outdated(at-l.last) {
+		if !l.unsettled() {
+			l.before, l.former = l.last, l.servers
+		}
+		l.after = at
+	}
+	if at >= l.last {
+		l.last, l.servers = at, servers
+	}
+}
+
+// unsettled reports whether processes may not have been able to register since the last time without lists.
+func (l *Lists) unsettled() bool { return l.after != 0 && l.last-l.after < registerTime }
+
+// Confirmed returns when it was last confirmed that a process is the one registered for its server, if the
+// list that names it was last confirmed at a time.
+func (l *Lists) Confirmed(id string, born int64, at time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unsettled() && slices.ContainsFunc(l.former, func(s spec.Server) bool { return s.ID == id && s.Born == born }) {
+		return l.before
+	}
+	return at
+}
--- a/internal/edge/entry/process_test.go
+++ b/internal/edge/entry/process_test.go
@@ -218,3 +218,35 @@
 		t.Errorf("the stream began at v2; status %d, body %q", resp.Status, resp.Body)
 	}
 }
+
+// TestBeginAfterOutage guards against streams that begin, right after an outage of the store, at a server
+// that has started again at another version in it and is not registered yet.
+func TestBeginAfterOutage(t *testing.T) {
+	var back atomic.Bool
+	var born atomic.Int64
+	born.Store(1)
+	first, second := versioned("v1"), versioned("v2")
+	o := newOutage(t, reports(&born, func(x *origin.Exchange) bool {
+		if back.Load() {
+			return second(x)
+		}
+		return first(x)
+	}), func(*outage) {})
+	born.Store(2)
+	back.Store(true)
+	o.eventually("longer outage", func() bool { return o.e.fleet.ListAge() > 5*time.Second })
+	o.p.Set(proxy.Fault{})
+	o.eventually("new list", func() bool { return o.e.fleet.ListAge() < time.Second })
+	for range 3 {
+		resp := o.do(o.e, post("/resume/x", "1"))
+		if versions, _ := parseEvents(resp.Body); versions["v2"] || resp.Status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, body %q", resp.Status, resp.Body)
+		}
+	}
+	o.entry.Version, o.entry.Born = "v2", 2
+	o.store.PutEntry(o.entry)
+	o.eventually("streams at the new version", func() bool {
+		versions, _ := parseEvents(o.do(o.e, post("/ask/x", "1")).Body)
+		return versions["v2"]
+	})
+}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -77,6 +77,7 @@
 	homes        steer.HomeCounts
 	bases        resume.Bases
 	moves        resume.Moves
+	lists        resume.Lists
 	path         *reach.Path
 	marks        marks
 	reports      reports
--- a/internal/edge/fleet/sharing.go
+++ b/internal/edge/fleet/sharing.go
@@ -23,6 +23,7 @@
 		return
 	}
 	now := time.Now()
+	f.updateLists()
 	f.updateMembers(v, now)
 	hosts := f.regionHosts(now)
 	for _, svc := range *f.tables.Load() {
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -40,13 +40,20 @@
 // Confirmed returns when it was last confirmed, on the clock of package clock, that a process is the
 // one registered for its server, 0 if the last list does not name it.
 func (f *Fleet) Confirmed(p pick.Process) time.Duration {
-	at := f.tracker.State().EntriesConfirmed // before the list is read, which may be a later one
+	at := f.updateLists() // before the list is read, which may be a later one
 	if slices.ContainsFunc(f.View().Servers, func(e spec.Server) bool { return e.ID == p.ID && e.Born == p.Born }) {
-		return at
+		return f.lists.Confirmed(p.ID, p.Born, at)
 	}
 	return 0
 }
 
+// updateLists updates what is known of the lists of servers, and returns when the last one was confirmed.
+func (f *Fleet) updateLists() time.Duration {
+	at := f.tracker.State().EntriesConfirmed
+	f.lists.Update(f.View().Servers, at)
+	return at
+}
+
 // StoreSettled reports whether the store holds all that hosts have written, as far as is known:
 // it was not restored from a copy lately.
 func (f *Fleet) StoreSettled() bool {
