Cut hosts of the soak off from the servers

The soak had one proxy before each server, for all hosts alike, so that no host alone could lose its path. Behind it there is now one for each host: the proxy finds the host that has opened a connection by the inode of its socket. These links get the same faults as the other proxies, and all those of a host are cut together for 1 to 6 s, in series beside the other faults: reset, new ones reset, all held, held one way.

After the faults, checkLostPaths cuts off one host of each region, then all of one region beside the restart of a host, and checks the condition on recovery from 5 s after each cut.

Logs of the hosts are kept on failure, as before. Not run under the race detector.

--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -58,8 +58,9 @@
 // repeated runs at most once, a request that is reported as not run has not run, a
 // complete response belongs to its request, no key reaches a server, and a revoked
 // key stops working. After the faults, it checks that servers get no more requests than
-// the limits allow that they name, and that a part of prompts that makes them crash is
-// found and stays known when all hosts restart. At all times, it checks that arrivals of a request
+// the limits allow that they name, that a part of prompts that makes them crash is found and
+// stays known when all hosts restart, and that callers of hosts without a path to the servers are
+// served nearly as often as others. At all times, it checks that arrivals of a request
 // after its first stay within the bound.
 func TestSoak(t *testing.T) {
 	bin, err := proc.Build(t.TempDir())
@@ -93,8 +94,10 @@
 	// each host and the store, and one between the callers and each host.
 	proxies       []*proxy.Proxy
 	serverProxies []*proxy.Proxy
-	storeProxies  []*proxy.Proxy
-	hostProxies   []*proxy.Proxy
+	// links are those between each server and each host, behind serverProxies.
+	links        [][]*proxy.Proxy
+	storeProxies []*proxy.Proxy
+	hostProxies  []*proxy.Proxy
 
 	// arrivals are those of requests at the servers.
 	arrivals arrivals
@@ -134,7 +137,7 @@
 		s.limits = append(s.limits, &limit{})
 		srv := origin.New(t, s.serverScript(i))
 		s.servers = append(s.servers, srv)
-		s.serverProxies = append(s.serverProxies, s.proxy(srv.Addr()))
+		s.serverProxies = append(s.serverProxies, s.linkTo(srv.Addr()))
 		s.register(i)
 	}
 	for i := range *soakHosts {
@@ -144,7 +147,9 @@
 		s.configs = append(s.configs, s.settings(i, front))
 		s.writeSettings(s.settingsPath(i), s.configs[i])
 		p := proc.New(t, bin, s.settingsPath(i))
+		s.mu.Lock()
 		s.hosts = append(s.hosts, p)
+		s.mu.Unlock()
 		if err := p.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -201,6 +206,7 @@
 		Routes: []plattest.Route{
 			{Prefix: "/safe/", Service: "desk", Kind: "safe", Attempts: 2, TimeoutMS: 2000},
 			{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000},
+			{Prefix: "/order-a/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Regions: []string{"a"}},
 			{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 3000},
 			{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 3000},
 		},
@@ -246,6 +252,7 @@
 	s.clearFaults()
 	s.checkLimits()
 	s.checkPoison()
+	s.checkLostPaths()
 	close(stop)
 	callers.Wait()
 	s.waitServing()
@@ -392,6 +399,8 @@
 		s.restoreStore()
 	case 15:
 		s.release(i)
+	case 14:
+		s.injectCut(host)
 	case 10:
 		k := s.rng.IntN(len(faultyLimits))
 		s.limits[i].name(faultyLimits[k])
--- a/internal/fake/proc/proc.go
+++ b/internal/fake/proc/proc.go
@@ -3,7 +3,9 @@
 package proc
 
 import (
+	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -114,6 +116,41 @@
 	return kb << 10, nil
 }
 
+// Owns reports whether the process has the socket with an inode open.
+func (p *Process) Owns(inode string) bool {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return false
+	}
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", cmd.Process.Pid)) // the pattern is valid
+	for _, file := range files {
+		if name, err := os.Readlink(file); err == nil && name == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
+// SocketInode returns the inode of the TCP socket that is bound to an IPv4 address of this
+// machine and connected, empty if there is none.
+func SocketInode(addr netip.AddrPort) string {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	ip := addr.Addr().As4()
+	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), addr.Port())
+	for line := range strings.Lines(string(table)) {
+		const localColumn, inodeColumn = 1, 9
+		if f := strings.Fields(line); len(f) > inodeColumn && f[localColumn] == local {
+			return f[inodeColumn]
+		}
+	}
+	return ""
+}
+
 // Wait waits for the end of the process and returns its error.
 func (p *Process) Wait() error {
 	p.mu.Lock()
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -29,7 +29,7 @@
 // Proxy forwards TCP connections to a target.
 type Proxy struct {
 	listener net.Listener
-	target   netip.AddrPort
+	target   func(client netip.AddrPort) netip.AddrPort
 
 	mu      sync.Mutex
 	fault   Fault
@@ -42,6 +42,12 @@
 
 // New starts a proxy, which is closed at the end of the test.
 func New(t testing.TB, target netip.AddrPort) *Proxy {
+	t.Helper()
+	return NewSwitch(t, func(netip.AddrPort) netip.AddrPort { return target })
+}
+
+// NewSwitch starts a proxy that forwards each connection to the target of its client.
+func NewSwitch(t testing.TB, target func(client netip.AddrPort) netip.AddrPort) *Proxy {
 	t.Helper()
 	l, err := net.Listen("tcp4", local.Addr(t).String())
 	if err != nil {
@@ -111,7 +117,7 @@
 		return
 	}
 	defer p.remove(client)
-	c, err := net.DialTimeout("tcp4", p.target.String(), time.Second)
+	c, err := net.DialTimeout("tcp4", p.target(netip.MustParseAddrPort(client.RemoteAddr().String())).String(), time.Second)
 	if err != nil {
 		_ = client.SetLinger(0) // the client sees the refused connection as a reset
 		return
