Wait for the base version in TestTakeUpAtStaleHost

Cause: the test takes a stream up without a name before the host has read the base version, and gets 503 "version of the stream unknown", as it should. The wait makes the test no weaker: what follows is unchanged.

--- a/internal/edge/entry/step_test.go
+++ b/internal/edge/entry/step_test.go
@@ -81,6 +81,7 @@
 	cl.host("a1")
 	e, p := cl.hostBehind("b1")
 	cl.addVersion("v1")
+	cl.eventually("base version", func() bool { _, known := e.fleet.Bases().Base("desk", 0); return known })
 	base := cl.begin(1)[0].resume().With(platform.HeaderResumes, "")
 	wantStatus(t, cl.do(e, base), http.StatusOK)
 	p.Set(held)
