--- a/cmd/yuccalbe/fleet_server_test.go
+++ b/cmd/yuccalbe/fleet_server_test.go
@@ -177,8 +177,11 @@
 			return x.Reply(http.StatusOK, "")
 		}
 		sv.mu.Lock()
-		id, version := sv.id(f), fmt.Sprint("v", sv.version)
+		id, version, born := sv.id(f), fmt.Sprint("v", sv.version), sv.born
 		sv.mu.Unlock()
+		if x.URL.Path == platform.ReportPath {
+			return x.Reply(http.StatusOK, fmt.Sprintf(`{"born":%d}`, born))
+		}
 		fault := sv.fault.Load()
 		f.checks.arrive(sv, id, x)
 		if x.Header.Get(platform.HeaderExpectInstance) != id {
