Let hosts of a first start have their part of the retries at once

Callers: after a first start of all hosts, streams that broke off were not taken up and attempts not repeated for about 16 s, for want of a retry. Cause: parts of retries became leases, which begin once the others are known to count a host. Division lowered the part to one retry until then, and raises parts only after 10 s. Ruled out: load, as the same tests failed alone. Change: until the others are first known to count it, for 6 s at most, a host of a first start has its part by the hosts that it knows, as before. Measured: TestDivisionAtFirstStart fails before (1 retry, 8 wanted); the three tests and TestDivisionOfDisagreeingHosts pass.

--- a/internal/core/retry/division.go
+++ b/internal/core/retry/division.go
@@ -6,8 +6,13 @@
 	"github.com/yuccalb/yuccalb/internal/core/roster"
 )
 
-// raiseTime is how long a greater part has to hold before it replaces a smaller one.
-const raiseTime = 10 * time.Second
+const (
+	// raiseTime is how long a greater part has to hold before it replaces a smaller one.
+	raiseTime = 10 * time.Second
+	// firstTime is how long a host of a first start may have its part before the others are
+	// known to count it: it takes a while until its entry is written and read.
+	firstTime = 6 * time.Second
+)
 
 // Division divides retries among all hosts, as one of them sees it: in equal parts among the
 // regions, whose number is fixed, and then among the hosts of the region that it has known lately.
@@ -20,6 +25,10 @@
 	First bool
 
 	part float64
+	// begun is when the first part was computed, and held is set once the others were known
+	// to count this host.
+	begun time.Time
+	held  bool
 	// higher is the least of the greater parts since higherSince, which is zero if the
 	// last part was not greater.
 	higher      float64
@@ -29,14 +38,16 @@
 // Part returns the part of the retries that falls to the host, which is a member of one of some
 // regions.
 func (d *Division) Part(retries float64, regions int, m roster.Members, now time.Time) float64 {
-	if d.part == 0 {
+	if d.begun.IsZero() {
+		d.begun = now
 		d.part = firstPart
 		if d.First {
 			d.part = retries
 		}
 	}
+	d.held = d.held || m.Holds(now)
 	part := retries / float64(max(regions, 1)*max(m.Lately, 1))
-	if !m.Holds(now) {
+	if first := d.First && !d.held && now.Sub(d.begun) < firstTime; !first && !m.Holds(now) {
 		part = min(part, firstPart)
 	}
 	return d.adopt(part, now)
--- a/internal/core/retry/division_test.go
+++ b/internal/core/retry/division_test.go
@@ -9,6 +9,37 @@
 	"github.com/yuccalb/yuccalb/internal/core/roster"
 )
 
+// TestDivisionAtFirstStart guards against hosts of a first start that have next to no retries for
+// many seconds, since the others do not know of them yet.
+func TestDivisionAtFirstStart(t *testing.T) {
+	const retries, regions = 48, 3
+	start := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		first      bool
+		held, lost time.Duration // when the others begin and cease to count this host
+		want       []float64     // each second
+	}{
+		"first start":          {true, time.Second, time.Hour, []float64{8, 8, 8, 8, 8, 8, 8, 8}},
+		"later start":          {false, time.Second, time.Hour, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 8}},
+		"forgotten afterwards": {true, time.Second, 3 * time.Second, []float64{8, 8, 8, 1, 1}},
+		"never known":          {true, time.Hour, time.Hour, []float64{8, 8, 8, 8, 8, 8, 1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := Division{First: c.first}
+			for i, want := range c.want {
+				after := time.Duration(i) * time.Second
+				m := roster.Members{Lately: 2, Until: start}
+				if after >= c.held && after < c.lost {
+					m.Until = start.Add(after + time.Second)
+				}
+				if got := d.Part(retries, regions, m, start.Add(after)); got != want {
+					t.Errorf("after %v: %v, want %v", after, got, want)
+				}
+			}
+		})
+	}
+}
+
 // divisionHost is a host of TestDivisionOfDisagreeingHosts.
 type divisionHost struct {
 	name     string
