Keep large requests from overdrawing the bucket of an organisation over its limit

Cause: hosts learn of each other's admissions 0.2 to 0.6 s later. While an organisation asks for more than its limit, several hosts admit a large request at the same level, the bucket goes below zero, and the organisation's small requests are refused until it has filled up again, although they need less than the limit.

Change: from a refusal until the bucket is nearly full again, requests of more than the organisation's mean cost are admitted less often the lower the level is, in proportion to the square of the level.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -45,6 +45,15 @@
 	lapsedShare = 0.1
 	// maxRetryAfter bounds the retry time given to a refused caller.
 	maxRetryAfter = 10 * time.Second
+	// reserveShare is the part of the burst that requests of more than the mean cost leave
+	// to the others.
+	reserveShare = 0.25
+	// shortUntil is the level, as a fraction of the burst, from which an organisation no
+	// longer counts as over its limit.
+	shortUntil = 0.9
+	// costWeight is the weight of the newest request in the mean cost of an
+	// organisation's requests.
+	costWeight = 0.05
 )
 
 // Limit is the rate per second and the burst of an organisation.
@@ -94,7 +103,44 @@
 	// reported is the total of the local region when ReportDue last returned
 	// true.
 	reported float64
-	peers    map[string]*usage
+	// meanCost is the moving average of the cost of the organisation's requests at this host.
+	meanCost float64
+	// short is set from a refusal until the bucket is nearly full again.
+	short bool
+	// turns counts the large requests that the level lets through: one is admitted for
+	// each whole turn.
+	turns float64
+	peers map[string]*usage
+}
+
+// admits reports whether the bucket admits a request. Several hosts may admit a large
+// request before they hear of each other's. While the organisation is over its limit, those
+// of more than the mean cost are therefore admitted less often the lower the level is:
+// otherwise they would overdraw the bucket, and its small requests would be refused until it
+// has filled up again.
+func (b *bucket) admits(cost float64) bool {
+	if b.level < min(cost, b.limit.Burst) {
+		b.short = true
+		return false
+	}
+	if !b.short || cost <= b.meanCost {
+		return true
+	}
+	x := max(b.level/b.limit.Burst-reserveShare, 0) / (1 - reserveShare)
+	b.turns += x * x
+	if b.turns < 1 {
+		return false
+	}
+	b.turns = min(b.turns-1, 1)
+	return true
+}
+
+// observe updates the mean cost by that of a request.
+func (b *bucket) observe(cost float64) {
+	if b.meanCost == 0 {
+		b.meanCost = cost
+	}
+	b.meanCost += costWeight * (cost - b.meanCost)
 }
 
 // usage is what one peer has admitted of an organisation's limit.
@@ -125,7 +171,8 @@
 
 // Take admits a request of an organisation if its bucket holds enough tokens,
 // and withdraws cost from it. Requests above the burst need a full bucket and
-// leave it below zero. Without a rate, all requests are admitted.
+// leave it below zero. Requests of more than the organisation's mean cost leave tokens
+// to the others. Without a rate, all requests are admitted.
 func (l *Limiter) Take(org string, limit Limit, cost float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
 		return Verdict{Admitted: true}
@@ -135,9 +182,10 @@
 	b := l.bucket(org, limit, now)
 	l.advance(b, now)
 	v := Verdict{Level: b.level, Unreachable: l.unreachable(now)}
-	if need := min(cost, limit.Burst); b.level < need {
-		wait := time.Duration((need - b.level) / limit.Rate * float64(time.Second))
-		v.Wait = min(wait, maxRetryAfter)
+	b.observe(cost)
+	if !b.admits(cost) {
+		wait := time.Duration((max(min(cost, limit.Burst), reserveShare*limit.Burst) - b.level) / limit.Rate * float64(time.Second))
+		v.Wait = min(max(wait, 0), maxRetryAfter)
 		return v
 	}
 	v.Admitted = true
@@ -165,6 +213,15 @@
 	return n
 }
 
+// hosts returns the number of hosts among which limits are divided.
+func (l *Limiter) hosts() int {
+	n := 1
+	for _, p := range l.peers {
+		n += max(p.hosts, 1)
+	}
+	return n
+}
+
 // Refund returns the tokens that Take withdrew for a request that did not run.
 // An organisation near its limit gets no refund: its refused requests would be
 // retried and crowd out those of others.
@@ -205,10 +262,7 @@
 		return
 	}
 	b.updated = now
-	hosts := 1
-	for _, p := range l.peers {
-		hosts += max(p.hosts, 1)
-	}
+	hosts := l.hosts()
 	equal := b.limit.Rate / float64(hosts)
 	b.level += b.limit.Rate * d
 	if missing := l.unreachable(now); l.lapsed && 2*missing >= hosts {
@@ -227,6 +281,7 @@
 		b.level -= expected
 	}
 	b.level = min(b.level, b.limit.Burst)
+	b.short = b.short && b.level < shortUntil*b.limit.Burst
 }
 
 // Merge records a report that was received at now, and replaces what was
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -395,3 +395,46 @@
 	wantAtMost(t, limit, got)
 	wantAtLeast(t, limit, got[len(got)-1000:])
 }
+
+// TestSmallRequestsBesideLarge guards against an organisation far over its limit whose
+// large requests, admitted by several hosts at once, overdraw the bucket, so that its small
+// ones are refused although they need less than the limit. The load is one of many hosts
+// with reports at intervals.
+func TestSmallRequestsBesideLarge(t *testing.T) {
+	const (
+		small, large = 400.0, 17_000.0
+		steps        = 1000 // of 10 ms
+	)
+	limit := Limit{Rate: 1_000_000, Burst: 1_000_000}
+	f := newFleet(24, 3, true)
+	asked, admitted, used := 0, 0, 0.0
+	for n := range steps {
+		at := f.at
+		f.at += 10 * time.Millisecond
+		now := epoch.Add(at)
+		for i, l := range f.limiters {
+			if (n+i)%24 < 10 { // 40% of the limit in small requests
+				ok := l.Take(org, limit, small, now).Admitted
+				if n > steps/2 {
+					asked++
+					if ok {
+						admitted++
+						used += small
+					}
+				}
+			}
+			// 3.4 times the limit in large ones
+			if (n*7+i)%24 < 2 && l.Take(org, limit, large, now).Admitted && n > steps/2 {
+				used += large
+			}
+		}
+		f.exchange(at)
+	}
+	t.Logf("admitted: %.3f of the small requests, %.3f of the limit", float64(admitted)/float64(asked), used/(limit.Rate*5))
+	if share := float64(admitted) / float64(asked); share < 0.98 {
+		t.Errorf("%.3f of the small requests are admitted, want at least 0.98", share)
+	}
+	if x := used / (limit.Rate * 5); x < 0.9 || x > 1.1 {
+		t.Errorf("%.3f of the limit is used, want 0.9 to 1.1", x)
+	}
+}
