Read the longest pause that routes state, and log pauses and priorities

Logs showed neither the pause of a stream nor the priority by which a request was served, so that a late response could not be explained.

Change: a service takes the shortest pause of its routes. Served streams log their longest pause, all requests their priority.

--- a/internal/core/pick/stall.go
+++ b/internal/core/pick/stall.go
@@ -15,10 +15,10 @@
 	lateOtherPenalty = 25 * time.Millisecond
 	lateOwnPenalty   = 300 * time.Millisecond
 	// noticeableGap is the time between two events from which on a caller notices
-	// the stall.
+	// the stall, if the service's routes do not state theirs.
 	noticeableGap = 300 * time.Millisecond
-	// lateThreshold is the part of noticeableGap from which on prefill may make an
-	// event late. Prefill that takes a whole noticeableGap always does.
+	// lateThreshold is the part of the gap from which on prefill may make an event
+	// late. Prefill that takes a whole gap always does.
 	lateThreshold = 0.4
 	// lateWindow is the time constant of the moving average of the share of a
 	// server's time in which events come late.
@@ -48,10 +48,18 @@
 	return a.mean*decay + a.value*(1-decay)
 }
 
+// gap returns the time between two events from which on a caller notices a stall.
+func (m *model) gap() time.Duration {
+	if m.Pause > 0 {
+		return m.Pause
+	}
+	return noticeableGap
+}
+
 // lateProbability returns the probability that an event comes late during prefill of
 // unread tokens.
 func (m *model) lateProbability(unread int) float64 {
-	x := float64(m.PrefillTime(unread)) / float64(noticeableGap)
+	x := float64(m.PrefillTime(unread)) / float64(m.gap())
 	return min(max((x-lateThreshold)/(1-lateThreshold), 0), 1)
 }
 
@@ -64,6 +72,6 @@
 	length := scale(m.TokenTime, float64(req.Output))
 	stalled := scale(m.PrefillTime(unread), running) + scale(length, share/(1-share))
 	others := running * (m.lateProbability(l.Unread+unread) - m.lateProbability(l.Unread))
-	own := 1 - math.Exp(-share*float64(length)/float64(noticeableGap))
+	own := 1 - math.Exp(-share*float64(length)/float64(m.gap()))
 	return scale(stalled, stallWeight) + scale(lateOtherPenalty, others) + scale(lateOwnPenalty, own)
 }
--- a/internal/core/spec/spec.go
+++ b/internal/core/spec/spec.go
@@ -47,6 +47,9 @@
 	// Goal is the latency target of the route: the time within which the first
 	// byte of a response is due, 0 for none.
 	Goal time.Duration
+	// Pause is the longest time between two events of a stream with which the response is
+	// still on time; 0 if it is not stated.
+	Pause time.Duration
 	// Priority is the importance of the route's requests; 0 is the most urgent.
 	Priority int
 	// Attempts bounds the attempts of a request that may have run it; it is at
@@ -70,6 +73,9 @@
 	Engine      bool
 	Slots       int
 	CacheTokens int
+	// Pause is the shortest of the longest pauses between events that the routes to the
+	// service state; 0 if none does.
+	Pause time.Duration
 	// Conns bounds the connections to one server over all hosts; 0 sets no limit.
 	Conns int
 	// HealthPath is the path of the servers' health check, empty if there is none.
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -88,9 +88,13 @@
 	firstByte     time.Time // when the first byte of the response was received
 	// lastAttempt is when the last attempt before the first byte began, and sentAt when
 	// the last one did.
-	lastAttempt   time.Time
-	sentAt        time.Time
-	lastEvent     string        // ID of the last event that the caller has
+	lastAttempt time.Time
+	sentAt      time.Time
+	lastEvent   string // ID of the last event that the caller has
+	// lastWrite is when events were last passed on, and pause the longest time between two
+	// of these.
+	lastWrite     time.Time
+	pause         time.Duration
 	expected      time.Duration // time to the first byte at dest
 	localExpected time.Duration // time to the first byte in the local region
 	dest          destination
@@ -240,6 +244,9 @@
 	if q.org != nil && q.org.HasPriority {
 		return q.org.Priority
 	}
+	if q.route == nil {
+		return 0
+	}
 	return q.route.Priority
 }
 
@@ -297,7 +304,7 @@
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Stringer("config", q.rev), zap.Duration("key_age", q.keyAge),
 		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()), zap.Int("output", q.pick.Output),
-		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
+		zap.Int("priority", q.priority()), zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.dest.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
 	}
@@ -310,6 +317,9 @@
 	if !q.firstByte.IsZero() {
 		fields = append(fields, zap.Duration("first", q.firstByte.Sub(q.arrived)), zap.Duration("retried_for", q.lastAttempt.Sub(q.arrived)), zap.Duration("read", q.choice.PrefillTime))
 	}
+	if q.pause > 0 {
+		fields = append(fields, zap.Duration("pause", q.pause))
+	}
 	if q.grant != "" {
 		fields = append(fields, zap.String("retry", string(q.grant)))
 	}
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -151,6 +151,14 @@
 	return retry.Done, pick.Served
 }
 
+// recordPause records that events were passed on at now.
+func (q *request) recordPause(now time.Time) {
+	if !q.lastWrite.IsZero() {
+		q.pause = max(q.pause, now.Sub(q.lastWrite))
+	}
+	q.lastWrite = now
+}
+
 // writeEvents writes complete events to the caller and flushes them.
 func (q *request) writeEvents(resp *send.Response, b []byte, control *http.ResponseController) error {
 	if !q.headerWritten {
@@ -166,6 +174,7 @@
 		q.finish("left", resp.Status)
 		return err
 	}
+	q.recordPause(time.Now())
 	q.eventsPassed = q.eventsPassed || q.began
 	if id := stream.LastID(b); id != "" {
 		q.lastEvent = id
