Let requests that can wait pass others of the same organisation

Cause: the priority of an organisation replaces that of the route, so that all its kinds of request are equally urgent to hosts and engines. Long prompts with a goal of 1 s waited behind short questions with a goal of 3 s, and the short questions were refused as soon as the wait exceeded the goal of the long ones.

Change: package rank records the recent kinds of requests of a service. A kind lets another one pass if that is at least as urgent by its route, has at most half its goal and needs as much work or more. Engines get such requests with a priority one lower, and their bound is what the goal leaves. The route's priority and pause go with a forwarded request (Yuccalb-Level, Yuccalb-Pause).

Ruled out: the priority of the route as a tie-break for all kinds: engines would preempt long prompts for short questions on deployments that rank them so.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -12,9 +12,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/poison"
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/resume"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
@@ -116,8 +116,8 @@
 	Table *pick.Table
 	// Poison finds the parts of prompts that make the servers crash.
 	Poison *poison.Detector
-	// Goals are those of the recent requests to the service at this host.
-	Goals admit.RecentGoals
+	// Kinds are those of the recent requests to the service at this host.
+	Kinds rank.Kinds
 	// Held are the requests that wait for room at servers with a refusal limit.
 	Held hold.Line
 }
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/core/steer"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
@@ -131,12 +132,23 @@
 	if svc != nil {
 		d.Pace = svc.Table.Pace()
 		now := time.Now()
-		svc.Goals.Record(q.priority(), d.Goal, now)
-		d.ShortestGoal = svc.Goals.Shortest(q.priority(), now)
+		k := q.kind()
+		if !q.kindRecorded {
+			svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
+			q.kindRecorded = true
+		}
+		d.ShortestGoal = svc.Kinds.Shortest(k.Priority, now)
+		q.slack = svc.Kinds.Slack(k, now)
+		d.Slack = q.slack
 	}
 	return d
 }
 
+// kind returns the kind of the request.
+func (q *request) kind() rank.Kind {
+	return rank.Kind{Priority: q.priority(), Level: q.level(), Goal: q.route.Goal}
+}
+
 // checkLate returns a refusal if the first byte is expected too late.
 func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
 	q.expected = first
@@ -148,7 +160,7 @@
 	if !late {
 		return nil
 	}
-	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Duration("own_expected", q.localExpected))
+	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Duration("slack", d.Slack), zap.Duration("own_expected", q.localExpected))
 	return &refusal{http.StatusServiceUnavailable, reasonTooLate, max(wait, retryAfterBusy)}
 }
 
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerUntil, headerClock, headerPriority, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerUntil, headerClock, headerPriority, headerLevel, headerPause, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
@@ -53,12 +53,22 @@
 		h[platform.HeaderOrg] = []string{org}
 	}
 	if q.route.Sticky {
-		h[platform.HeaderPriority] = []string{strconv.Itoa(min(max(q.priority(), 0), maxPriority))}
+		h[platform.HeaderPriority] = []string{strconv.Itoa(q.urgency())}
 	}
 	q.setResume(h)
 	return h
 }
 
+// urgency returns the priority at the server, which admits requests with a slack after
+// others of the same priority.
+func (q *request) urgency() int {
+	p := q.priority()
+	if q.slack > 0 {
+		p++
+	}
+	return min(max(p, 0), maxPriority)
+}
+
 // maxPriority is the least urgent priority that servers accept.
 const maxPriority = 9
 
@@ -86,7 +96,11 @@
 		h[headerUntil] = []string{until}
 	}
 	h[headerPriority] = []string{strconv.Itoa(q.priority())}
+	h[headerLevel] = []string{strconv.Itoa(q.level())}
 	h[headerOrg] = []string{q.organisation()}
+	if q.route.Pause > 0 {
+		h[headerPause] = []string{formatMillis(q.route.Pause)}
+	}
 	if q.route.Goal > 0 {
 		h[headerGoal] = []string{formatMillis(q.route.Goal)}
 	}
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -56,6 +56,12 @@
 	if q.forwardedPriority, err = strconv.Atoi(h.Get(headerPriority)); err != nil {
 		return fmt.Errorf("header %s: %w", headerPriority, err)
 	}
+	q.forwardedLevel = q.forwardedPriority
+	if level := h.Get(headerLevel); level != "" { // hosts of earlier versions do not send it
+		if q.forwardedLevel, err = strconv.Atoi(level); err != nil {
+			return fmt.Errorf("header %s: %w", headerLevel, err)
+		}
+	}
 	q.forwardedOrg = h.Get(headerOrg)
 	q.probe = h.Get(headerProbe) != ""
 	if text := h.Get(headerRecorded); text != "" {
@@ -73,6 +79,11 @@
 			return fmt.Errorf("header %s: %q is not a number of milliseconds", headerGoal, goal)
 		}
 	}
+	if pause := h.Get(headerPause); pause != "" {
+		if q.route.Pause, ok = platform.ParseMillis(pause); !ok {
+			return fmt.Errorf("header %s: %q is not a number of milliseconds", headerPause, pause)
+		}
+	}
 	for _, flag := range strings.Fields(h.Get(headerRoute)) {
 		switch flag {
 		case flagIdempotent:
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -34,6 +34,8 @@
 	headerUntil    = "Yuccalb-Until"    // the deadline on the receiver's clock, see formatClock
 	headerClock    = "Yuccalb-Clock"    // on responses: the clock of the host
 	headerPriority = "Yuccalb-Urgency"  // the priority
+	headerLevel    = "Yuccalb-Level"    // the priority of the route alone
+	headerPause    = "Yuccalb-Pause"    // the route's longest pause between events in ms
 	headerGoal     = "Yuccalb-Goal"     // the route's latency target for the first byte in ms
 	headerProbe    = "Yuccalb-Probe"    // set if the request tests a suspected part of prompts
 	headerRecorded = "Yuccalb-Recorded" // the least number for a record of the stream's version, if not 0; on responses how many the host began
@@ -76,6 +78,7 @@
 	// priority and the organisation in headers.
 	forwarded         bool
 	forwardedPriority int
+	forwardedLevel    int
 	forwardedOrg      string
 
 	admittedCost  float64 // taken from the rate limit of the organisation
@@ -132,6 +135,10 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
+	// slack is for how long the request can let others pass, see rank.Kinds, of which
+	// kindRecorded tells whether they know it.
+	slack        time.Duration
+	kindRecorded bool
 	// holdUntil is when the request no longer waits for room, zero before it has waited.
 	holdUntil time.Time
 	// lentBy is the host of the region to which the attempt is sent because it has room,
@@ -250,6 +257,14 @@
 	return q.route.Priority
 }
 
+// level returns the priority of the route, also if the organisation has one of its own.
+func (q *request) level() int {
+	if q.forwarded {
+		return q.forwardedLevel
+	}
+	return q.route.Priority
+}
+
 // organisation returns the name of the organisation, empty if the request needs no
 // key.
 func (q *request) organisation() string {
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/admit"
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/fake/batch"
 )
@@ -58,7 +59,7 @@
 type host struct {
 	name  string
 	table *pick.Table
-	goals admit.RecentGoals
+	kinds rank.Kinds
 }
 
 // Region is a simulated region whose hosts share the same engines.
@@ -186,8 +187,9 @@
 func (r *Request) decide(class Class, req *pick.Request, at time.Time) bool {
 	h := r.host
 	d := admit.Demand{Goal: class.Goal, Remaining: deadline, Prompt: req.Prompt, Shared: req.Shared(), Pace: h.table.Pace()}
-	h.goals.Record(class.Priority, class.Goal, at)
-	d.ShortestGoal = h.goals.Shortest(class.Priority, at)
+	kind := rank.Kind{Priority: class.Priority, Level: class.Priority, Goal: class.Goal}
+	h.kinds.Record(kind, req.Prompt, at)
+	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
 	_, first, ok := h.table.Expect(req, at)
 	if !ok {
 		return false
