Announce long prompts to the hosts of the region when they are sent

Cause: hosts learn of each other's requests 0.2 to 0.5 s later, which is as long as the prefill of a long prompt. Meanwhile they send several to one server.

The next state report replaces what a notice said, so that a lost or late one does no harm.

Ruled out: sending the whole state at once, which is a hundred times as long.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -103,6 +103,9 @@
 	division  retry.Division
 	retryPart float64
 
+	noticeMu sync.Mutex // guards notices
+	notices  noticeLimit
+
 	// position is that of this host in the order of its region's hosts.
 	position atomic.Int64
 
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -61,6 +61,16 @@
 	return errors.Join(errs...)
 }
 
+// check returns an error if the notice holds values that no correct host sends.
+func (n *Notice) check() error {
+	l := n.Load
+	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory)}
+	if len(n.Parts) > 0 {
+		errs = append(errs, placements([]pick.Placement{{Server: n.Server, Parts: n.Parts}})...)
+	}
+	return errors.Join(errs...)
+}
+
 // check returns an error if the report holds values that no correct host sends.
 func (r *Region) check() error {
 	if r.Name == "" {
--- a/internal/edge/gossip/gossip_test.go
+++ b/internal/edge/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 
 // fakeSource is a Source with a fixed state and fixed targets.
 type fakeSource struct {
+	notices  atomic.Int64
 	state    State
 	targets  []netip.AddrPort
 	received chan Peer
@@ -125,3 +127,6 @@
 		t.Error("no error for an invalid frame")
 	}
 }
+
+// ReceiveNotice counts notices.
+func (s *fakeSource) ReceiveNotice(Notice) { s.notices.Add(1) }
