Estimate remote regions by the servers that have a prefix cached

Cause: a remote region reported the wait at the better half of its servers for a short request. All hosts of a region at its peak also sent to the same region until its next report, and plain servers there rejected them.

Change: a report states the wait at the servers with each cached part (one byte a part, at most 256) and the free slots. The estimate takes the better one of cache and wait, and adds what the hosts of the region are expected to have sent since the report, each as much as this one.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -43,10 +43,45 @@
 	Bytes int
 }
 
-// RemoteEstimate returns the estimate for a remote region. The argument wait is the
-// expected time to the first byte of a short request there, and cached is the number
-// of shared tokens that one of its servers should have cached.
-func (d *Demand) RemoteEstimate(wait time.Duration, cached int) Estimate {
+// Remote is what is known of a remote region.
+type Remote struct {
+	pick.Summary
+	// Cached is the number of shared tokens that a server of the region should have cached,
+	// and CachedWait the expected time to the first byte of a short request there.
+	Cached     int
+	CachedWait time.Duration
+	// Requests and Tokens are expected to have been sent there since the region reported.
+	Requests, Tokens int
+}
+
+// RemoteEstimate returns the estimate for a remote region: the better one of a server that
+// has the prefix cached and any other server.
+func (d *Demand) RemoteEstimate(r Remote) Estimate {
+	added := d.addedWait(&r)
+	best := d.remoteEstimate(r.Wait+added, 0)
+	if r.Cached > 0 {
+		if e := d.remoteEstimate(r.CachedWait+added, r.Cached); e.Score < best.Score {
+			best = e
+		}
+	}
+	return best
+}
+
+// addedWait returns the wait from requests that the region had not got when it reported: for
+// their prefill, and for the end of earlier ones once the free batch slots are taken. Without
+// it, all hosts of a region at its peak would send to the same remote region until its next
+// report.
+func (d *Demand) addedWait(r *Remote) time.Duration {
+	wait := d.Pace.PrefillTime(r.Tokens / max(r.Servers, 1))
+	if over := r.Requests - r.Free; r.Slots > 0 && over > 0 {
+		wait += time.Duration(float64(d.Pace.SlotTime) * float64(over) / float64(r.Slots))
+	}
+	return wait
+}
+
+// remoteEstimate returns the estimate for a server of a remote region, at which a short
+// request waits for a time and a number of shared tokens is cached.
+func (d *Demand) remoteEstimate(wait time.Duration, cached int) Estimate {
 	e := Estimate{First: wait + remoteDelay + d.Pace.PrefillTime(d.Prompt-cached)}
 	missed := d.Pace.PrefillTime(d.Shared - cached)
 	e.Score = e.First + time.Duration(d.Bytes)*remoteByteDelay + time.Duration((pick.MissWeight-1)*float64(missed))
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -373,27 +373,61 @@
 // maxCachedParts bounds the cached parts that are reported to other regions.
 const maxCachedParts = 256
 
-// CachedParts returns the short keys of the parts that servers are expected to have
-// cached. If there are more than maxCachedParts, it returns the most recently used
-// ones.
-func (t *Table) CachedParts(now time.Time) []uint32 {
+// waitUnit is the unit of CachedPart.Wait, and maxWaitUnits bounds it.
+const (
+	waitUnit     = 10 * time.Millisecond
+	maxWaitUnits = 255
+)
+
+// CachedPart is a part that servers are expected to have cached.
+type CachedPart struct {
+	Key uint32 // see ShortKey
+	// Wait is the expected time to the first byte of a short request, in units of
+	// waitUnit, at the server with the part that is the first to be free.
+	Wait uint8
+	used time.Time
+}
+
+// CachedParts returns the parts that servers are expected to have cached. If there are more
+// than maxCachedParts, it returns the most recently used ones.
+func (t *Table) CachedParts(now time.Time) []CachedPart {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	lastUsed := make(map[uint32]time.Time)
+	parts := make(map[uint32]CachedPart)
 	for _, s := range t.servers {
 		if t.leaving(s) {
 			continue
 		}
+		wait := uint8(min(t.shortWait(s, now)/waitUnit, maxWaitUnits))
 		for key, e := range s.cache.entries {
-			if k := ShortKey(key); now.Sub(e.used) < prefixTTL && e.used.After(lastUsed[k]) {
-				lastUsed[k] = e.used
+			if now.Sub(e.used) >= prefixTTL {
+				continue
+			}
+			k := ShortKey(key)
+			p, known := parts[k]
+			if !known || wait < p.Wait {
+				p.Wait = wait
 			}
+			if e.used.After(p.used) {
+				p.used = e.used
+			}
+			p.Key = k
+			parts[k] = p
 		}
 	}
-	list := slices.SortedFunc(maps.Keys(lastUsed), func(a, b uint32) int { return lastUsed[b].Compare(lastUsed[a]) })
+	list := slices.SortedFunc(maps.Values(parts), func(a, b CachedPart) int { return b.used.Compare(a.used) })
 	return list[:min(len(list), maxCachedParts)]
 }
 
+// WaitOf returns the wait that the wait of a CachedPart stands for.
+func WaitOf(units uint8) time.Duration { return time.Duration(units) * waitUnit }
+
+// shortWait returns the expected time to the first byte of a short request at a server, with
+// the time until a server with a limit accepts another request.
+func (t *Table) shortWait(s *server, now time.Time) time.Duration {
+	return t.wait(s, true, now).For + s.cost(s.total(), &Request{}, &t.model, 0, now).time
+}
+
 // ShortKey returns the short form of a part's key that is used in reports.
 func ShortKey(prefix uint64) uint32 { return uint32(prefix >> 32) }
 
@@ -409,6 +443,9 @@
 	// Limited is set if all usable servers have got what their limits allow, or have
 	// a refusal limit and no room.
 	Limited bool
+	// Free is the number of free batch slots of these servers, if they have any: Slots is
+	// the number of all, 0 if unknown.
+	Free, Slots int
 }
 
 // Summary returns the state of the service in the local region.
@@ -424,7 +461,11 @@
 		w := t.wait(s, true, now)
 		sum.Servers++
 		sum.Limited = sum.Limited && (w.Limited || w.Full)
-		waits = append(waits, w.For+s.cost(s.total(), &Request{}, &t.model, 0, now).time)
+		waits = append(waits, t.shortWait(s, now))
+		if slots := s.slots(&t.model); slots > 0 {
+			sum.Slots += slots
+			sum.Free += max(slots-s.total().Running, 0)
+		}
 	}
 	if sum.Servers == 0 {
 		return Summary{}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -103,6 +103,10 @@
 	division  retry.Division
 	retryPart float64
 
+	// regionSize is the number of hosts of the region, with this one.
+	regionSize atomic.Int64
+	sent       sentRequests
+
 	noticeMu sync.Mutex // guards notices
 	notices  noticeLimit
 
--- a/internal/edge/fleet/remote.go
+++ b/internal/edge/fleet/remote.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
@@ -15,20 +16,29 @@
 	// Hosts must not be changed.
 	Hosts []steer.Host
 	pick.Summary
-	cachedParts map[uint32]bool // short keys of prompt parts
+	// Requests and Tokens are what the hosts of the local region are expected to have sent
+	// there since the report of the region: each as much as this one.
+	Requests, Tokens int
+	// parts are the waits at servers that have cached a part, by its short key.
+	parts map[uint32]time.Duration
 }
 
 // Cached returns how many tokens of parts, counted from the start of the prompt, the
-// servers of the region are expected to have cached.
-func (r *RemoteRegion) Cached(parts []pick.Part) int {
-	n := 0
+// servers of the region are expected to have cached, and the expected time to the first byte
+// of a short request at these servers.
+func (r *RemoteRegion) Cached(parts []pick.Part) (tokens int, wait time.Duration) {
+	wait = r.Wait
 	for _, part := range parts {
-		if !r.cachedParts[pick.ShortKey(part.Key)] {
+		w, cached := r.parts[pick.ShortKey(part.Key)]
+		if !cached {
 			break
 		}
-		n += part.Tokens
+		tokens += part.Tokens
+		if w != unknownWait {
+			wait = w
+		}
 	}
-	return n
+	return tokens, wait
 }
 
 // RemoteRegions returns the remote regions with a current report that have usable
@@ -36,15 +46,86 @@
 func (f *Fleet) RemoteRegions(service string) []RemoteRegion {
 	var regions []RemoteRegion
 	now := time.Now()
+	hosts := max(int(f.regionSize.Load()), 1)
 	for _, r := range f.reports.recent(now) {
 		sum := r.Services[service]
 		if sum.Servers == 0 {
 			continue
 		}
-		if hosts := f.reaching(r, service, now); len(hosts) > 0 {
-			regions = append(regions, RemoteRegion{Region: r.Name, Hosts: hosts, Summary: sum, cachedParts: r.parts[service]})
+		list := f.reaching(r, service, now)
+		if len(list) == 0 {
+			continue
 		}
+		n := f.sent.since(sentKey{r.Name, service}, r.created)
+		regions = append(regions, RemoteRegion{
+			Region: r.Name, Hosts: list, Summary: sum, parts: r.parts[service],
+			Requests: n.requests * hosts, Tokens: n.tokens * hosts,
+		})
 	}
 	slices.SortFunc(regions, func(a, b RemoteRegion) int { return strings.Compare(a.Region, b.Region) })
 	return regions
 }
+
+// SentRemote records that this host sends a request with a number of tokens to prefill to a
+// remote region.
+func (f *Fleet) SentRemote(region, service string, tokens int, now time.Time) {
+	f.sent.add(sentKey{region, service}, tokens, now)
+}
+
+// sentKey names a service of a remote region.
+type sentKey struct{ region, service string }
+
+// amount is a number of requests and of the tokens that they need prefilled.
+type amount struct{ requests, tokens int }
+
+// sentWindow is how long requests to remote regions are remembered: reports are older
+// only if the region is out of reach.
+const sentWindow = 2 * time.Second
+
+// sentBin is the resolution of sentRequests.
+const sentBin = 50 * time.Millisecond
+
+// sentRequests holds what was sent to remote regions lately. It is safe for concurrent use;
+// the zero value is empty.
+type sentRequests struct {
+	mu   sync.Mutex
+	bins map[sentKey][]bin
+}
+
+// bin is what was sent from a time on, for sentBin.
+type bin struct {
+	at time.Time
+	amount
+}
+
+func (s *sentRequests) add(k sentKey, tokens int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bins == nil {
+		s.bins = make(map[sentKey][]bin)
+	}
+	list := s.bins[k]
+	for len(list) > 0 && now.Sub(list[0].at) > sentWindow {
+		list = list[1:]
+	}
+	if n := len(list); n == 0 || now.Sub(list[n-1].at) >= sentBin {
+		list = append(list, bin{at: now})
+	}
+	last := &list[len(list)-1]
+	last.requests++
+	last.tokens += tokens
+	s.bins[k] = list
+}
+
+// since returns what was sent after a time.
+func (s *sentRequests) since(k sentKey, from time.Time) amount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum amount
+	list := s.bins[k]
+	for i := len(list) - 1; i >= 0 && list[i].at.After(from); i-- {
+		sum.requests += list[i].requests
+		sum.tokens += list[i].tokens
+	}
+	return sum
+}
--- a/internal/edge/fleet/report.go
+++ b/internal/edge/fleet/report.go
@@ -19,6 +19,8 @@
 const (
 	// never is the age of a report that was never received.
 	never = time.Duration(math.MaxInt64)
+	// unknownWait stands for a wait that a region does not report.
+	unknownWait = time.Duration(-1)
 	// forwardInterval is the least time between reports of a region that are
 	// forwarded within the local region, by this host or another one.
 	forwardInterval = 250 * time.Millisecond
@@ -38,9 +40,9 @@
 	// hosts are the members that are not leaving, with the address at which other
 	// hosts reach them.
 	hosts []steer.Host
-	// cachedParts are the short keys of the prompt parts that the region's
-	// servers are expected to cache, by service.
-	parts map[string]map[uint32]bool
+	// parts are the waits at the servers that are expected to have cached a prompt part, by
+	// service and short key; unknownWait if the region does not report them.
+	parts map[string]map[uint32]time.Duration
 }
 
 // staying returns the members that are not leaving.
@@ -84,13 +86,17 @@
 	if old := s.last[r.Name]; old != nil && !created.After(old.created) {
 		return false
 	}
-	n := &report{Region: r, created: created, parts: make(map[string]map[uint32]bool)}
+	n := &report{Region: r, created: created, parts: make(map[string]map[uint32]time.Duration)}
 	for service, keys := range r.CachedParts {
-		set := make(map[uint32]bool, len(keys))
-		for _, k := range keys {
-			set[k] = true
+		waits := r.CachedWaits[service]
+		parts := make(map[uint32]time.Duration, len(keys))
+		for i, k := range keys {
+			parts[k] = unknownWait
+			if i < len(waits) {
+				parts[k] = pick.WaitOf(waits[i])
+			}
 		}
-		n.parts[service] = set
+		n.parts[service] = parts
 	}
 	for _, h := range n.staying() {
 		n.hosts = append(n.hosts, steer.Host{Addr: h.Peer, Weight: h.Cores})
@@ -170,11 +176,17 @@
 	r.Run = sum.Run
 	r.Admitted = sum.Admitted
 	for name, svc := range *f.tables.Load() {
-		if parts := svc.Table.CachedParts(now); len(parts) > 0 {
-			if r.CachedParts == nil {
-				r.CachedParts = make(map[string][]uint32)
-			}
-			r.CachedParts[name] = parts
+		parts := svc.Table.CachedParts(now)
+		if len(parts) == 0 {
+			continue
+		}
+		if r.CachedParts == nil {
+			r.CachedParts = make(map[string][]uint32)
+			r.CachedWaits = make(map[string][]byte)
+		}
+		for _, p := range parts {
+			r.CachedParts[name] = append(r.CachedParts[name], p.Key)
+			r.CachedWaits[name] = append(r.CachedWaits[name], p.Wait)
 		}
 	}
 	r.Poison = f.poisonReports(poison.Region, now)
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -84,6 +84,7 @@
 	now := time.Now()
 	local, remote := f.reachable(now)
 	f.setPosition(local)
+	f.regionSize.Store(int64(len(local) + 1))
 	r := gossip.Round{Local: f.localTargets(local)}
 	r.Wait = spread.Interval(len(r.Local) + 1)
 	f.roundMu.Lock()
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -95,6 +95,9 @@
 	// keys of the prompt parts that their servers are expected to cache.
 	Services    map[string]pick.Summary `cbor:"4,keyasint,omitempty"`
 	CachedParts map[string][]uint32     `cbor:"5,keyasint,omitempty"`
+	// CachedWaits holds the waits of CachedParts in the same order, see pick.CachedPart.
+	// Earlier versions do not report them.
+	CachedWaits map[string][]byte `cbor:"10,keyasint,omitempty"`
 	// Admitted is the tokens that the members have admitted by organisation. Run
 	// identifies the processes whose totals are included.
 	Admitted map[string]float64 `cbor:"6,keyasint,omitempty"`
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -217,6 +217,9 @@
 	q.triedHosts = append(q.triedHosts, q.dest.addr)
 	q.server = q.dest.addr.String()
 	q.unsent = false
+	if q.dest.region != q.s.fleet.LocalRegion() {
+		q.s.fleet.SentRemote(q.dest.region, q.service, q.dest.unread, time.Now())
+	}
 	res, outcome := q.exchange(q.ctx, q.s.peers, q.outgoing(q.peerHeader(), q.dest), func() {})
 	q.recordsOfPeer()
 	q.s.stats.Attempt(q.service, q.dest.region, outcomeName(outcome))
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -175,7 +175,8 @@
 		if !q.allows(r.Region) || !q.versionIn(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
 			continue
 		}
-		e := d.RemoteEstimate(r.Wait, r.Cached(q.pick.Parts))
+		cached, wait := r.Cached(q.pick.Parts)
+		e := d.RemoteEstimate(admit.Remote{Summary: r.Summary, Cached: cached, CachedWait: wait, Requests: r.Requests, Tokens: r.Tokens})
 		if best.addr.IsValid() && e.Score >= estimate.Score {
 			continue
 		}
@@ -183,7 +184,7 @@
 		if !ok {
 			continue
 		}
-		best = destination{region: r.Region, addr: addr}
+		best = destination{region: r.Region, addr: addr, unread: max(q.pick.Prompt-cached, 0)}
 		if r.Limited {
 			best.limitWait = r.Wait
 		}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -223,6 +223,8 @@
 	// limitWait is the expected wait in a remote region whose servers have got what
 	// their limits allow.
 	limitWait time.Duration
+	// unread is the number of prompt tokens that a remote region is expected to prefill.
+	unread int
 }
 
 // Forwarded reports whether r is a caller's request that another host forwarded.
