Keep the load of requests that can wait apart

Cause: engines admit urgent requests before those that can wait, but the estimate for an urgent request counted the waiting ones as served before it.

Change: hosts report which part of their load can wait. The cost of a server for other requests leaves out what waits for a slot. Earlier versions report none, which counts as before.

--- a/internal/core/pick/notice.go
+++ b/internal/core/pick/notice.go
@@ -22,7 +22,7 @@
 	if c.unread < minNoticeTokens {
 		return Notice{}, false
 	}
-	return Notice{Server: c.ID, Load: Load{Running: 1, Unread: c.unread, Memory: c.memory}, Parts: req.Parts}, true
+	return Notice{Server: c.ID, Load: c.load(), Parts: req.Parts}, true
 }
 
 // MergeNotice adds the request of a notice to the load that another host has reported. It
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -91,6 +91,8 @@
 	// Via is set if another host of the region would choose the server. What failed
 	// at this host, and its parts of limits, do not count then.
 	Via bool
+	// Deferrable is set if the servers admit other requests before this one.
+	Deferrable bool
 	// Extra is set if the request may go to a server with a refusal limit although this
 	// host's own part of the server's room is taken.
 	Extra bool
@@ -119,11 +121,12 @@
 	// is beyond this host's own part of the server's room.
 	refusalLimited, extra bool
 
-	born   int64
-	sent   time.Time
-	unread int // tokens of the prompt that are not cached
-	memory int // tokens of the prompt and at most of the response
-	output int // tokens at most of the response
+	born       int64
+	sent       time.Time
+	deferrable bool
+	unread     int // tokens of the prompt that are not cached
+	memory     int // tokens of the prompt and at most of the response
+	output     int // tokens at most of the response
 	// firstByte is when the response began, zero before that.
 	firstByte time.Time
 	// connOpened is when the connection was opened on which the response came, zero
@@ -131,6 +134,34 @@
 	connOpened time.Time
 }
 
+// load returns the load of the request until its response begins.
+func (c *Choice) load() Load {
+	l := Load{Running: 1, Unread: c.unread, Memory: c.memory}
+	if c.deferrable {
+		l.Later = 1
+		l.LaterUnread = c.unread
+	}
+	return l
+}
+
+// unreadLoad returns the change of the load when the response begins, and runningLoad that
+// when it ends.
+func (c *Choice) unreadLoad() Load {
+	l := Load{Unread: -c.unread}
+	if c.deferrable {
+		l.LaterUnread = -c.unread
+	}
+	return l
+}
+
+func (c *Choice) runningLoad() Load {
+	l := Load{Running: -1, Memory: -c.memory}
+	if c.deferrable {
+		l.Later = -1
+	}
+	return l
+}
+
 // Connection records when the connection was opened on which the response comes.
 func (c *Choice) Connection(opened time.Time) { c.connOpened = opened }
 
@@ -166,12 +197,33 @@
 	// Running is the number of requests. Unread is the number of uncached prompt
 	// tokens of those whose response has not begun, Memory that of all tokens.
 	Running, Unread, Memory int
+	// Later and LaterUnread are the parts of Running and Unread that are deferrable, see
+	// Request.Deferrable. Earlier versions report none.
+	Later       int `cbor:",omitempty"`
+	LaterUnread int `cbor:",omitempty"`
 }
 
 func (l *Load) add(o Load) {
 	l.Running += o.Running
 	l.Unread += o.Unread
 	l.Memory += o.Memory
+	l.Later += o.Later
+	l.LaterUnread += o.LaterUnread
+}
+
+// ahead returns the part of the load on a server with a number of batch slots that it serves
+// before a request that is not deferrable: all but the deferrable requests that wait for a slot.
+func (l Load) ahead(slots int) Load {
+	waiting := min(l.Later, l.Running-slots)
+	if slots <= 0 || waiting <= 0 {
+		return l
+	}
+	unread := l.LaterUnread * waiting / l.Later
+	l.Running -= waiting
+	l.Unread -= unread
+	l.Later -= waiting
+	l.LaterUnread -= unread
+	return l
 }
 
 // Placement records that a request with a prefix was sent to a server, which should
--- a/internal/core/pick/server.go
+++ b/internal/core/pick/server.go
@@ -173,6 +173,9 @@
 // cost returns the cost of a request at the server under a load; rank is the server's
 // rendezvous rank for the prefix.
 func (s *server) cost(l Load, req *Request, m *model, rank int, now time.Time) cost {
+	if !req.Deferrable {
+		l = l.ahead(s.slots(m))
+	}
 	slow := s.slowness(now)
 	hit := s.cache.hit(req.Parts, now)
 	c := cost{unread: max(req.Prompt-hit, 0)}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -107,13 +107,14 @@
 	s, c := best.server, best.cost
 	_, extra := t.full(s, req, now)
 	_, refusalLimited := t.roomLimit(s, now)
-	t.recordSent(s, req, c.unread, now)
 	limit, limited := t.limits.limit(s.process())
-	return Choice{
+	choice := Choice{
 		Limited: limited, Limit: limit, Version: s.Version,
 		ID: s.ID, Expected: c.time, Load: best.load, Cached: c.unread < req.Prompt, PrefillTime: t.model.PrefillTime(c.unread),
-		server: s, refusalLimited: refusalLimited, extra: extra, born: s.Born, sent: now, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
-	}, true
+		server: s, refusalLimited: refusalLimited, extra: extra, born: s.Born, sent: now, deferrable: req.Deferrable, unread: c.unread, memory: req.Prompt + req.Output, output: req.Output,
+	}
+	t.recordSent(&choice, req, now)
+	return choice, true
 }
 
 // choose returns the candidate for a request. A request with a shared prefix goes to
@@ -203,9 +204,10 @@
 	return h ^ h>>33
 }
 
-// recordSent counts a request as sent to a server.
-func (t *Table) recordSent(s *server, req *Request, unread int, now time.Time) {
-	s.local.add(Load{Running: 1, Unread: unread, Memory: req.Prompt + req.Output})
+// recordSent counts a request as sent to the server of a choice.
+func (t *Table) recordSent(c *Choice, req *Request, now time.Time) {
+	s := c.server
+	s.local.add(c.load())
 	s.updateLateShare(&t.model, now)
 	if t.limited(s, now) {
 		s.level--
@@ -232,7 +234,7 @@
 	}
 	c.firstByte = now
 	s := c.server
-	s.local.Unread -= c.unread
+	s.local.add(c.unreadLoad())
 	s.updateLateShare(&t.model, now)
 	s.measure(now.Sub(c.sent), c.Expected, now)
 	if c.Load.Unread == 0 && c.unread >= minPrefillSample && !t.limited(s, now) {
@@ -252,11 +254,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := c.server
-	l := Load{Running: -1, Memory: -c.memory}
 	if c.firstByte.IsZero() {
-		l.Unread = -c.unread
+		s.local.add(c.unreadLoad())
 	}
-	s.local.add(l)
+	s.local.add(c.runningLoad())
 	s.updateLateShare(&t.model, now)
 	s.probing = false
 	switch o {
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -30,7 +30,7 @@
 	}
 	for _, loads := range s.Loads {
 		for id, l := range loads {
-			errs = append(errs, count("load of "+id, l.Running), count("load of "+id, l.Unread), count("load of "+id, l.Memory))
+			errs = append(errs, count("load of "+id, l.Running), count("load of "+id, l.Unread), count("load of "+id, l.Memory), count("load of "+id, l.Later), count("load of "+id, l.LaterUnread))
 		}
 	}
 	for _, list := range s.Placements {
@@ -64,7 +64,7 @@
 // check returns an error if the notice holds values that no correct host sends.
 func (n *Notice) check() error {
 	l := n.Load
-	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory)}
+	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory), count("requests", l.Later), count("unread tokens", l.LaterUnread)}
 	if len(n.Parts) > 0 {
 		errs = append(errs, placements([]pick.Placement{{Server: n.Server, Parts: n.Parts}})...)
 	}
@@ -84,7 +84,7 @@
 		errs = append(errs, amount("cores", m.Host.Cores))
 	}
 	for name, sum := range r.Services {
-		errs = append(errs, count("servers of "+name, sum.Servers), age("wait of "+name, sum.Wait))
+		errs = append(errs, count("servers of "+name, sum.Servers), count("free slots of "+name, sum.Free), count("slots of "+name, sum.Slots), age("wait of "+name, sum.Wait))
 	}
 	for org, spent := range r.Admitted {
 		errs = append(errs, amount("tokens of "+org, spent))
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -21,6 +21,7 @@
 // host can't record streams, it allows only servers at which they need no record, or hosts of
 // another region, which may be able to.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
+	q.classify(now)
 	var ok bool
 	ref := &refusal{http.StatusServiceUnavailable, reasonNotRecorded, retryAfterBusy}
 	if q.target, ok = q.avoidRecords(now); ok {
@@ -132,21 +133,24 @@
 	if svc != nil {
 		d.Pace = svc.Table.Pace()
 		now := time.Now()
-		k := q.kind()
-		if !q.kindRecorded {
-			svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
-			q.kindRecorded = true
-		}
-		d.ShortestGoal = svc.Kinds.Shortest(k.Priority, now)
-		q.slack = svc.Kinds.Slack(k, now)
+		d.ShortestGoal = svc.Kinds.Shortest(q.priority(), now)
 		d.Slack = q.slack
 	}
 	return d
 }
 
-// kind returns the kind of the request.
-func (q *request) kind() rank.Kind {
-	return rank.Kind{Priority: q.priority(), Level: q.level(), Goal: q.route.Goal}
+// classify records the kind of the request, once, and determines whether the request is
+// deferrable.
+func (q *request) classify(now time.Time) {
+	svc := q.s.fleet.Service(q.service)
+	if q.classified || svc == nil {
+		return
+	}
+	q.classified = true
+	k := rank.Kind{Priority: q.priority(), Level: q.level(), Goal: q.route.Goal}
+	svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
+	q.slack = svc.Kinds.Slack(k, now)
+	q.pick.Deferrable = q.slack > 0
 }
 
 // checkLate returns a refusal if the first byte is expected too late.
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -135,10 +135,10 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
-	// slack is for how long the request can let others pass, see rank.Kinds, of which
-	// kindRecorded tells whether they know it.
-	slack        time.Duration
-	kindRecorded bool
+	// slack is for how long the request can let others pass, see rank.Kinds. It is known
+	// once classified is set.
+	slack      time.Duration
+	classified bool
 	// holdUntil is when the request no longer waits for room, zero before it has waited.
 	holdUntil time.Time
 	// lentBy is the host of the region to which the attempt is sent because it has room,
