Prefer servers at which a response is on time to cheaper ones

Cause: a prompt waits for the server that has its prefix cached until it is late, although another one is free to read the prefix again.

Change: among servers and regions, those that are expected to begin within 0.8 of the goal come first; among these the score decides, as before. The early rejection of large requests now starts from an empty bucket: with a reserve of a quarter of the burst the limit was used less by the platform's count.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -13,6 +13,9 @@
 	// Beyond it, the request is refused. The rest is a margin for errors of the
 	// estimate.
 	maxWaitShare = 0.75
+	// timelyShare is the part of a goal within which a response is to begin. The rest is
+	// a margin for errors of the estimate.
+	timelyShare = 0.8
 	// remoteDelay is added to the time to the first byte in a remote region.
 	remoteDelay = 120 * time.Millisecond
 	// remoteByteDelay is added to the score per byte of a body for a remote region,
@@ -88,10 +91,27 @@
 	return e
 }
 
+// Within returns the time within which the response to a request is to begin at the servers
+// to be on time, by the goal of its route, less a margin, and the time since its arrival. It is
+// 0 if there is no goal or if the response will be late in any case.
+func Within(goal, elapsed time.Duration) time.Duration {
+	return max(time.Duration(timelyShare*float64(goal))-elapsed, 0)
+}
+
 // PreferRemote reports whether a request should go to the remote region. The argument
-// usable is set if a server of the local region may get it.
-func PreferRemote(local Estimate, usable bool, remote Estimate) bool {
-	return !usable || local.Score > remote.Score
+// usable is set if a server of the local region may get it, and within is the time within which
+// the response is to begin, 0 for none.
+func PreferRemote(local Estimate, usable bool, remote Estimate, within time.Duration) bool {
+	return !usable || remote.Before(local, within)
+}
+
+// Before reports whether e is better than another estimate: the only one within a time, or
+// that with the lower score.
+func (e Estimate) Before(other Estimate, within time.Duration) bool {
+	if timely := e.First <= within; within > 0 && timely != (other.First <= within) {
+		return timely
+	}
+	return e.Score < other.Score
 }
 
 // Bound returns the expected time to the first byte beyond which a request is refused:
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -48,7 +48,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			local := Estimate{Score: tt.local, First: tt.local}
-			if got := PreferRemote(local, tt.usable, tt.demand.RemoteEstimate(Remote{Summary: pick.Summary{Wait: tt.wait}, Cached: tt.cached, CachedWait: tt.wait})); got != tt.want {
+			if got := PreferRemote(local, tt.usable, tt.demand.RemoteEstimate(Remote{Summary: pick.Summary{Wait: tt.wait}, Cached: tt.cached, CachedWait: tt.wait}), 0); got != tt.want {
 				t.Errorf("sent to the remote region: %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/core/pick/fill.go
+++ b/internal/core/pick/fill.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -100,6 +101,20 @@
 	return max(n, 0)
 }
 
+// timely returns the candidates at which the response is expected to begin within the time of
+// the request, or all if there are none. A long prompt would otherwise wait for a server that
+// has its prefix cached until it is late, although others are free to read the prefix again.
+func timely(req *Request, list []candidate) []candidate {
+	if req.Within <= 0 {
+		return list
+	}
+	late := func(c candidate) bool { return c.cost.time > req.Within }
+	if !slices.ContainsFunc(list, func(c candidate) bool { return !late(c) }) {
+		return list
+	}
+	return slices.DeleteFunc(list, late)
+}
+
 // bestOf returns the candidate with the lowest score; rng breaks ties.
 func bestOf(list []candidate, rng *rand.Rand) candidate {
 	best := list[0]
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -91,6 +91,10 @@
 	// Via is set if another host of the region would choose the server. What failed
 	// at this host, and its parts of limits, do not count then.
 	Via bool
+	// Within is the time within which the response is to begin to be on time. Servers at
+	// which it is expected to begin later are chosen only if there are no others. 0 sets no
+	// limit.
+	Within time.Duration
 	// Deferrable is set if the servers admit other requests before this one.
 	Deferrable bool
 	// Extra is set if the request may go to a server with a refusal limit although this
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -120,6 +120,7 @@
 // choose returns the candidate for a request. A request with a shared prefix goes to
 // the best server, as on other hosts, so that the prefix stays on one server.
 func (t *Table) choose(req *Request, list []candidate) candidate {
+	list = timely(req, list)
 	unreported := t.unreported()
 	if len(req.Parts) > 0 || unreported < minUnreported {
 		return bestOf(list, t.rng)
@@ -137,7 +138,7 @@
 	if len(list) == 0 {
 		return 0, 0, false
 	}
-	best := bestOf(list, t.rng)
+	best := bestOf(timely(req, list), t.rng)
 	return best.cost.score, best.cost.time, true
 }
 
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -45,9 +45,6 @@
 	lapsedShare = 0.1
 	// maxRetryAfter bounds the retry time given to a refused caller.
 	maxRetryAfter = 10 * time.Second
-	// reserveShare is the part of the burst that requests of more than the mean cost leave
-	// to the others.
-	reserveShare = 0.25
 	// shortUntil is the level, as a fraction of the burst, from which an organisation no
 	// longer counts as over its limit.
 	shortUntil = 0.9
@@ -126,7 +123,7 @@
 	if !b.short || cost <= b.meanCost {
 		return true
 	}
-	x := max(b.level/b.limit.Burst-reserveShare, 0) / (1 - reserveShare)
+	x := b.level / b.limit.Burst
 	b.turns += x * x
 	if b.turns < 1 {
 		return false
@@ -184,7 +181,7 @@
 	v := Verdict{Level: b.level, Unreachable: l.unreachable(now)}
 	b.observe(cost)
 	if !b.admits(cost) {
-		wait := time.Duration((max(min(cost, limit.Burst), reserveShare*limit.Burst) - b.level) / limit.Rate * float64(time.Second))
+		wait := time.Duration((min(cost, limit.Burst) - b.level) / limit.Rate * float64(time.Second))
 		v.Wait = min(max(wait, 0), maxRetryAfter)
 		return v
 	}
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -22,6 +22,7 @@
 // another region, which may be able to.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.classify(now)
+	q.pick.Within = q.within(now)
 	var ok bool
 	ref := &refusal{http.StatusServiceUnavailable, reasonNotRecorded, retryAfterBusy}
 	if q.target, ok = q.avoidRecords(now); ok {
@@ -72,7 +73,7 @@
 	}
 	if !q.forwarded {
 		intact := neighbour || q.s.fleet.Path().State() != reach.Lost
-		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable && intact, remote) {
+		if dest, remote, ok := q.bestRemote(demand); ok && admit.PreferRemote(local, usable && intact, remote, q.pick.Within) {
 			q.dest = dest
 			return pick.Choice{}, false, q.checkLate(demand, remote.First)
 		}
@@ -153,6 +154,18 @@
 	q.pick.Deferrable = q.slack > 0
 }
 
+// within returns the time within which the response is to begin to be on time.
+func (q *request) within(now time.Time) time.Duration {
+	elapsed := now.Sub(q.arrived)
+	if q.forwarded {
+		elapsed += forwardDelay
+	}
+	return admit.Within(q.route.Goal, elapsed)
+}
+
+// forwardDelay is the time that a forwarded request and its response take between regions.
+const forwardDelay = 120 * time.Millisecond
+
 // checkLate returns a refusal if the first byte is expected too late.
 func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
 	q.expected = first
@@ -181,7 +194,7 @@
 		}
 		cached, wait := r.Cached(q.pick.Parts)
 		e := d.RemoteEstimate(admit.Remote{Summary: r.Summary, Cached: cached, CachedWait: wait, Requests: r.Requests, Tokens: r.Tokens})
-		if best.addr.IsValid() && e.Score >= estimate.Score {
+		if best.addr.IsValid() && !e.Before(estimate, q.pick.Within) {
 			continue
 		}
 		addr, ok := q.pickHost(r.Hosts)
