Let requests that can wait do so at their hosts

Cause: engines queue up to several dozens of requests that can wait, and reject others once their queue is full. A request that waits at an engine can't go to another one that is free sooner.

Change: such requests are sent to a server only while it has room beside a reserve. Otherwise they wait in the line of their host, in which only the first one looks for room at short intervals, go to a region with room, or are refused once they have waited for as long as they can. The estimate of a remote region counts what its free servers have served since it reported.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -53,8 +53,10 @@
 	// and CachedWait the expected time to the first byte of a short request there.
 	Cached     int
 	CachedWait time.Duration
-	// Requests and Tokens are expected to have been sent there since the region reported.
+	// Requests and Tokens are expected to have been sent there since the region reported,
+	// which was Age ago.
 	Requests, Tokens int
+	Age              time.Duration
 }
 
 // RemoteEstimate returns the estimate for a remote region: the better one of a server that
@@ -73,13 +75,17 @@
 // addedWait returns the wait from requests that the region had not got when it reported: for
 // their prefill, and for the end of earlier ones once the free batch slots are taken. Without
 // it, all hosts of a region at its peak would send to the same remote region until its next
-// report.
+// report. What the free servers have served since is left out.
 func (d *Demand) addedWait(r *Remote) time.Duration {
-	wait := d.Pace.PrefillTime(r.Tokens / max(r.Servers, 1))
-	if over := r.Requests - r.Free; r.Slots > 0 && over > 0 {
-		wait += time.Duration(float64(d.Pace.SlotTime) * float64(over) / float64(r.Slots))
+	if r.Slots == 0 {
+		return 0
 	}
-	return wait
+	free := float64(r.Free) / float64(r.Slots)
+	wait := d.Pace.PrefillTime(r.Tokens/max(r.Servers, 1)) - time.Duration(free*float64(r.Age))
+	if over := float64(r.Requests) - float64(r.Free)*(1+float64(r.Age)/float64(max(d.Pace.SlotTime, time.Millisecond))); over > 0 {
+		wait = max(wait, 0) + time.Duration(float64(d.Pace.SlotTime)*over/float64(r.Slots))
+	}
+	return max(wait, 0)
 }
 
 // remoteEstimate returns the estimate for a server of a remote region, at which a short
--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -52,7 +52,11 @@
 		if t.leaving(s) || !req.allows(s) {
 			continue
 		}
-		if w := t.wait(s, req.Extra, now); w.For > 0 && (!found || w.For < shortest.For) {
+		w := t.wait(s, req.Extra, now)
+		if w.For == 0 && t.reserved(s, req) && s.failures < failureThreshold {
+			w = Wait{For: t.roomWait(s, now), Full: true}
+		}
+		if w.For > 0 && (!found || w.For < shortest.For) {
 			shortest = w
 			found = true
 		}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -150,7 +150,7 @@
 	if req.Via {
 		return true
 	}
-	if full, _ := t.full(s, req, now); full {
+	if full, _ := t.full(s, req, now); full || t.reserved(s, req) {
 		return false
 	}
 	a, limited := t.allowance(s, now)
--- a/internal/edge/fleet/remote.go
+++ b/internal/edge/fleet/remote.go
@@ -17,8 +17,10 @@
 	Hosts []steer.Host
 	pick.Summary
 	// Requests and Tokens are what the hosts of the local region are expected to have sent
-	// there since the report of the region: each as much as this one.
+	// there since the report of the region, which was created Age ago: each as much as
+	// this one.
 	Requests, Tokens int
+	Age              time.Duration
 	// parts are the waits at servers that have cached a part, by its short key.
 	parts map[uint32]time.Duration
 }
@@ -59,7 +61,7 @@
 		n := f.sent.since(sentKey{r.Name, service}, r.created)
 		regions = append(regions, RemoteRegion{
 			Region: r.Name, Hosts: list, Summary: sum, parts: r.parts[service],
-			Requests: n.requests * hosts, Tokens: n.tokens * hosts,
+			Requests: n.requests * hosts, Tokens: n.tokens * hosts, Age: now.Sub(r.created),
 		})
 	}
 	slices.SortFunc(regions, func(a, b RemoteRegion) int { return strings.Compare(a.Region, b.Region) })
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -120,7 +120,9 @@
 		case w.Full:
 			ref.reason = reasonNoRoom
 		}
-		ref.retryAfter = max(w.For, retryAfterBusy)
+		// A deferrable request has waited for as long as it can let others pass. Before
+		// those that wait now have got their turn, it would be refused again.
+		ref.retryAfter = max(w.For, retryAfterBusy, q.slack)
 	}
 	return ref
 }
@@ -189,11 +191,11 @@
 	var best destination
 	var estimate admit.Estimate
 	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) || !q.versionIn(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
+		if !q.allows(r.Region) || !q.versionIn(r.Region) || q.keepOut(&r) {
 			continue
 		}
 		cached, wait := r.Cached(q.pick.Parts)
-		e := d.RemoteEstimate(admit.Remote{Summary: r.Summary, Cached: cached, CachedWait: wait, Requests: r.Requests, Tokens: r.Tokens})
+		e := d.RemoteEstimate(admit.Remote{Summary: r.Summary, Cached: cached, CachedWait: wait, Requests: r.Requests, Tokens: r.Tokens, Age: r.Age})
 		if best.addr.IsValid() && !e.Before(estimate, q.pick.Within) {
 			continue
 		}
@@ -210,6 +212,15 @@
 	return best, estimate, best.addr.IsValid()
 }
 
+// keepOut reports whether the request should not be sent to a remote region because it hardly
+// has room for it.
+func (q *request) keepOut(r *fleet.RemoteRegion) bool {
+	if !q.allows(q.s.fleet.LocalRegion()) {
+		return false // it has nowhere else to go
+	}
+	return r.Limited || q.pick.Deferrable && r.Reserved(r.Requests)
+}
+
 // pickHost returns one of the hosts that this request was not sent to before. It
 // prefers those with an idle connection: opening one to a remote region takes as
 // long as the request itself.
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/hold"
 )
 
@@ -17,6 +18,9 @@
 	// holdStep is the interval at which held requests look for room that no response
 	// of this host has made. From then on they also use room that other hosts leave.
 	holdStep = 20 * time.Millisecond
+	// waitStep is the interval at which the others look whether their time has passed.
+	// The request before them wakes them when it leaves.
+	waitStep = 100 * time.Millisecond
 	// minHeld is the least number of requests that may wait.
 	minHeld = 2
 )
@@ -32,7 +36,7 @@
 			return c, local, ref
 		}
 	}
-	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), q.priority())
+	place, ok := svc.Held.Join(q.mostHeld(svc), q.priority())
 	if !ok {
 		return q.choose(now, remaining)
 	}
@@ -40,6 +44,15 @@
 	return q.awaitRoom(place)
 }
 
+// mostHeld returns how many requests may wait for the servers of the service.
+func (q *request) mostHeld(svc *fleet.Service) int {
+	n := svc.Table.Room()
+	if q.slack > 0 {
+		n = max(n, svc.Table.Backlog(q.slack))
+	}
+	return max(n, minHeld)
+}
+
 // awaitRoom chooses a server or a remote region once one has room, and returns the last
 // refusal if none has in time.
 func (q *request) awaitRoom(place *hold.Place) (pick.Choice, bool, *refusal) {
@@ -48,15 +61,17 @@
 	if q.holdUntil.IsZero() {
 		q.holdUntil = begin.Add(q.holdTime())
 	}
-	step := time.NewTicker(holdStep)
+	step := time.NewTimer(holdStep)
 	defer step.Stop()
 	for {
 		select {
 		case <-place.Ready():
 		case <-step.C:
 			if !place.First() && time.Now().Before(q.holdUntil) {
+				step.Reset(waitStep)
 				continue // the requests before this one look first
 			}
+			step.Reset(holdStep)
 		case <-place.Lost():
 			return q.choose(time.Now(), q.remaining())
 		case <-q.ctx.Done():
@@ -82,6 +97,9 @@
 
 // holdTime returns for how long the request may wait for room.
 func (q *request) holdTime() time.Duration {
+	if q.slack > 0 {
+		return min(q.slack-time.Since(q.arrived), q.remaining()/2)
+	}
 	d := min(holdTime, q.remaining()/timeShare)
 	if q.route.Goal > 0 {
 		d = min(d, q.route.Goal/goalShare)
