Count what a remote region can serve until its next report

Cause: a region with 240 free slots got 240 requests until its next report, 0.8 s later, although each slot serves two in that time.

Change: the number of requests that a region has room for grows with the age of its report.

--- a/internal/core/pick/reserve.go
+++ b/internal/core/pick/reserve.go
@@ -18,8 +18,11 @@
 }
 
 // Reserved reports whether the free slots of a region are reserved, if n requests were sent
-// there since its report.
-func (s *Summary) Reserved(n int) bool { return s.Slots > 0 && s.Slots-s.Free+n >= open(s.Slots) }
+// there since it reported. The argument turns is how many requests a slot can serve meanwhile.
+func (s *Summary) Reserved(n int, turns float64) bool {
+	room := open(s.Slots) - (s.Slots - s.Free)
+	return s.Slots > 0 && float64(n) >= float64(room)*(1+turns)
+}
 
 // Backlog returns how many requests of this host the servers can serve within a time, if each
 // host of the region gets an equal part of their slots.
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -191,7 +191,7 @@
 	var best destination
 	var estimate admit.Estimate
 	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) || !q.versionIn(r.Region) || q.keepOut(&r) {
+		if !q.allows(r.Region) || !q.versionIn(r.Region) || q.keepOut(&r, d) {
 			continue
 		}
 		cached, wait := r.Cached(q.pick.Parts)
@@ -214,11 +214,12 @@
 
 // keepOut reports whether the request should not be sent to a remote region because it hardly
 // has room for it.
-func (q *request) keepOut(r *fleet.RemoteRegion) bool {
+func (q *request) keepOut(r *fleet.RemoteRegion, d *admit.Demand) bool {
 	if !q.allows(q.s.fleet.LocalRegion()) {
 		return false // it has nowhere else to go
 	}
-	return r.Limited || q.pick.Deferrable && r.Reserved(r.Requests)
+	turns := r.Age.Seconds() / max(d.Pace.SlotTime, time.Millisecond).Seconds()
+	return r.Limited || q.pick.Deferrable && r.Reserved(r.Requests, turns)
 }
 
 // pickHost returns one of the hosts that this request was not sent to before. It
