Prefer servers in time only for requests that others let pass

Change: only requests that another kind lets pass are sent to servers in time first. Services without such kinds are served as before.

--- a/internal/core/rank/kinds.go
+++ b/internal/core/rank/kinds.go
@@ -75,10 +75,7 @@
 }
 
 // Slack returns for how long requests of a kind can let those of another kind pass without
-// missing their goal, 0 if they should not. They let those pass that are at least as urgent
-// by their route, have at most half their goal and need as much work or more: the goal then
-// leaves room for a whole one of the other kind, and an engine that prefers the other kind
-// discards the smaller part of its work.
+// missing their goal, 0 if they should not. See yields.
 func (m *Kinds) Slack(k Kind, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,13 +86,38 @@
 	}
 	var slack time.Duration
 	for other, o := range m.seen {
-		if other.Level <= k.Level && other.Priority <= k.Priority && 2*other.Goal <= k.Goal && o.work >= own.work {
+		if yields(k, own, other, o) {
 			slack = max(slack, k.Goal-other.Goal)
 		}
 	}
 	return slack
 }
 
+// Preferred reports whether requests of another kind let those of this kind pass.
+func (m *Kinds) Preferred(k Kind, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(now)
+	own := m.seen[k]
+	if own == nil {
+		return false
+	}
+	for other, o := range m.seen {
+		if yields(other, o, k, own) {
+			return true
+		}
+	}
+	return false
+}
+
+// yields reports whether requests of kind k let those of kind p pass: these are at least as
+// urgent, also by their route, have at most half the goal and need as much work or more. The
+// goal of k then leaves room for a whole request of p, and an engine that prefers p discards
+// the smaller part of its work.
+func yields(k Kind, own *observed, p Kind, o *observed) bool {
+	return p.Level <= k.Level && p.Priority <= k.Priority && 2*p.Goal <= k.Goal && o.work >= own.work
+}
+
 // expire removes kinds without recent requests. The caller holds mu.
 func (m *Kinds) expire(now time.Time) {
 	for k, o := range m.seen {
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -154,10 +154,15 @@
 	svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
 	q.slack = svc.Kinds.Slack(k, now)
 	q.pick.Deferrable = q.slack > 0
+	q.preferred = svc.Kinds.Preferred(k, now)
 }
 
-// within returns the time within which the response is to begin to be on time.
+// within returns the time within which the response to a request that others let pass is to
+// begin to be on time, 0 for all other requests.
 func (q *request) within(now time.Time) time.Duration {
+	if !q.preferred {
+		return 0
+	}
 	elapsed := now.Sub(q.arrived)
 	if q.forwarded {
 		elapsed += forwardDelay
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -135,9 +135,10 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
-	// slack is for how long the request can let others pass, see rank.Kinds. It is known
-	// once classified is set.
+	// slack is for how long the request can let others pass, and preferred is set if others
+	// let it pass, see rank.Kinds. Both are known once classified is set.
 	slack      time.Duration
+	preferred  bool
 	classified bool
 	// holdUntil is when the request no longer waits for room, zero before it has waited.
 	holdUntil time.Time
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -190,6 +190,11 @@
 	kind := rank.Kind{Priority: class.Priority, Level: class.Priority, Goal: class.Goal}
 	h.kinds.Record(kind, req.Prompt, at)
 	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
+	d.Slack = h.kinds.Slack(kind, at)
+	req.Deferrable = d.Slack > 0
+	if h.kinds.Preferred(kind, at) {
+		req.Within = admit.Within(class.Goal, 0)
+	}
 	_, first, ok := h.table.Expect(req, at)
 	if !ok {
 		return false
