Keep the batches of engines full with requests that can wait

Change: a server gets such requests until it has a quarter of its slots waiting, so that the batch stays full; urgent requests are admitted before these. They wait at most for half of what their goal leaves.

--- a/internal/core/pick/reserve.go
+++ b/internal/core/pick/reserve.go
@@ -2,22 +2,23 @@
 
 import "time"
 
-// reserveFraction is the inverse of the part of a server's batch slots that deferrable
-// requests leave free. A request that is not deferrable then finds a free slot on any server,
-// also while hosts do not know yet what the others have just sent.
-const reserveFraction = 8
+// queueFraction is the inverse of the part of a server's batch slots that deferrable requests
+// may have waiting there. They keep the batch full; further ones wait at their hosts, from
+// which they can go to any server, and leave the queue of the server to other requests.
+const queueFraction = 4
 
-// open returns how many of a number of slots deferrable requests may take.
-func open(slots int) int { return slots - (slots+reserveFraction-1)/reserveFraction }
-
-// reserved reports whether the free slots of a server are reserved for requests other than a
+// open returns how many requests a server with a number of slots may have when it gets a
 // deferrable one.
+func open(slots int) int { return slots + slots/queueFraction }
+
+// reserved reports whether a server has room left only for requests other than a deferrable
+// one.
 func (t *Table) reserved(s *server, req *Request) bool {
 	slots := s.slots(&t.model)
 	return req.Deferrable && slots > 0 && s.total().Running >= open(slots)
 }
 
-// Reserved reports whether the free slots of a region are reserved, if n requests were sent
+// Reserved reports whether a region has no room for a deferrable request, if n were sent
 // there since it reported. The argument turns is how many requests a slot can serve meanwhile.
 func (s *Summary) Reserved(n int, turns float64) bool {
 	room := open(s.Slots) - (s.Slots - s.Free)
--- a/internal/core/rank/kinds.go
+++ b/internal/core/rank/kinds.go
@@ -74,8 +74,9 @@
 	return shortest
 }
 
-// Slack returns for how long requests of a kind can let those of another kind pass without
-// missing their goal, 0 if they should not. See yields.
+// Slack returns for how long requests of a kind can let those of another kind pass, 0 if they
+// should not, see yields: half of what their goal leaves after that of the other kind. The rest
+// is for their own work and for errors of estimates.
 func (m *Kinds) Slack(k Kind, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -87,7 +88,7 @@
 	var slack time.Duration
 	for other, o := range m.seen {
 		if yields(k, own, other, o) {
-			slack = max(slack, k.Goal-other.Goal)
+			slack = max(slack, (k.Goal-other.Goal)/2)
 		}
 	}
 	return slack
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -98,7 +98,7 @@
 // holdTime returns for how long the request may wait for room.
 func (q *request) holdTime() time.Duration {
 	if q.slack > 0 {
-		return min(q.slack-time.Since(q.arrived), q.remaining()/2)
+		return min(q.slack, q.remaining()/2)
 	}
 	d := min(holdTime, q.remaining()/timeShare)
 	if q.route.Goal > 0 {
