Order waiting requests by rank

Cause: a request that waits for room at servers with a refusal limit kept the place of its priority and arrival, also when it could no longer be on time while others behind it could, and a full line turned away any request of the same priority, however little work it needed.

Ruled out: sorting at each look (each waiting request looks every 20 ms, so that its cost grows with the square of their number); the line is sorted only once the time has come at which some claim changes its rank, at most twice for each waiting request. A heap: a full line needs its last place, too.

Change: Line.Join takes a rank.Claim and displaces the last place by rank; Line.Counts, Place.Claim, Place.By and Place.Position state the inputs for metrics and logs. The relay builds the claim only for requests that wait: work from the pace of the servers, due from the arrival and the goal, until from holdUntil. A request that waits again keeps its first wait. A forwarded request has its priority as its level, as the level is not sent yet. Requests that do not wait call Len and Wake as before, which read no clock while nobody waits.

Conclusion: bounds of the wait are as before, only the order is new.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -118,7 +118,8 @@
 	Poison *poison.Detector
 	// Goals are those of the recent requests to the service at this host.
 	Goals admit.RecentGoals
-	// Held are the requests that wait for room at servers with a refusal limit.
+	// Held are the requests that wait for room at servers with a refusal limit. A host has
+	// one such line for a service.
 	Held hold.Line
 }
 
--- a/internal/edge/hold/hold.go
+++ b/internal/edge/hold/hold.go
@@ -1,10 +1,14 @@
-// Package hold keeps requests in order while they wait for room at the servers of a service:
-// the more urgent first, and those of one priority as they arrived.
+// Package hold keeps requests in the order of package rank while they wait for room at the
+// servers of a service.
 package hold
 
 import (
+	"maps"
 	"slices"
 	"sync"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 )
 
 // Line is the requests that wait for the servers of one service. It is safe for concurrent
@@ -12,36 +16,53 @@
 type Line struct {
 	mu      sync.Mutex
 	waiting []*Place
+	// sortAt is when the order of the waiting requests may next change, zero for never.
+	sortAt time.Time
+	// counts are the waiting requests by priority.
+	counts map[int]int
 }
 
 // Place is the place of a request in a Line.
 type Place struct {
-	line     *Line
-	priority int // 0 is the most urgent
-	ready    chan struct{}
-	lost     chan struct{}
+	line  *Line
+	claim rank.Claim
+	ready chan struct{}
+	lost  chan struct{}
+	// by is the request that took the place, and position the place that was lost. Both are
+	// set before lost is closed.
+	by       rank.Claim
+	position int
 }
 
-// Join adds a request to the line, behind those of its priority. If most requests or more
-// wait already, the last one loses its place to a more urgent one; without a less urgent one
-// to give way, Join returns false.
-func (l *Line) Join(most, priority int) (*Place, bool) {
+// Join adds a request to the line. If most requests or more wait already, the last one loses
+// its place if the new one ranks before it; otherwise Join returns false.
+func (l *Line) Join(most int, c rank.Claim) (*Place, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	l.sort(now)
 	if n := len(l.waiting); n > 0 && n >= most {
 		last := l.waiting[n-1]
-		if last.priority <= priority {
+		if rank.Compare(c, last.claim, now) >= 0 {
 			return nil, false
 		}
-		l.waiting = l.waiting[:n-1]
+		l.remove(n - 1)
+		last.by, last.position = c, n
 		close(last.lost)
 	}
-	p := &Place{line: l, priority: priority, ready: make(chan struct{}, 1), lost: make(chan struct{})}
-	i := len(l.waiting)
-	for i > 0 && l.waiting[i-1].priority > priority {
-		i--
-	}
+	p := &Place{line: l, claim: c, ready: make(chan struct{}, 1), lost: make(chan struct{})}
+	i, _ := slices.BinarySearchFunc(l.waiting, c, func(x *Place, c rank.Claim) int {
+		if rank.Compare(x.claim, c, now) <= 0 {
+			return -1
+		}
+		return 1
+	})
 	l.waiting = slices.Insert(l.waiting, i, p)
+	if l.counts == nil {
+		l.counts = make(map[int]int)
+	}
+	l.counts[c.Priority]++
+	l.expectChange(p, now)
 	return p, true
 }
 
@@ -52,11 +73,27 @@
 	return len(l.waiting)
 }
 
+// Counts returns the number of requests that wait by priority. It includes the priorities of
+// which requests have waited before.
+func (l *Line) Counts() map[int]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.counts)
+}
+
 // Wake lets the first request look for room.
 func (l *Line) Wake() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.wake(0)
+	l.wakeFirst()
+}
+
+// wakeFirst lets the first request look for room. The caller holds mu.
+func (l *Line) wakeFirst() {
+	if len(l.waiting) > 0 {
+		l.sort(time.Now())
+		l.wake(0)
+	}
 }
 
 // wake lets the request at a position look for room, if there is one. The caller holds mu.
@@ -70,17 +107,65 @@
 	}
 }
 
+// sort restores the order once the passing of time may have changed it. The caller holds mu.
+func (l *Line) sort(now time.Time) {
+	if l.sortAt.IsZero() || now.Before(l.sortAt) {
+		return
+	}
+	slices.SortStableFunc(l.waiting, func(a, b *Place) int { return rank.Compare(a.claim, b.claim, now) })
+	l.sortAt = time.Time{}
+	for _, p := range l.waiting {
+		l.expectChange(p, now)
+	}
+}
+
+// expectChange sets sortAt to the next change of the rank of p, if that is earlier. The caller
+// holds mu.
+func (l *Line) expectChange(p *Place, now time.Time) {
+	if next, ok := p.claim.NextChange(now); ok && (l.sortAt.IsZero() || next.Before(l.sortAt)) {
+		l.sortAt = next
+	}
+}
+
+// remove removes the request at a position. The caller holds mu.
+func (l *Line) remove(i int) {
+	l.counts[l.waiting[i].claim.Priority]--
+	l.waiting = slices.Delete(l.waiting, i, i+1)
+}
+
 // Ready returns a channel that receives a value when the request should look for room.
 func (p *Place) Ready() <-chan struct{} { return p.ready }
 
-// Lost returns a channel that is closed when a more urgent request has taken the place.
+// Lost returns a channel that is closed when a request that ranks before this one has taken
+// the place.
 func (p *Place) Lost() <-chan struct{} { return p.lost }
 
+// By returns the request that has taken the place. It may be called once Lost is closed.
+func (p *Place) By() rank.Claim { return p.by }
+
+// Claim returns the claim with which the request joined the line.
+func (p *Place) Claim() rank.Claim { return p.claim }
+
+// Position returns the position of the request, 1 for the first. After the place was lost it
+// is that position, and after Leave 0.
+func (p *Place) Position() int {
+	l := p.line
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.position > 0 {
+		return p.position
+	}
+	l.sort(time.Now())
+	return slices.Index(l.waiting, p) + 1
+}
+
 // First reports whether no other request is before this one.
 func (p *Place) First() bool {
-	p.line.mu.Lock()
-	defer p.line.mu.Unlock()
-	return len(p.line.waiting) > 0 && p.line.waiting[0] == p
+	l := p.line
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sort(time.Now())
+	return len(l.waiting) > 0 && l.waiting[0] == p
 }
 
 // Pass lets the next request look for room: this one has found none that it may use.
@@ -88,6 +173,7 @@
 	l := p.line
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.sort(time.Now())
 	if i := slices.Index(l.waiting, p); i >= 0 {
 		l.wake(i + 1)
 	}
@@ -98,6 +184,8 @@
 	l := p.line
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.waiting = slices.DeleteFunc(l.waiting, func(x *Place) bool { return x == p })
-	l.wake(0)
+	if i := slices.Index(l.waiting, p); i >= 0 {
+		l.remove(i)
+	}
+	l.wakeFirst()
 }
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/rank"
+	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/hold"
 )
 
@@ -22,7 +24,7 @@
 )
 
 // chooseInTurn is choose for a request that waits if the servers have no room, after those
-// that wait already and are as urgent. If too many do, it is refused at once.
+// that wait already and rank before it. If too many do, it is refused at once.
 func (q *request) chooseInTurn(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.pick.Extra = false
 	svc := q.s.fleet.Service(q.service)
@@ -32,22 +34,37 @@
 			return c, local, ref
 		}
 	}
-	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), q.priority())
+	claim := q.claim(svc, now)
+	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), claim)
 	if !ok {
 		return q.choose(now, remaining)
 	}
 	defer place.Leave()
+	q.heldSince, q.holdUntil = claim.Since, claim.Until
 	return q.awaitRoom(place)
 }
 
+// claim returns the claim of the request to room at the servers.
+func (q *request) claim(svc *fleet.Service, now time.Time) rank.Claim {
+	pace := svc.Table.Pace()
+	c := rank.Claim{
+		Priority: q.priority(), Level: q.level(), Deadline: q.deadline,
+		Work: pace.PrefillTime(q.pick.Prompt), Since: q.heldSince, Until: q.holdUntil,
+	}
+	if q.route.Goal > 0 {
+		c.Due = q.arrived.Add(q.route.Goal)
+	}
+	if c.Until.IsZero() {
+		c.Since, c.Until = now, now.Add(q.holdTime())
+	}
+	return c
+}
+
 // awaitRoom chooses a server or a remote region once one has room, and returns the last
 // refusal if none has in time.
 func (q *request) awaitRoom(place *hold.Place) (pick.Choice, bool, *refusal) {
 	q.s.stats.Held(q.service)
 	begin := time.Now()
-	if q.holdUntil.IsZero() {
-		q.holdUntil = begin.Add(q.holdTime())
-	}
 	step := time.NewTicker(holdStep)
 	defer step.Stop()
 	for {
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -128,8 +128,9 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
-	// holdUntil is when the request no longer waits for room, zero before it has waited.
-	holdUntil time.Time
+	// heldSince is when the request began to wait for room, and holdUntil when it no longer
+	// waits; both are zero before it has waited.
+	heldSince, holdUntil time.Time
 	// lentBy is the host of the region to which the attempt is sent because it has room,
 	// and unsent is set if a host has refused the attempt without asking a server.
 	lentBy string
@@ -243,6 +244,15 @@
 	return q.route.Priority
 }
 
+// level returns the priority of the route alone. Of a forwarded request only its priority is
+// known.
+func (q *request) level() int {
+	if q.forwarded {
+		return q.forwardedPriority
+	}
+	return q.route.Priority
+}
+
 // organisation returns the name of the organisation, empty if the request needs no
 // key.
 func (q *request) organisation() string {
