Show which requests wait, are displaced and are turned away

Cause: metrics and logs count that requests waited, but not of which priority, for how long, and why those that were refused lost their turn. An operator can't see who pays for an overload.

Before: a displaced request had one line, "no room at servers".

Conclusion: a request that does not wait costs one log field more.

--- a/internal/edge/entry/cluster_test.go
+++ b/internal/edge/entry/cluster_test.go
@@ -32,6 +32,8 @@
 	hosts []*Entry
 	// retries is the retry budget over all hosts that are started next.
 	retries int64
+	// logTo gets the logs of hosts that are started next.
+	logTo io.Writer
 }
 
 // sites maps the data centres of all tests to their regions.
@@ -62,7 +64,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	t.Parallel()
-	cl := &cluster{t: t, store: plattest.NewStore(t), retries: 50}
+	cl := &cluster{t: t, store: plattest.NewStore(t), retries: 50, logTo: io.Discard}
 	cl.store.PutConfig(config(1, key))
 	return cl
 }
@@ -87,7 +89,7 @@
 // start starts a host and closes it at the end of the test.
 func (cl *cluster) start(s boot.Settings) *Entry {
 	cl.t.Helper()
-	out := logs.NewWriter(io.Discard)
+	out := logs.NewWriter(cl.logTo)
 	e, err := Start(s, logs.New(out, s.Host, true))
 	if err != nil {
 		cl.t.Fatal(err)
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -184,6 +184,7 @@
 		return 1
 	})
 	m.Gauge("yuccalb_refusal_limited_servers", "Servers of the region with a refusal limit.", func() float64 { return float64(e.fleet.RefusalLimited()) })
+	m.Waiting(e.fleet.Waiting)
 	m.Gauge("yuccalb_own_room", "Requests for which this host has room of its own at servers with a refusal limit.", func() float64 { return float64(e.fleet.OwnRoom()) })
 	m.Gauge("yuccalb_suspected_parts", "Requests and parts of prompts that are suspected to make servers crash.", func() float64 { return float64(e.fleet.SuspectedParts()) })
 	m.Gauge("yuccalb_peers", "Other hosts heard of lately.", func() float64 {
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -56,6 +56,10 @@
 // hidden lists the fields that are not printed as key and value.
 var hidden = []string{"level", "ts", "msg", "host", "id"}
 
+// kept lists the fields that are printed although their value is zero: 0 is the most urgent
+// priority.
+var kept = []string{"rank", "priority", "level", "by_rank", "by_level"}
+
 // Line is a parsed log line.
 type Line struct {
 	At     time.Time
@@ -74,11 +78,11 @@
 }
 
 // text returns the fields sorted by name, without those that are hidden or have a
-// zero value.
+// zero value that says nothing.
 func (l Line) text() string {
 	var names []string
 	for name, v := range l.Fields {
-		if !slices.Contains(hidden, name) && v != "" && v != false && v != json.Number("0") {
+		if !slices.Contains(hidden, name) && v != "" && v != false && (v != json.Number("0") || slices.Contains(kept, name)) {
 			names = append(names, name)
 		}
 	}
--- a/internal/edge/events/events_test.go
+++ b/internal/edge/events/events_test.go
@@ -16,7 +16,7 @@
 // TestHistory guards against a history that misses a line of the request, includes
 // lines of other requests, or shows a state that the host reached only later.
 func TestHistory(t *testing.T) {
-	for _, id := range []string{"cut", "deadly", "late", "limited", "poisoned", "refused", "resumed"} {
+	for _, id := range []string{"cut", "deadly", "displaced", "late", "limited", "poisoned", "refused", "resumed"} {
 		t.Run(id, func(t *testing.T) {
 			var l Log
 			files, err := filepath.Glob("testdata/*.log")
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -195,6 +195,17 @@
 	return n
 }
 
+// Waiting returns the number of requests that wait for room, by service and priority.
+func (f *Fleet) Waiting() map[string]map[int]int {
+	waiting := make(map[string]map[int]int)
+	for name, svc := range *f.tables.Load() {
+		if counts := svc.Held.Counts(); len(counts) > 0 {
+			waiting[name] = counts
+		}
+	}
+	return waiting
+}
+
 // Region returns the region of a data centre.
 func (f *Fleet) Region(site string) string { return f.opts.Sites[site] }
 
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
@@ -37,11 +39,16 @@
 	claim := q.claim(svc, now)
 	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), claim)
 	if !ok {
-		return q.choose(now, remaining)
+		c, local, ref := q.choose(now, remaining)
+		if ref != nil {
+			q.turnedAway = turnedFull
+			q.logTurn("request got no place to wait", svc, &claim, svc.Held.Len()+1, zap.String("reason", ref.reason))
+		}
+		return c, local, ref
 	}
 	defer place.Leave()
 	q.heldSince, q.holdUntil = claim.Since, claim.Until
-	return q.awaitRoom(place)
+	return q.awaitRoom(svc, place)
 }
 
 // claim returns the claim of the request to room at the servers.
@@ -62,9 +69,14 @@
 
 // awaitRoom chooses a server or a remote region once one has room, and returns the last
 // refusal if none has in time.
-func (q *request) awaitRoom(place *hold.Place) (pick.Choice, bool, *refusal) {
+func (q *request) awaitRoom(svc *fleet.Service, place *hold.Place) (pick.Choice, bool, *refusal) {
 	q.s.stats.Held(q.service)
 	begin := time.Now()
+	defer func() {
+		d := time.Since(begin)
+		q.waited += d
+		q.s.stats.Waited(q.service, d)
+	}()
 	step := time.NewTicker(holdStep)
 	defer step.Stop()
 	for {
@@ -75,7 +87,7 @@
 				continue // the requests before this one look first
 			}
 		case <-place.Lost():
-			return q.choose(time.Now(), q.remaining())
+			return q.displaced(svc, place)
 		case <-q.ctx.Done():
 			return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoRoom, retryAfterBusy}
 		}
@@ -83,7 +95,13 @@
 		// A refused request would most likely be refused again.
 		q.pick.Extra = q.tally.Sends == 0 && now.Sub(begin) >= holdStep
 		c, local, last := q.choose(now, q.deadline.Sub(now))
-		if last == nil || last.reason != reasonNoRoom || !now.Before(q.holdUntil) {
+		if last == nil {
+			return c, local, nil
+		}
+		if last.reason != reasonNoRoom || !now.Before(q.holdUntil) {
+			q.turnedAway = turnedWaited
+			claim := place.Claim()
+			q.logTurn("waiting request refused", svc, &claim, place.Position(), zap.String("reason", last.reason))
 			return c, local, last
 		}
 		if q.restricted() {
@@ -92,6 +110,32 @@
 	}
 }
 
+// displaced chooses a server or a remote region for a request that has lost its place.
+func (q *request) displaced(svc *fleet.Service, place *hold.Place) (pick.Choice, bool, *refusal) {
+	q.turnedAway = turnedDisplaced
+	claim, by := place.Claim(), place.By()
+	now := time.Now()
+	q.logTurn("waiting request displaced", svc, &claim, place.Position(),
+		zap.Int("by_rank", by.Rank(now)), zap.Int("by_level", by.Level), zap.Duration("by_work", by.Work))
+	return q.choose(now, q.deadline.Sub(now))
+}
+
+// logTurn logs that a request loses its turn, with the values that decided on it.
+func (q *request) logTurn(msg string, svc *fleet.Service, c *rank.Claim, position int, more ...zap.Field) {
+	e := q.s.log.Requests.Check(zap.InfoLevel, msg)
+	if e == nil {
+		return
+	}
+	now := time.Now()
+	fields := append(more, zap.String("id", q.id), zap.String("service", q.service),
+		zap.Int("rank", c.Rank(now)), zap.Int("priority", c.Priority), zap.Int("level", c.Level), zap.Duration("work", c.Work),
+		zap.Duration("waited", now.Sub(c.Since)), zap.Int("position", position), zap.Any("waiting", svc.Held.Counts()))
+	if start := c.LatestStart(); !start.IsZero() {
+		fields = append(fields, zap.Duration("slack", start.Sub(now)))
+	}
+	e.Write(fields...)
+}
+
 // restricted reports whether other requests may use room that this one may not use.
 func (q *request) restricted() bool {
 	return q.forwarded || q.pick.Pinned || len(q.pick.Exclude) > 0 || q.target != &q.pick
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -65,9 +65,38 @@
 	retryAfterElsewhere = 20 * time.Millisecond
 )
 
+// Reasons for which requests are turned away for lack of capacity, in metrics.
+const (
+	turnedFull      = "queue full" // no place to wait
+	turnedDisplaced = "displaced"  // another request took the place
+	turnedWaited    = "waited"     // no room within the time for which it may wait
+	turnedLate      = "late"       // the response would begin too late
+	turnedLimit     = "limit"      // servers state a limit or a pause
+	turnedServer    = "server"     // servers refused it
+)
+
+// turnedReason returns the reason for which a refusal turns the request away for lack of
+// capacity, or an empty string if it is refused for something else.
+func (q *request) turnedReason(ref *refusal) string {
+	switch ref.reason {
+	case reasonNoRoom:
+		return q.turnedAway
+	case reasonTooLate:
+		return turnedLate
+	case reasonServerLimit, reasonRetryAfter:
+		return turnedLimit
+	case reasonNotRun:
+		return turnedServer
+	}
+	return ""
+}
+
 // refuse sends a refusal to the caller.
 func (q *request) refuse(ref *refusal) {
 	q.reason = ref.reason
+	if reason := q.turnedReason(ref); reason != "" {
+		q.s.stats.TurnedAway(q.service, q.priority(), reason)
+	}
 	h := q.w.Header()
 	if q.id != "" {
 		h.Set(platform.HeaderAttemptID, q.id)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -129,8 +129,11 @@
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
 	// heldSince is when the request began to wait for room, and holdUntil when it no longer
-	// waits; both are zero before it has waited.
+	// waits; both are zero before it has waited. waited is for how long it has in all, and
+	// turnedAway is why it lost its turn, see turnedReason.
 	heldSince, holdUntil time.Time
+	waited               time.Duration
+	turnedAway           string
 	// lentBy is the host of the region to which the attempt is sent because it has room,
 	// and unsent is set if a host has refused the attempt without asking a server.
 	lentBy string
@@ -348,7 +351,10 @@
 		fields = append(fields, zap.Bool("within_event", true))
 	}
 	if q.route != nil {
-		fields = append(fields, zap.String("route", q.route.Name))
+		fields = append(fields, zap.String("route", q.route.Name), zap.Int("priority", q.priority()))
+	}
+	if q.waited > 0 {
+		fields = append(fields, zap.Duration("waited", q.waited))
 	}
 	if org := q.organisation(); org != "" {
 		fields = append(fields, zap.String("org", org))
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -1,6 +1,6 @@
 // Package stats holds the Prometheus metrics of a gateway host. The number of label
-// values is bounded: labels name services, outcomes, reasons, calls, regions and parts
-// of a request's time, but never organisations, requests or servers.
+// values is bounded: labels name services, priorities, outcomes, reasons, calls, regions and
+// parts of a request's time, but never organisations, requests or servers.
 package stats
 
 import (
@@ -35,6 +35,8 @@
 	retriesDenied  *prometheus.CounterVec
 	limitedSends   *prometheus.CounterVec
 	held           *prometheus.CounterVec
+	turnedAway     *prometheus.CounterVec
+	waits          *prometheus.HistogramVec
 	lent           *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
 	brokenOff      *prometheus.CounterVec
@@ -77,6 +79,12 @@
 		held: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_held_requests_total", Help: "Requests that waited for room at servers with a refusal limit, by service.",
 		}, []string{"service"}),
+		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccalb_turned_away_total", Help: "Requests refused for lack of capacity, by service, priority and reason (queue full, displaced, waited, late, limit or server).",
+		}, []string{"service", "priority", "reason"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "yuccalb_wait_seconds", Help: "Time for which requests waited for room at servers, until they were sent, refused or displaced.", Buckets: durationBuckets,
+		}, []string{"service"}),
 		brokenOff: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccalb_broken_off_total", Help: "Requests whose server closed the connection before the response was complete, by service.",
 		}, []string{"service"}),
@@ -105,8 +113,8 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.lent, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.processChecks, m.cautiousSends)
-	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
+	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.turnedAway, m.lent, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.processChecks, m.cautiousSends)
+	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response, m.waits)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -168,6 +176,16 @@
 // Held records a request that waits for room at servers with a refusal limit.
 func (m *Metrics) Held(service string) { m.held.WithLabelValues(service).Inc() }
 
+// Waited records for how long a request waited for room at servers.
+func (m *Metrics) Waited(service string, d time.Duration) {
+	m.waits.WithLabelValues(service).Observe(d.Seconds())
+}
+
+// TurnedAway records a request that was refused for lack of capacity.
+func (m *Metrics) TurnedAway(service string, priority int, reason string) {
+	m.turnedAway.WithLabelValues(service, priorityLabel(priority), reason).Inc()
+}
+
 // Lent records a request that was sent by another host of the region because it has room.
 func (m *Metrics) Lent(service, outcome string) { m.lent.WithLabelValues(service, outcome).Inc() }
 
