--- a/internal/core/rank/kinds_test.go
+++ b/internal/core/rank/kinds_test.go
@@ -5,8 +5,6 @@
 	"time"
 )
 
-const ms = time.Millisecond
-
 // TestShortest guards against requests whose waiting time is bounded by the goals
 // of less urgent requests, or of routes without recent traffic.
 func TestShortest(t *testing.T) {
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -4,7 +4,10 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/yuccalb/yuccalb/internal/core/pick"
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/hold"
 )
@@ -26,22 +29,49 @@
 )
 
 // chooseInTurn is choose for a request that waits if the servers have no room, after those
-// that wait already and are as urgent. If too many do, it is refused at once.
+// that wait already and rank before it. If too many wait, it is refused at once.
 func (q *request) chooseInTurn(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
 	q.pick.Extra = false
 	svc := q.s.fleet.Service(q.service)
-	if svc == nil || svc.Held.Len() == 0 {
+	if svc == nil {
+		return q.choose(now, remaining)
+	}
+	q.classify(now)
+	if svc.Held.Len() == 0 || svc.Held.Leads(q.claim(svc, now)) {
 		c, local, ref := q.choose(now, remaining)
 		if ref == nil || ref.reason != reasonNoRoom {
 			return c, local, ref
 		}
 	}
-	place, ok := svc.Held.Join(q.mostHeld(svc), q.priority())
+	claim := q.claim(svc, now)
+	place, ok := svc.Held.Join(q.mostHeld(svc), claim)
 	if !ok {
-		return q.choose(now, remaining)
+		c, local, ref := q.choose(now, remaining)
+		if ref != nil {
+			q.turnedAway = turnedFull
+			q.logTurn("request got no place to wait", svc, &claim, svc.Held.Len()+1, zap.String("reason", ref.reason))
+		}
+		return c, local, ref
 	}
 	defer place.Leave()
-	return q.awaitRoom(place)
+	q.heldSince, q.holdUntil = claim.Since, claim.Until
+	return q.awaitRoom(svc, place)
+}
+
+// claim returns the claim of the request to room at the servers.
+func (q *request) claim(svc *fleet.Service, now time.Time) rank.Claim {
+	pace := svc.Table.Pace()
+	c := rank.Claim{
+		Priority: q.priority(), Level: q.level(), Deadline: q.deadline,
+		Work: pace.PrefillTime(q.pick.Prompt), Since: q.heldSince, Until: q.holdUntil,
+	}
+	if q.route.Goal > 0 {
+		c.Due = q.arrived.Add(q.route.Goal)
+	}
+	if c.Until.IsZero() {
+		c.Since, c.Until = now, now.Add(q.holdTime())
+	}
+	return c
 }
 
 // mostHeld returns how many requests may wait for the servers of the service.
@@ -55,12 +85,14 @@
 
 // awaitRoom chooses a server or a remote region once one has room, and returns the last
 // refusal if none has in time.
-func (q *request) awaitRoom(place *hold.Place) (pick.Choice, bool, *refusal) {
+func (q *request) awaitRoom(svc *fleet.Service, place *hold.Place) (pick.Choice, bool, *refusal) {
 	q.s.stats.Held(q.service)
 	begin := time.Now()
-	if q.holdUntil.IsZero() {
-		q.holdUntil = begin.Add(q.holdTime())
-	}
+	defer func() {
+		d := time.Since(begin)
+		q.waited += d
+		q.s.stats.Waited(q.service, d)
+	}()
 	step := time.NewTimer(holdStep)
 	defer step.Stop()
 	for {
@@ -73,7 +105,7 @@
 			}
 			step.Reset(holdStep)
 		case <-place.Lost():
-			return q.choose(time.Now(), q.remaining())
+			return q.displaced(svc, place)
 		case <-q.ctx.Done():
 			return pick.Choice{}, false, &refusal{http.StatusServiceUnavailable, reasonNoRoom, retryAfterBusy}
 		}
@@ -81,7 +113,13 @@
 		// A refused request would most likely be refused again.
 		q.pick.Extra = q.tally.Sends == 0 && now.Sub(begin) >= holdStep
 		c, local, last := q.choose(now, q.deadline.Sub(now))
-		if last == nil || last.reason != reasonNoRoom || !now.Before(q.holdUntil) {
+		if last == nil {
+			return c, local, nil
+		}
+		if last.reason != reasonNoRoom || !now.Before(q.holdUntil) {
+			q.turnedAway = turnedWaited
+			claim := place.Claim()
+			q.logTurn("waiting request refused", svc, &claim, place.Position(), zap.String("reason", last.reason))
 			return c, local, last
 		}
 		if q.restricted() {
@@ -90,6 +128,32 @@
 	}
 }
 
+// displaced chooses a server or a remote region for a request that has lost its place.
+func (q *request) displaced(svc *fleet.Service, place *hold.Place) (pick.Choice, bool, *refusal) {
+	q.turnedAway = turnedDisplaced
+	claim, by := place.Claim(), place.By()
+	now := time.Now()
+	q.logTurn("waiting request displaced", svc, &claim, place.Position(),
+		zap.Int("by_rank", by.Rank(now)), zap.Int("by_level", by.Level), zap.Duration("by_work", by.Work))
+	return q.choose(now, q.deadline.Sub(now))
+}
+
+// logTurn logs that a request loses its turn, with the values that decided on it.
+func (q *request) logTurn(msg string, svc *fleet.Service, c *rank.Claim, position int, more ...zap.Field) {
+	e := q.s.log.Requests.Check(zap.InfoLevel, msg)
+	if e == nil {
+		return
+	}
+	now := time.Now()
+	fields := append(more, zap.String("id", q.id), zap.String("service", q.service),
+		zap.Int("rank", c.Rank(now)), zap.Int("priority", c.Priority), zap.Int("level", c.Level), zap.Duration("work", c.Work),
+		zap.Duration("waited", now.Sub(c.Since)), zap.Int("position", position), zap.Any("waiting", svc.Held.Counts()))
+	if start := c.LatestStart(); !start.IsZero() {
+		fields = append(fields, zap.Duration("slack", start.Sub(now)))
+	}
+	e.Write(fields...)
+}
+
 // restricted reports whether other requests may use room that this one may not use.
 func (q *request) restricted() bool {
 	return q.forwarded || q.pick.Pinned || len(q.pick.Exclude) > 0 || q.target != &q.pick
