--- a/internal/core/config/read.go
+++ b/internal/core/config/read.go
@@ -26,9 +26,19 @@
 // by name, so that the digest does not depend on how definitions are spread over
 // files.
 func Read(fsys fs.FS) (*model.Config, error) {
+	cfg, _, err := ReadSource(fsys)
+	return cfg, err
+}
+
+// Source holds the positions of the definitions and fields of a configuration that was
+// read from files.
+type Source struct{ m *merger }
+
+// ReadSource is like Read and returns the positions of what it read, too.
+func ReadSource(fsys fs.FS) (*model.Config, *Source, error) {
 	entries, err := fs.ReadDir(fsys, ".")
 	if err != nil {
-		return nil, fmt.Errorf("read configuration directory: %w", err)
+		return nil, nil, fmt.Errorf("read configuration directory: %w", err)
 	}
 	m := newMerger()
 	files := 0
@@ -51,7 +61,7 @@
 	}
 	if files == 0 {
 		// An empty configuration, if applied, would revoke every key.
-		return nil, &Problem{Position: Position{File: "."}, Message: "the directory has no *.yaml files"}
+		return nil, nil, &Problem{Position: Position{File: "."}, Message: "the directory has no *.yaml files"}
 	}
 	cfg := m.config()
 	m.check(cfg)
@@ -59,9 +69,9 @@
 		m.errs = append(m.errs[:maxProblems], fmt.Errorf("%d more problems are not listed", n-maxProblems))
 	}
 	if len(m.errs) > 0 {
-		return nil, errors.Join(m.errs...)
+		return nil, nil, errors.Join(m.errs...)
 	}
-	return cfg, nil
+	return cfg, &Source{m: m}, nil
 }
 
 // readFile returns the contents of a file, or an error if it is larger than MaxFile.
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -110,3 +110,7 @@
 	}
 	return DefaultDeadline
 }
+
+// DefaultReservedTokens is the number of tokens reserved for the response of a chat when
+// neither the request nor the route sets one.
+const DefaultReservedTokens = 512
--- a/internal/daemon/serve/chat.go
+++ b/internal/daemon/serve/chat.go
@@ -10,10 +10,6 @@
 // bytesPerToken is the assumed length of a token when tokens are estimated from text.
 const bytesPerToken = 4
 
-// defaultReservedTokens is the number of tokens reserved for a response when neither
-// the request nor the route bounds it.
-const defaultReservedTokens = 512
-
 // Chat holds the fields of a chat request that the gateway uses.
 type Chat struct {
 	Model string
@@ -92,14 +88,14 @@
 	return nil
 }
 
-// bound sets MaxTokens from the route, or to defaultReservedTokens, if the request
+// bound sets MaxTokens from the route, or to model.DefaultReservedTokens, if the request
 // does not set it.
 func (c *Chat) bound(route *model.Route) {
 	if c.MaxTokens == 0 {
 		c.MaxTokens = route.ReservedTokens
 	}
 	if c.MaxTokens == 0 {
-		c.MaxTokens = defaultReservedTokens
+		c.MaxTokens = model.DefaultReservedTokens
 	}
 }
 
