Check both formats with yuccalb check, also against a version

Cause: yuccalb check read folders only, and found only what hosts reject.

Ruled out: a command of its own, since operators have one for this; a flag for the format, since a folder and a file tell themselves apart; reading the platform's URL from the environment as diff does, since a check without flags has to stay without a network.

The output for a folder without findings, its errors and their exit code are unchanged.

Conclusion: a configuration of either format can be checked before it is sent.

--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -38,7 +38,7 @@
 
 // CLI defines the commands and flags; kong derives their names from the fields.
 type CLI struct {
-	Check   CheckCmd   `cmd:"" help:"Check a configuration folder and, with --settings, a daemon's settings file. Uses no network."`
+	Check   CheckCmd   `cmd:"" help:"Check a configuration, as a folder or as a platform's JSON file, and, with --settings, a daemon's settings file. Uses no network without --platform."`
 	Apply   ApplyCmd   `cmd:"" help:"Put the configuration of a folder in force everywhere."`
 	Diff    DiffCmd    `cmd:"" help:"Show what apply would change."`
 	Status  StatusCmd  `cmd:"" help:"Show what one host knows: version, peers, data centres, backend servers."`
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -11,7 +11,6 @@
 	"github.com/yuccalb/yuccalb/internal/adapt/store"
 	"github.com/yuccalb/yuccalb/internal/core/config"
 	"github.com/yuccalb/yuccalb/internal/core/model"
-	"github.com/yuccalb/yuccalb/internal/daemon/setup"
 )
 
 // readFolder reads and validates a configuration folder.
@@ -23,36 +22,6 @@
 	return cfg, nil
 }
 
-// CheckCmd validates a configuration folder and a daemon's settings file.
-type CheckCmd struct {
-	Dir      string `arg:"" optional:"" help:"Configuration folder." type:"existingdir"`
-	Settings string `help:"Settings file of a daemon." type:"existingfile"`
-}
-
-// Run executes the command.
-func (c *CheckCmd) Run(e *env) error {
-	if c.Dir == "" && c.Settings == "" {
-		return withExitCode(ExitInput, errors.New("check: neither a configuration folder nor --settings is given"))
-	}
-	if c.Settings != "" {
-		s, err := setup.Load(c.Settings)
-		if err != nil {
-			return withExitCode(ExitInput, err)
-		}
-		e.Printf("settings %s: host %s in %s\n", c.Settings, s.Peer, s.Site)
-	}
-	if c.Dir == "" {
-		return nil
-	}
-	cfg, err := readFolder(c.Dir)
-	if err != nil {
-		return err
-	}
-	e.Printf("configuration %s: %d regions, %d data centres, %d services, %d routes, %d organisations\n",
-		c.Dir, len(cfg.Regions), len(cfg.Sites), len(cfg.Services), len(cfg.Routes), len(cfg.Orgs))
-	return nil
-}
-
 // Platform holds the flags of commands that use the platform's key-value service.
 type Platform struct {
 	Platform string        `help:"Base URL of the platform." required:"" env:"YUCCALB_PLATFORM"`
