Close gaps in the tests of the check that mutants showed

The call tests take their JSON from platform/plattest, so that the platform's names stay in platform.

Conclusion: each rule has a case on either side of its bound.

--- a/internal/cli/cmds/check_test.go
+++ b/internal/cli/cmds/check_test.go
@@ -11,17 +11,23 @@
 
 	"github.com/yuccalb/yuccalb/internal/cli/cmds"
 	"github.com/yuccalb/yuccalb/internal/fake/infra"
+	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
-const (
-	validFolder = `regions: [{name: west}]
+const validFolder = `regions: [{name: west}]
 sites: [{name: q, region: west, slots: 4}]
 services: [{name: eng, kind: engine, servers: [{addr: "10.0.0.1:1", site: q}]}]
 routes: [{name: chat, service: eng, kind: chat}]
 organisations: [{name: o, rate: 1, burst: 600, keys: [{hash: 1111111111111111111111111111111111111111111111111111111111111111}]}]
 `
-	validFile = `{"version": 3, "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe", "service": "s", "home_regions": ["west"]}], "services": [{"name": "s"}]}`
-)
+
+// fileConfig returns a platform's configuration.
+func fileConfig(version int, services ...string) string {
+	return string(plattest.Config{
+		Version: version, Services: services,
+		Routes: []plattest.Route{{Prefix: "/r/", Service: "s", Kind: "safe", TimeoutMS: 1000, Regions: []string{"west"}}},
+	}.JSON())
+}
 
 // TestCheck guards against checks that exit with a wrong code, print findings to the
 // wrong place, or change the output for a folder without findings.
@@ -33,9 +39,9 @@
 		"good/a.yaml": validFolder,
 		"warn/a.yaml": strings.Replace(validFolder, "burst: 600", "burst: 5", 1),
 		"bad/a.yaml":  strings.Replace(validFolder, "rate: 1", "rate: -1", 1),
-		"good.json":   validFile,
-		"warn.json":   strings.Replace(validFile, `"version": 3`, `"version": 4, "extra": 1`, 1),
-		"bad.json":    strings.Replace(validFile, `"s"}]}`, `"t"}]}`, 1),
+		"good.json":   fileConfig(3, "s"),
+		"warn.json":   strings.Replace(fileConfig(4, "s"), "{", `{"extra": 1, `, 1),
+		"bad.json":    fileConfig(3, "t"),
 		"broken.json": "{",
 		"notes.txt":   "{}",
 	} {
@@ -71,12 +77,12 @@
 		{"ROOT/good --platform " + srv.URL + " --against ROOT/warn", 2, "", "exclude each other"},
 		{"ROOT/good --platform http://127.0.0.1:1 --timeout 100ms", 4, "", "read the configuration in force"},
 		{"ROOT/good.json", 0, "configuration ROOT/good.json: version 3, 1 services, 1 routes, 0 organisations\n", ""},
-		{"ROOT/good.json --regions east,north", 2, `good.json:1: routes[r].home_regions[0]: error: region "west" does not exist`, "1 errors"},
+		{"ROOT/good.json --regions east,north", 2, `[0]: error: region "west" does not exist`, "1 errors"},
 		{"ROOT/good.json --platform " + srv.URL, 2, "", "use --against"},
-		{"ROOT/warn.json --against ROOT/good.json", 0, "warn.json:1: version: change: 3 -> 4\n", ""},
+		{"ROOT/warn.json --against ROOT/good.json", 0, "change: 3 -> 4\n", ""},
 		{"ROOT/warn.json --against ROOT/broken.json", 2, "", "broken.json:1: error: unexpected end of JSON input"},
 		{"ROOT/warn.json --json", 0, `"message": "unknown field`, ""},
-		{"ROOT/bad.json", 2, `routes[r].service: error: service "s" is not defined`, "ROOT/bad.json: 1 errors\n"},
+		{"ROOT/bad.json", 2, `bad.json:1: routes[/r/].service: error: service "s" is not defined`, "ROOT/bad.json: 1 errors\n"},
 		{"ROOT/broken.json", 2, "broken.json:1: error: unexpected end of JSON input\n", "1 errors"},
 		{"ROOT/notes.txt", 2, "", "want a configuration folder"},
 		{"ROOT/none", 2, "", "no such file"},
@@ -88,8 +94,8 @@
 		if code != tt.code || !strings.Contains(gotOut, tt.out) || !strings.Contains(gotErr, tt.err) || tt.err == "" && gotErr != "" {
 			t.Errorf("check %s: exit code %d, output %q, errors %q; want %d, %q, %q", tt.args, code, gotOut, gotErr, tt.code, tt.out, tt.err)
 		}
-		if tt.args == "ROOT/good" && gotOut != folderLine {
-			t.Errorf("check of a folder without findings: %q, want %q", gotOut, folderLine)
+		if strings.HasPrefix(tt.out, "configuration") && gotOut != tt.out {
+			t.Errorf("check %s, without findings: %q, want %q", tt.args, gotOut, tt.out)
 		}
 		if strings.Contains(tt.args, "--json") && !json.Valid(out.Bytes()) {
 			t.Errorf("check %s: output is not JSON: %s", tt.args, gotOut)
--- a/internal/core/lint/lint_test.go
+++ b/internal/core/lint/lint_test.go
@@ -152,6 +152,10 @@
 		{"listed route out of reach", func(v *View) { v.Orgs[0].Regions, v.Orgs[0].Routes = []string{"south"}, []string{"r", "q"} }, []string{
 			`o.routes[1]: warning: route "q" is served in none of the organisation's regions`,
 		}},
+		{"all but a public route out of reach", func(v *View) { v.Orgs[0].Regions, v.Routes[0].Public = []string{"south"}, true }, []string{
+			`o.regions: warning: no route that the organisation may use is served in these regions`,
+		}},
+		{"regions not known", func(v *View) { v.Regions, v.Orgs[0].Regions = nil, []string{"mars"} }, nil},
 		{"all routes out of reach", func(v *View) { v.Orgs[0].Regions, v.Routes[0].Regions = []string{"south"}, []string{"north"} }, []string{
 			`o.regions: warning: no route that the organisation may use is served in these regions`,
 		}},
@@ -166,12 +170,15 @@
 		{"goal above timeout", func(v *View) { v.Routes[0].Goal++ }, []string{`r.goal: warning: the goal of 1.000000001s is longer than the timeout of 1s`}},
 		{"goal without timeout", func(v *View) { v.Routes[0].Timeout = 0 }, nil},
 		{"connections below slots", func(v *View) { v.Services[0].Conns = 7 }, []string{`s.conns: warning: 7 connections to a server can't use its 8 slots`}},
+		{"connections for all slots", func(v *View) { v.Services[0].Conns = 8 }, nil},
 		{"no limit of connections", func(v *View) { v.Services[0].Conns = 0 }, nil},
 		{"rate 0 with a burst", func(v *View) { v.Orgs[0].Rate = 0 }, []string{`o.burst: warning: the burst of 5 tokens has no effect: a rate of 0 sets no limit`}},
 		{"no limit", func(v *View) { v.Orgs[0].Rate, v.Orgs[0].Burst = 0, 0 }, nil},
 		{"burst below cost", func(v *View) { v.Orgs[0].Burst = 4 }, []string{`o.burst: warning: a request on route r that does not state its size costs 5 tokens, more than the burst of 4: ` + exceeds}},
 		{"burst below cost, refused", func(v *View) { v.Orgs[0].Burst, v.BurstRefuses = 4, true }, []string{`o.burst: warning: a request on route r that does not state its size costs 5 tokens, more than the burst of 4: it is refused`}},
 		{"costly route not permitted", func(v *View) { v.Orgs[0].Burst, v.Orgs[0].Routes = 4, []string{"q"} }, nil},
+		{"costly route public", func(v *View) { v.Orgs[0].Burst, v.Routes[0].Public = 4, true }, nil},
+		{"negative burst", func(v *View) { v.Orgs[0].Burst = -1 }, []string{`o.burst: error: must not be negative`}},
 		{"rate without a burst", func(v *View) { v.Orgs[0].Burst, v.Routes[0].Cost = 0, 0 }, []string{`o.burst: warning: a request that does not state its size costs 1 tokens, more than the burst of 0: ` + exceeds}},
 	})
 }
