Check the longest pause of routes against their timeout

Change: lint.Route has the pause; a pause above the timeout is a warning, a negative one an error. Measured: a row in the table of limits. Conclusion: the rule that the check lacked is in.

--- a/internal/core/lint/faults.go
+++ b/internal/core/lint/faults.go
@@ -42,6 +42,7 @@
 
 func (c *checker) routeFaults(r *Route) {
 	c.notNegative(r.At, AttrTimeout, r.Timeout.Seconds())
+	c.notNegative(r.At, AttrPause, r.Pause.Seconds())
 	c.notNegative(r.At, AttrGoal, r.Goal.Seconds())
 	c.notNegative(r.At, AttrAttempts, float64(r.Attempts))
 	c.checkPriority(r.At, r.Priority)
--- a/internal/core/lint/limits.go
+++ b/internal/core/lint/limits.go
@@ -4,6 +4,9 @@
 func (c *checker) limits() {
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		if r.Timeout > 0 && r.Pause > r.Timeout {
+			c.warn(r.At(AttrPause, -1), "the longest pause of %s between events is longer than the timeout of %s", r.Pause, r.Timeout)
+		}
 		if r.Timeout > 0 && r.Goal > r.Timeout {
 			c.warn(r.At(AttrGoal, -1), "the goal of %s is longer than the timeout of %s", r.Goal, r.Timeout)
 		}
--- a/internal/core/lint/lint_test.go
+++ b/internal/core/lint/lint_test.go
@@ -168,6 +168,7 @@
 	const exceeds = "it is admitted only when nothing of the burst is used, and then exceeds it"
 	checkRules(t, []rule{
 		{"goal above timeout", func(v *View) { v.Routes[0].Goal++ }, []string{`r.goal: warning: the goal of 1.000000001s is longer than the timeout of 1s`}},
+		{"pause above timeout", func(v *View) { v.Routes[0].Pause = v.Routes[0].Timeout + 1 }, []string{`r.pause: warning: the longest pause of 1.000000001s between events is longer than the timeout of 1s`}},
 		{"goal without timeout", func(v *View) { v.Routes[0].Timeout = 0 }, nil},
 		{"connections below slots", func(v *View) { v.Services[0].Conns = 7 }, []string{`s.conns: warning: 7 connections to a server can't use its 8 slots`}},
 		{"connections for all slots", func(v *View) { v.Services[0].Conns = 8 }, nil},
--- a/internal/core/lint/view.go
+++ b/internal/core/lint/view.go
@@ -13,6 +13,7 @@
 	AttrTarget   Attr = "target" // service of a route; with an index, one of several
 	AttrWeight   Attr = "weight" // of a target, with an index
 	AttrTimeout  Attr = "timeout"
+	AttrPause    Attr = "pause"
 	AttrGoal     Attr = "goal"
 	AttrPriority Attr = "priority"
 	AttrAttempts Attr = "attempts"
@@ -93,9 +94,11 @@
 	Targets      []Target
 	Public       bool
 	Timeout      time.Duration
-	Goal         time.Duration
-	Priority     int64
-	Attempts     int64
+	// Pause is the longest time between two events of a stream; 0 if it is not stated.
+	Pause    time.Duration
+	Goal     time.Duration
+	Priority int64
+	Attempts int64
 	// Regions limits where requests are served; empty means anywhere.
 	Regions []string
 	// Cost is the least cost of a request on the route, which adds to that of its
