Divide the room for requests that can wait among the hosts

Cause: all hosts of a region see the same room at the servers until the next state reports, and each filled it from its line.

Change: within the interval of state reports a host sends at most its part of what is free and of what becomes free meanwhile.

Ruled out: a part of the free room alone, a tenth of what the slots turn over.

--- a/internal/core/pick/reserve.go
+++ b/internal/core/pick/reserve.go
@@ -25,6 +25,42 @@
 	return s.Slots > 0 && float64(n) >= float64(room)*(1+turns)
 }
 
+// deferred counts the deferrable requests that this host has sent within the interval of
+// state reports.
+type deferred struct {
+	since time.Time
+	sent  int
+}
+
+// recordDeferred counts a deferrable request.
+func (t *Table) recordDeferred(now time.Time) {
+	if now.Sub(t.deferred.since) >= t.hosts.ReportInterval {
+		t.deferred = deferred{since: now}
+	}
+	t.deferred.sent++
+}
+
+// spent reports whether this host has sent its part of the deferrable requests for which the
+// servers have room until the next state reports: what is free, and what their slots become
+// free for meanwhile. All hosts see the same room, and would together send many times as much.
+func (t *Table) spent(now time.Time) bool {
+	n := len(t.hosts.Hosts)
+	if n <= 1 || now.Sub(t.deferred.since) >= t.hosts.ReportInterval {
+		return false
+	}
+	room, slots := 0, 0
+	for _, s := range t.servers {
+		if t.leaving(s) || s.failures >= failureThreshold {
+			continue
+		}
+		k := s.slots(&t.model)
+		slots += k
+		room += max(open(k)-s.total().Running, 0)
+	}
+	turnover := float64(slots) * t.hosts.ReportInterval.Seconds() / max(t.model.SlotTime, time.Millisecond).Seconds()
+	return float64(t.deferred.sent*n) >= float64(room+t.deferred.sent)+turnover
+}
+
 // Backlog returns how many requests of this host the servers can serve within a time, if each
 // host of the region gets an equal part of their slots.
 func (t *Table) Backlog(d time.Duration) int {
