Let modelled engines honour the urgency of requests

Cause: tests of placement and ranking model engines that admit in order of arrival, but the engines of both deployments admit more urgent requests first and preempt others (docs/overload.md, section 1).

Ruled out: preempting whenever a more urgent request waits; if what is left belongs to requests as urgent, the preempted work is lost for nothing.

Change: batch.Run.Urgency; waiting requests are admitted by urgency and arrival, and a full batch preempts the newest of the least urgent, which waits again at its place and prefills its prompt and what it had generated. region.Class.Urgency passes it on. With equal urgency all is as before.

TestUrgency and TestUselessPreemption pass.

Conclusion: tests can name loads of unlike urgency.

--- a/internal/fake/batch/batch.go
+++ b/internal/fake/batch/batch.go
@@ -2,9 +2,16 @@
 // prefills a chunk of the waiting prompts and decodes one token of every
 // response that has started, so prefill delays all streams. Tests of placement
 // use it; it does no network I/O and reads no clock.
+//
+// More urgent requests are admitted to the batch first, and preempt less urgent ones when it
+// is full.
 package batch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Config holds the capacity and the speed of an engine.
 type Config struct {
@@ -36,13 +43,18 @@
 	// Output are the tokens of the whole prompt and of the response.
 	Parts          []Part
 	Prompt, Output int
+	// Urgency is that of the request; 0 is the most urgent.
+	Urgency int
 	// Arrived, First and End are the times of its arrival, its first token and
 	// its last token. Pause is the longest time between two events.
 	Arrived, First, End, Pause time.Duration
 	// PrefilledShared is the number of tokens of shared parts that were not cached and
 	// had to be prefilled.
 	PrefilledShared int
+	// Preempted is how often the request lost its place in the batch.
+	Preempted int
 
+	seq                int // order of arrival
 	toPrefill, decoded int
 	memory             int // tokens in addition to cached parts
 	lastEvent          time.Duration
@@ -64,6 +76,7 @@
 	cache        map[uint64]*cacheEntry
 	cachedTokens int
 	useSeq       int // sequence number of the latest use of a cached part
+	runSeq       int // sequence number of the latest request
 }
 
 // cacheEntry is a cached part.
@@ -74,7 +87,19 @@
 
 // Add queues a request. The engine must have been advanced to the time of its
 // arrival.
-func (e *Engine) Add(r *Run) { e.waiting = append(e.waiting, r) }
+func (e *Engine) Add(r *Run) {
+	e.runSeq++
+	r.seq = e.runSeq
+	e.wait(r)
+}
+
+// wait adds a request to those that wait, the more urgent first and then the earlier.
+func (e *Engine) wait(r *Run) {
+	i, _ := slices.BinarySearchFunc(e.waiting, r, func(x, r *Run) int {
+		return cmp.Or(cmp.Compare(x.Urgency, r.Urgency), cmp.Compare(x.seq, r.seq))
+	})
+	e.waiting = slices.Insert(e.waiting, i, r)
+}
 
 // Advance runs steps until a time and returns the requests that have generated
 // their first or last token.
@@ -91,20 +116,21 @@
 	return changed
 }
 
-// admit moves waiting requests into the batch while it has slots and memory. A
-// request that exceeds the memory runs alone.
+// admit moves waiting requests into the batch while it has slots and memory, or less urgent
+// requests that give way. A request that exceeds the memory runs alone.
 func (e *Engine) admit() {
-	for len(e.waiting) > 0 && len(e.running) < e.cfg.Slots {
+	for len(e.waiting) > 0 {
 		r := e.waiting[0]
 		need := r.Prompt + r.Output
-		if len(e.running) > 0 && e.memory+need > e.cfg.Memory {
+		if !e.makeRoom(r, need) {
 			return
 		}
 		e.waiting = e.waiting[1:]
 		r.memory = need
 		e.memory += need
 		cached := e.lookup(r.Parts)
-		r.toPrefill = r.Prompt - cached
+		// A request that was preempted prefills what it had generated as well.
+		r.toPrefill = r.Prompt + r.decoded - cached
 		for _, p := range r.Parts {
 			r.PrefilledShared += p.Tokens
 		}
@@ -114,6 +140,44 @@
 	}
 }
 
+// makeRoom preempts the newest of the least urgent requests until the batch has a slot and
+// memory for a more urgent one. It preempts none, and returns false, if that is not enough.
+func (e *Engine) makeRoom(r *Run, need int) bool {
+	running, memory := len(e.running), e.memory
+	var victims []*Run
+	for running > 0 && (running >= e.cfg.Slots || memory+need > e.cfg.Memory) {
+		v := e.leastUrgent(victims)
+		if v == nil || v.Urgency <= r.Urgency {
+			return false
+		}
+		victims = append(victims, v)
+		running--
+		memory -= v.memory
+	}
+	for _, v := range victims {
+		e.running = slices.DeleteFunc(e.running, func(x *Run) bool { return x == v })
+		e.memory -= v.memory
+		v.Preempted++
+		e.wait(v)
+	}
+	return true
+}
+
+// leastUrgent returns the newest of the least urgent requests of the batch that are not
+// excluded, or nil if there are none.
+func (e *Engine) leastUrgent(excluded []*Run) *Run {
+	var last *Run
+	for _, x := range e.running {
+		if slices.Contains(excluded, x) {
+			continue
+		}
+		if last == nil || x.Urgency > last.Urgency || x.Urgency == last.Urgency && x.seq > last.seq {
+			last = x
+		}
+	}
+	return last
+}
+
 // lookup returns the number of cached tokens of parts and marks them as used.
 func (e *Engine) lookup(parts []Part) int {
 	n := 0
@@ -170,7 +234,7 @@
 	for _, r := range e.running {
 		n := min(r.toPrefill, budget)
 		budget -= n
-		attention += float64(n) / 1000 * float64(r.Prompt-r.toPrefill) / 1000
+		attention += float64(n) / 1000 * float64(r.Prompt+r.decoded-r.toPrefill) / 1000
 		if r.toPrefill > 0 && n == r.toPrefill {
 			prefilled = append(prefilled, r)
 		}
--- a/internal/fake/batch/batch_test.go
+++ b/internal/fake/batch/batch_test.go
@@ -48,3 +48,51 @@
 		}
 	}
 }
+
+// TestUrgency guards against an engine that lets more urgent requests wait behind others, that
+// preempts requests which are as urgent, or that continues a preempted one without a prefill.
+func TestUrgency(t *testing.T) {
+	e := New(smallConfig)
+	old, recent := &Run{Prompt: 1000, Output: 20, Urgency: 3}, &Run{Prompt: 1000, Output: 20, Urgency: 3}
+	e.Add(old)
+	e.Add(recent)
+	e.Advance(250 * time.Millisecond) // both prefilled, and some tokens of each generated
+	if old.decoded == 0 || recent.decoded == 0 {
+		t.Fatal("the batch does not run both requests")
+	}
+	same, urgent := &Run{Prompt: 1000, Output: 1, Urgency: 3}, &Run{Prompt: 1000, Output: 1, Urgency: 2}
+	e.Add(same)
+	e.Advance(e.now + time.Millisecond)
+	if old.Preempted+recent.Preempted > 0 {
+		t.Error("a request was preempted by one that is as urgent")
+	}
+	e.Add(urgent)
+	generated := recent.decoded
+	e.Advance(e.now + 101*time.Millisecond) // one step with the prefill of the urgent request
+	if old.Preempted != 0 || recent.Preempted != 1 || !urgent.Ended() {
+		t.Errorf("preempted %d and %d times, want the newest once; urgent one ended: %v", old.Preempted, recent.Preempted, urgent.Ended())
+	}
+	e.Advance(e.now + time.Millisecond) // one step, with a chunk of 1000 tokens
+	if recent.toPrefill != generated {
+		t.Errorf("%d tokens of the preempted request are left to prefill, want %d: its prompt and what it had generated, without a chunk", recent.toPrefill, generated)
+	}
+	e.Advance(time.Minute)
+	if !old.Ended() || !recent.Ended() || !same.Ended() || e.memory != 0 {
+		t.Errorf("ended %v, %v and %v, %d tokens of memory held", old.Ended(), recent.Ended(), same.Ended(), e.memory)
+	}
+}
+
+// TestUselessPreemption guards against preempting requests for one that finds no memory all
+// the same, because the rest belongs to requests that are as urgent.
+func TestUselessPreemption(t *testing.T) {
+	e := New(Config{Slots: 3, Memory: 10_000, Step: 10 * time.Millisecond, PrefillRate: 10_000, Chunk: 1000, EventTokens: 1})
+	urgent, other := &Run{Prompt: 5000, Output: 100}, &Run{Prompt: 3000, Output: 100, Urgency: 2}
+	e.Add(urgent)
+	e.Add(other)
+	e.Advance(20 * time.Millisecond)
+	e.Add(&Run{Prompt: 6000, Output: 100})
+	e.Advance(40 * time.Millisecond)
+	if other.Preempted != 0 {
+		t.Error("a request was preempted although this makes too little room")
+	}
+}
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -41,6 +41,8 @@
 	// Goal is the latency target for the first token. Priority 0 is the most urgent.
 	Goal     time.Duration
 	Priority int
+	// Urgency is what the engines are told of the requests; 0 is the most urgent.
+	Urgency int
 }
 
 // Request is a request of the load. Its Run holds the progress at the engine.
@@ -167,7 +169,7 @@
 
 // send creates a request and lets a random host admit and place it.
 func (p *Region) send(class Class, now time.Duration) *Request {
-	run := &batch.Run{Prompt: p.drawLength(class.Prompt), Output: p.drawLength(class.Output), Arrived: now}
+	run := &batch.Run{Prompt: p.drawLength(class.Prompt), Output: p.drawLength(class.Output), Urgency: class.Urgency, Arrived: now}
 	req := &pick.Request{Output: int(class.Output)}
 	if class.Parts != nil {
 		req.Parts = class.Parts(p.rng)
