Let load and replay tell classes of callers apart

Cause: the tools know one kind of caller. Under overload it matters which kind is served, in time, late or refused, and how long the refused waited.

Ruled out: a priority that load sends with its requests; the daemons go by their configuration and remove such headers, so that the priority of a class only orders the report.

Engines of fake/replay admit by priority, those of fake/server also by X-Request-Urgency.

--- a/internal/cli/cmds/load.go
+++ b/internal/cli/cmds/load.go
@@ -27,6 +27,7 @@
 	Prefix int            `help:"Number of different prompt beginnings; 0 makes every prompt different." default:"20"`
 	Bytes  int            `help:"Bytes of a prompt." default:"4000"`
 	Tokens int            `help:"Largest number of tokens of an answer." default:"64"`
+	Class  []string       `help:"Class of callers, ROUTE=PRIORITY[,GOAL[,SHARE]]: its part of the requests and how they are reported; the priority that counts is that of the configuration. May be repeated; without it, all requests use ROUTE." sep:"none"`
 	Seed   uint64         `help:"Seed of times and prompts." default:"1"`
 	JSON   bool           `help:"Print JSON."`
 }
@@ -53,6 +54,7 @@
 	Tokens   int            `json:"tokens"`
 	First    quantiles      `json:"first"`
 	Between  quantiles      `json:"between"`
+	Classes  []classReport  `json:"classes"`
 }
 
 // quantiles holds percentiles of a time, in milliseconds.
@@ -68,6 +70,14 @@
 	report  loadReport
 	first   *hdrhistogram.Histogram
 	between *hdrhistogram.Histogram
+	classes []loadClass
+}
+
+// loadClass collects the results of a class.
+type loadClass struct {
+	class
+	report classReport
+	waits  *hdrhistogram.Histogram // until requests were refused, in microseconds
 }
 
 // Run executes the command.
@@ -76,9 +86,14 @@
 	if err != nil {
 		return err
 	}
+	classes, err := c.classes()
+	if err != nil {
+		return withExitCode(ExitInput, fmt.Errorf("load: %w", err))
+	}
 	run := &loadRun{
-		report: loadReport{Rejected: make(map[string]int)},
-		first:  hdrhistogram.New(1, maxMicros, 3), between: hdrhistogram.New(1, maxMicros, 3),
+		classes: classes,
+		report:  loadReport{Rejected: make(map[string]int)},
+		first:   hdrhistogram.New(1, maxMicros, 3), between: hdrhistogram.New(1, maxMicros, 3),
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight}}
 	rng := rand.New(rand.NewPCG(c.Seed, 0))
@@ -90,18 +105,53 @@
 		if time.Now().After(end) {
 			break
 		}
-		r := request{route: c.Route, key: keys[n%len(keys)], tokens: c.Tokens, timeout: loadTimeout, input: c.prompt(rng, n)}
+		k := run.pick(rng)
+		r := request{route: k.route, key: keys[n%len(keys)], tokens: c.Tokens, timeout: loadTimeout, input: c.prompt(rng, n)}
 		addr := hosts[n%len(hosts)]
 		inFlight <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-inFlight }()
-			run.send(client, &r, addr)
+			run.send(client, &r, addr, k)
 		})
 	}
 	wg.Wait()
 	return run.print(e, c.JSON)
 }
 
+// classes returns the classes of callers, that of Route if none is given.
+func (c *LoadCmd) classes() ([]loadClass, error) {
+	parsed, err := parseClasses(c.Class)
+	if err != nil {
+		return nil, err
+	}
+	if len(parsed) == 0 {
+		parsed = []class{{route: c.Route, share: 1}}
+	}
+	list := make([]loadClass, len(parsed))
+	for i, x := range parsed {
+		list[i] = loadClass{class: x, report: classReport{Route: x.route, Priority: x.priority}, waits: hdrhistogram.New(1, maxMicros, 3)}
+	}
+	return list, nil
+}
+
+// pick draws the class of a request by the shares of the classes.
+func (l *loadRun) pick(rng *rand.Rand) *loadClass {
+	if len(l.classes) == 1 {
+		return &l.classes[0]
+	}
+	sum := 0.0
+	for i := range l.classes {
+		sum += l.classes[i].share
+	}
+	at := rng.Float64() * sum
+	for i := range l.classes {
+		if at -= l.classes[i].share; at < 0 {
+			return &l.classes[i]
+		}
+	}
+	return &l.classes[len(l.classes)-1]
+}
+
 // targets reads the keys and returns them with the hosts of the nearest data centre.
 func (c *LoadCmd) targets() (keys []string, hosts []netip.AddrPort, err error) {
 	if c.Rate <= 0 {
@@ -144,11 +194,14 @@
 }
 
 // send sends one request and records its result.
-func (l *loadRun) send(client *http.Client, r *request, addr netip.AddrPort) {
+func (l *loadRun) send(client *http.Client, r *request, addr netip.AddrPort, k *loadClass) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
 	defer cancel()
 	start := time.Now()
-	l.update(func(rep *loadReport) { rep.Sent++ })
+	l.update(func(rep *loadReport) {
+		rep.Sent++
+		k.report.Sent++
+	})
 	req, err := r.build(ctx, addr)
 	if err != nil {
 		l.update(func(rep *loadReport) { rep.Broken++ })
@@ -161,14 +214,14 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		l.countRejection(resp.Body)
+		l.countRejection(resp.Body, time.Since(start), k)
 		return
 	}
-	l.readStream(resp.Body, start)
+	l.readStream(resp.Body, start, k)
 }
 
-// countRejection counts a rejection under the reason in its body.
-func (l *loadRun) countRejection(body io.Reader) {
+// countRejection counts a rejection, which came after a wait, under the reason in its body.
+func (l *loadRun) countRejection(body io.Reader, wait time.Duration, k *loadClass) {
 	var v struct {
 		Error struct {
 			Reason string `json:"reason"`
@@ -178,14 +231,19 @@
 		l.update(func(rep *loadReport) { rep.Broken++ })
 		return
 	}
-	l.update(func(rep *loadReport) { rep.Rejected[v.Error.Reason]++ })
+	l.update(func(rep *loadReport) {
+		rep.Rejected[v.Error.Reason]++
+		k.report.Refused++
+		_ = k.waits.RecordValue(min(max(1, wait.Microseconds()), maxMicros)) // always in range
+	})
 }
 
 // readStream reads a chat stream and records the arrival times of its tokens.
-func (l *loadRun) readStream(body io.Reader, start time.Time) {
+func (l *loadRun) readStream(body io.Reader, start time.Time, k *loadClass) {
 	sc := bufio.NewScanner(body)
 	sc.Buffer(nil, maxEventSize)
 	last, tokens, done := start, 0, false
+	var first time.Duration
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
 		if !ok {
@@ -197,15 +255,24 @@
 			done = true
 		case strings.Contains(data, `"content":`):
 			l.recordToken(now.Sub(last), tokens == 0)
+			if tokens == 0 {
+				first = now.Sub(start)
+			}
 			tokens, last = tokens+1, now
 		}
 	}
 	l.update(func(rep *loadReport) {
 		rep.Tokens += tokens
-		if done {
-			rep.Served++
-		} else {
+		if !done {
 			rep.Broken++
+			return
+		}
+		rep.Served++
+		k.report.Served++
+		if k.goal == 0 || first <= k.goal {
+			k.report.InTime++
+		} else {
+			k.report.Late++
 		}
 	})
 }
@@ -232,6 +299,12 @@
 func (l *loadRun) print(e *env, asJSON bool) error {
 	rep := l.report
 	rep.First, rep.Between = quantilesOf(l.first), quantilesOf(l.between)
+	for i := range l.classes {
+		k := &l.classes[i]
+		k.report.RefusedWait = quantilesOf(k.waits)
+		rep.Classes = append(rep.Classes, k.report)
+	}
+	sortClasses(rep.Classes)
 	if asJSON {
 		return e.JSON(rep)
 	}
@@ -241,6 +314,7 @@
 	}
 	e.Printf("first token: p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", rep.First.P50, rep.First.P95, rep.First.P99)
 	e.Printf("between tokens: p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", rep.Between.P50, rep.Between.P95, rep.Between.P99)
+	printClasses(e, rep.Classes)
 	return nil
 }
 
--- a/internal/fake/replay/engine.go
+++ b/internal/fake/replay/engine.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"container/list"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/core/route"
@@ -63,11 +64,12 @@
 
 // job is a request at an engine. The callbacks get the number of cached tokens.
 type job struct {
-	row     *Row
-	chain   []uint64
-	cached  int // tokens
-	onFirst func(cached int)
-	onDone  func(cached int)
+	row      *Row
+	priority int // 0 goes first
+	chain    []uint64
+	cached   int // tokens
+	onFirst  func(cached int)
+	onDone   func(cached int)
 }
 
 // engine simulates a model engine: a batch of limited size, prefill of one prompt
@@ -88,8 +90,13 @@
 	busy         float64            // accelerator seconds
 }
 
+// submit adds a job behind those that wait and are as urgent.
 func (e *engine) submit(j *job) {
-	e.waiting = append(e.waiting, j)
+	i := len(e.waiting)
+	for i > 0 && e.waiting[i-1].priority > j.priority {
+		i--
+	}
+	e.waiting = slices.Insert(e.waiting, i, j)
 	e.admit()
 }
 
--- a/internal/fake/replay/fleet.go
+++ b/internal/fake/replay/fleet.go
@@ -1,13 +1,9 @@
 package replay
 
 import (
-	"cmp"
 	"container/list"
-	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -35,74 +31,9 @@
 	Stay     bool    // requests are not forwarded to other regions
 	Pace     float64 // speed of the replay relative to the trace; 0 means 1
 	Warm     bool    // the first pass is not measured
-}
-
-// Figures are the results of replays. Requests, Attempts, Failed, Away, Wide and
-// Busy include the first pass of a replay with Setup.Warm.
-type Figures struct {
-	TTFT               *hdrhistogram.Histogram            // time to the first token in microseconds
-	Orgs               map[string]*hdrhistogram.Histogram // time to the first token by organisation
-	Requests, Attempts int
-	Rejected           map[string]int // by organisation
-	Failed             int
-	Away               int     // requests that were forwarded to another region
-	Cached, Prompt     int     // tokens found in prefix caches, tokens of all prompts
-	Wide               int     // bytes sent between regions
-	Busy               float64 // accelerator seconds
-	Span               float64 // seconds in which requests arrive
-	Servers            int
-	Low, High          float64 // least and greatest p99 of the pooled replays in seconds
-}
-
-// maxMicros is the highest value of the histograms, in microseconds.
-const maxMicros = 3600e6
-
-func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxMicros, 3) }
-
-// Quantile returns the q-th percentile of h in seconds.
-func Quantile(h *hdrhistogram.Histogram, q float64) float64 {
-	return float64(h.ValueAtQuantile(q)) / 1e6
-}
-
-// Hits returns the fraction of the prompt tokens that were found in prefix caches.
-func (f *Figures) Hits() float64 { return float64(f.Cached) / float64(max(f.Prompt, 1)) }
-
-// Accelerator returns the accelerator seconds per request.
-func (f *Figures) Accelerator() float64 { return f.Busy / float64(f.Requests) }
-
-// Worst returns the organisation with the greatest p99, and the ratio of this p99
-// to the median p99 of the organisations. Without measured requests it returns an
-// empty name and 0.
-func (f *Figures) Worst() (org string, ratio float64) {
-	if len(f.Orgs) == 0 {
-		return "", 0
-	}
-	orgs := slices.Sorted(maps.Keys(f.Orgs))
-	slices.SortStableFunc(orgs, func(a, b string) int {
-		return cmp.Compare(Quantile(f.Orgs[a], 99), Quantile(f.Orgs[b], 99))
-	})
-	org = orgs[len(orgs)-1]
-	return org, Quantile(f.Orgs[org], 99) / Quantile(f.Orgs[orgs[len(orgs)/2]], 99)
-}
-
-// String formats all figures in one line.
-func (f *Figures) String() string {
-	n := float64(f.Requests)
-	_, worst := f.Worst()
-	return fmt.Sprintf("p50 %.3f p99 %.3f (%.3f to %.3f) p99.9 %.3f s, hits %.3f, load %.2f, accelerator %.3f s, away %.3f, wide %.2f MB, worst/median %.2f, attempts %.3f, failed %.4f, rejected %v",
-		Quantile(f.TTFT, 50), Quantile(f.TTFT, 99), f.Low, f.High, Quantile(f.TTFT, 99.9), f.Hits(), f.Busy/f.Span/float64(f.Servers), f.Accelerator(), float64(f.Away)/n,
-		float64(f.Wide)/1e6, worst, float64(f.Attempts)/n, float64(f.Failed)/n, f.Rejected)
-}
-
-// Others returns the p99 over the requests of all organisations except one.
-func (f *Figures) Others(hot string) float64 {
-	sum := newHistogram()
-	for org, h := range f.Orgs {
-		if org != hot {
-			sum.Merge(h)
-		}
-	}
-	return Quantile(sum, 99)
+	// Classes describes the requests by route; those of other routes have priority 0 and no
+	// goal.
+	Classes map[string]Class
 }
 
 // host is a simulated host, which receives requests from callers and peers.
@@ -140,7 +71,7 @@
 		Setup: s, clock: &clock{now: time.Unix(1e9, 0)},
 		engines: map[string][]*engine{}, hosts: map[string][]*host{},
 		reports: map[*engine]route.Load{}, byAddr: map[netip.AddrPort]*engine{},
-		fig: &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}},
+		fig: &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}, Classes: map[string]*ClassFigures{}},
 	}
 	for r, region := range s.Regions {
 		f.addRegion(r, region)
@@ -295,6 +226,9 @@
 	fl.chain = r.chain(id, f.Unique)
 	fl.req = route.Request{Chain: fl.chain[:min(len(fl.chain), route.MaxBlocks)], Prompt: r.Prompt, Bytes: 4*r.Prompt + 100*r.Answer, Regions: f.Regions}
 	f.fig.Requests++
+	if !fl.warm {
+		f.fig.class(r.Route).Sent++
+	}
 	h.budget.Deposit()
 	if !f.Fair {
 		f.send(h, fl)
@@ -307,6 +241,7 @@
 	item := &queue.Item{Org: r.Org, Weight: weights[r.Org], Class: class, Tokens: int64(r.Prompt + r.Answer), Deadline: f.clock.now.Add(5 * time.Second), Value: fl}
 	if rejection := h.queue.Push(item, f.clock.now); rejection != nil {
 		f.fig.Rejected[r.Org]++
+		f.countRefused(fl, f.clock.now)
 		f.active--
 		return
 	}
@@ -320,6 +255,7 @@
 		item, expired := h.queue.Pop(f.clock.now)
 		for _, x := range expired {
 			f.fig.Rejected[x.Org]++
+			f.countRefused(x.Value.(*flight), x.Deadline)
 			f.active--
 		}
 		if item == nil {
@@ -339,6 +275,7 @@
 	}
 	if !ok {
 		f.fig.Failed++
+		f.countRefused(fl, f.clock.now)
 	}
 	if f.Fair {
 		fl.entry.queue.Finish(fl.item, f.clock.now)
@@ -392,7 +329,7 @@
 			done(true, -1)
 			return
 		}
-		e.submit(&job{row: fl.row, chain: fl.chain, onFirst: func(cached int) {
+		e.submit(&job{row: fl.row, priority: f.Classes[fl.row.Route].Priority, chain: fl.chain, onFirst: func(cached int) {
 			first(cached)
 			if fl.warm {
 				return
@@ -405,6 +342,7 @@
 			}
 			us := min(f.clock.now.Add(latency).Sub(fl.arrived).Microseconds(), maxMicros)
 			_ = f.fig.TTFT.RecordValue(us)
+			f.countServed(fl, us)
 			if f.fig.Orgs[fl.row.Org] == nil {
 				f.fig.Orgs[fl.row.Org] = newHistogram()
 			}
@@ -455,39 +393,3 @@
 	}
 	return engines[h.rng.IntN(len(engines))]
 }
-
-// Pooled replays the trace with the seeds from 1 to seeds and merges the figures. Low
-// and High are the extremes of the p99 of the single replays.
-func Pooled(rows []Row, s Setup, seeds int) *Figures {
-	sum := &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}}
-	for seed := range seeds {
-		s.Seed = uint64(seed + 1)
-		f := Replay(rows, s)
-		q := Quantile(f.TTFT, 99)
-		if seed == 0 {
-			sum.Low = q
-		}
-		sum.Low, sum.High = min(sum.Low, q), max(sum.High, q)
-		sum.TTFT.Merge(f.TTFT)
-		for org, h := range f.Orgs {
-			if sum.Orgs[org] == nil {
-				sum.Orgs[org] = newHistogram()
-			}
-			sum.Orgs[org].Merge(h)
-		}
-		for org, n := range f.Rejected {
-			sum.Rejected[org] += n
-		}
-		sum.Requests += f.Requests
-		sum.Attempts += f.Attempts
-		sum.Failed += f.Failed
-		sum.Away += f.Away
-		sum.Cached += f.Cached
-		sum.Prompt += f.Prompt
-		sum.Wide += f.Wide
-		sum.Busy += f.Busy
-		sum.Span += f.Span
-		sum.Servers = f.Servers
-	}
-	return sum
-}
--- a/internal/fake/server/batch.go
+++ b/internal/fake/server/batch.go
@@ -27,7 +27,7 @@
 
 // batch limits the number of requests that run at the same time. Further requests wait
 // in a bounded queue, ordered by priority and then by arrival; the highest value of
-// X-Priority goes first.
+// X-Priority goes first, or the lowest of X-Request-Urgency.
 type batch struct {
 	limit, depth, prefill int
 
--- a/internal/fake/server/chat.go
+++ b/internal/fake/server/chat.go
@@ -122,8 +122,7 @@
 		seed: xxhash.Sum64(prompt), n: c.MaxTokens, usage: Usage{Prompt: (len(prompt) + 3) / 4},
 	}
 	resp.from, _ = strconv.Atoi(r.Header.Get("X-Resume"))
-	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
-	if err := e.batch.acquire(ctx, priority, resp.usage.Prompt); err != nil {
+	if err := e.batch.acquire(ctx, priority(r.Header), resp.usage.Prompt); err != nil {
 		if ctx.Err() != nil {
 			drop()
 		}
@@ -150,6 +149,15 @@
 	}
 }
 
+// priority returns the priority of a request in the queue, of which the highest goes first.
+func priority(h http.Header) int {
+	if urgency, err := strconv.Atoi(h.Get("X-Request-Urgency")); err == nil {
+		return -urgency
+	}
+	n, _ := strconv.Atoi(h.Get("X-Priority")) // 0 if it states none
+	return n
+}
+
 // crash drops all requests, and all that arrive within crashTime.
 func (e *Engine) crash() {
 	e.setDown(crashTime)
