Play long prompts beside deferrable questions on the model of a region

Cause: the decisions on deferrable requests had no test under the load that they answer. Ruled out: a test with real time.

Change: the model of a region knows the route's priority, announces long prompts and lowers the urgency of deferrable requests as hosts do.

--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -42,7 +42,10 @@
 	// Goal is the latency target for the first token. Priority 0 is the most urgent.
 	Goal     time.Duration
 	Priority int
-	// Urgency is what the engines are told of the requests; 0 is the most urgent.
+	// Level is the priority of the route, if the organisation has one of its own.
+	Level int
+	// Urgency is what the engines are told of the requests; 0 is the most urgent. It is one
+	// more for deferrable requests.
 	Urgency int
 }
 
@@ -181,7 +184,11 @@
 	}
 	req.Prompt = run.Prompt
 	r := &Request{Run: run, host: p.hosts[p.rng.IntN(len(p.hosts))]}
-	r.Rejected = !r.decide(class, req, p.start.Add(now))
+	at := p.start.Add(now)
+	r.Rejected = !r.decide(class, req, at)
+	if !r.Rejected {
+		p.announce(r, req, at)
+	}
 	return r
 }
 
@@ -189,11 +196,13 @@
 func (r *Request) decide(class Class, req *pick.Request, at time.Time) bool {
 	h := r.host
 	d := admit.Demand{Goal: class.Goal, Remaining: deadline, Prompt: req.Prompt, Shared: req.Shared(), Pace: h.table.Pace()}
-	kind := rank.Kind{Priority: class.Priority, Level: class.Priority, Goal: class.Goal}
+	kind := rank.Kind{Priority: class.Priority, Level: class.Level, Goal: class.Goal}
 	h.kinds.Record(kind, req.Prompt, at)
 	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
 	d.Slack = h.kinds.Slack(kind, at)
-	req.Deferrable = d.Slack > 0
+	if req.Deferrable = d.Slack > 0; req.Deferrable {
+		r.Urgency++
+	}
 	if h.kinds.Preferred(kind, at) {
 		req.Within = admit.Within(class.Goal, 0)
 	}
@@ -208,6 +217,19 @@
 	return ok
 }
 
+// announce sends the notice of a request to the other hosts.
+func (p *Region) announce(r *Request, req *pick.Request, at time.Time) {
+	n, due := r.Choice.Notice(req)
+	if !due {
+		return
+	}
+	for _, h := range p.hosts {
+		if h != r.host {
+			h.table.MergeNotice(r.host.name, n, at)
+		}
+	}
+}
+
 // Fraction returns the fraction of the requests of a class that meet a condition. It
 // ignores requests that arrived during the warm-up or the cool-down of a run of d.
 func Fraction(all []*Request, class int, d time.Duration, meets func(*Request) bool) float64 {
