--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -186,7 +186,7 @@
 	r := &Request{Run: run, host: p.hosts[p.rng.IntN(len(p.hosts))]}
 	at := p.start.Add(now)
 	r.Rejected = !r.decide(class, req, at)
-	if !r.Rejected {
+	if !r.Rejected && req.Within > 0 {
 		p.announce(r, req, at)
 	}
 	return r
