Check in the soak that urgent requests are served no less often

Cause: no test with real processes had two kinds of callers of one service with unlike priority under overload (docs/overload.md, requirement 1).

Ruled out: a bound on times or on the share served, which a busy machine changes; the check compares the two kinds at the same time at the same hosts.

The more urgent kind must not be served a smaller part of its requests.

--- a/cmd/yuccalbe/server_test.go
+++ b/cmd/yuccalbe/server_test.go
@@ -43,7 +43,7 @@
 		if strings.Contains(x.Raw, "key-") {
 			s.t.Errorf("a key reached a server:\n%s", x.Raw)
 		}
-		if fault == faultRefuse {
+		if fault == faultRefuse || !s.overload.run(i) {
 			return x.RefuseWith(lines...)
 		}
 		s.recordRun(x)
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -58,7 +58,8 @@
 // repeated runs at most once, a request that is reported as not run has not run, a
 // complete response belongs to its request, no key reaches a server, and a revoked
 // key stops working. After the faults, it checks that servers get no more requests than
-// the limits allow that they name, that a part of prompts that makes them crash is found and
+// the limits allow that they name, that under overload more urgent requests of a service are not
+// served less often than others, that a part of prompts that makes them crash is found and
 // stays known when all hosts restart, and that callers of hosts without a path to the servers are
 // served nearly as often as others. At all times, it checks that arrivals of a request
 // after its first stay within the bound.
@@ -101,6 +102,8 @@
 
 	// arrivals are those of requests at the servers.
 	arrivals arrivals
+	// overload is that of the servers in the check of priorities.
+	overload overload
 
 	// heartbeats counts the heartbeats of all servers.
 	heartbeats atomic.Int64
@@ -127,6 +130,7 @@
 		name: fmt.Sprintf("%d-%d", os.Getpid(), seed), t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, seed)), store: plattest.NewStore(t), runs: make(map[string]int),
 		sent: make(map[string]string), notRun: make(map[string]bool), revoked: make(map[string]time.Time),
 	}
+	s.overload.running = make([]atomic.Int64, *soakServers)
 	s.rotateKey()
 	t.Cleanup(s.crashed.Wait) // after the servers are closed
 	for i := range *soakServers {
@@ -178,7 +182,7 @@
 func (s *soak) register(i int) {
 	s.store.PutEntry(plattest.Server{
 		ID: s.serverID(i), Service: "desk", Site: soakSite(i), Addr: s.serverProxies[i].Addr(), State: "ready",
-		Version: s.serverVersion(i), Born: s.born[i].Load(), Seq: s.heartbeats.Add(1),
+		Version: s.serverVersion(i), Born: s.born[i].Load(), Slots: s.overload.slots(), Seq: s.heartbeats.Add(1),
 	})
 }
 
@@ -207,6 +211,8 @@
 			{Prefix: "/safe/", Service: "desk", Kind: "safe", Attempts: 2, TimeoutMS: 2000},
 			{Prefix: "/order/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000},
 			{Prefix: "/order-a/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Regions: []string{"a"}},
+			{Prefix: "/urgent/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000},
+			{Prefix: "/later/", Service: "desk", Kind: "unsafe", TimeoutMS: 2000, Priority: 2},
 			{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 3000},
 			{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 3, TimeoutMS: 3000},
 		},
@@ -251,6 +257,7 @@
 	}
 	s.clearFaults()
 	s.checkLimits()
+	s.checkUrgency()
 	s.checkPoison()
 	s.checkLostPaths()
 	close(stop)
