Part the room for requests that can wait by the traffic of hosts

Cause: with equal parts, large hosts, which get several times the traffic of small ones, refused questions while servers had room.

Change: parts in proportion to the requests in progress, with a quarter more. The first of the requests that can wait looks for room at 50 ms instead of 20, since each response of its host wakes it as well.

--- a/internal/core/pick/reserve.go
+++ b/internal/core/pick/reserve.go
@@ -40,25 +40,34 @@
 	t.deferred.sent++
 }
 
+// partExcess is the factor by which a host may exceed its part of the room, so that the room
+// that hosts with less traffic leave is used.
+const partExcess = 1.25
+
 // spent reports whether this host has sent its part of the deferrable requests for which the
 // servers have room until the next state reports: what is free, and what their slots become
 // free for meanwhile. All hosts see the same room, and would together send many times as much.
+// The parts are in proportion to the requests in progress, since hosts differ in size.
 func (t *Table) spent(now time.Time) bool {
 	n := len(t.hosts.Hosts)
 	if n <= 1 || now.Sub(t.deferred.since) >= t.hosts.ReportInterval {
 		return false
 	}
-	room, slots := 0, 0
+	room, slots, own, all := 0, 0, 0, 0
 	for _, s := range t.servers {
 		if t.leaving(s) || s.failures >= failureThreshold {
 			continue
 		}
 		k := s.slots(&t.model)
+		running := s.total().Running
 		slots += k
-		room += max(open(k)-s.total().Running, 0)
+		room += max(open(k)-running, 0)
+		own += s.local.Running
+		all += running
 	}
 	turnover := float64(slots) * t.hosts.ReportInterval.Seconds() / max(t.model.SlotTime, time.Millisecond).Seconds()
-	return float64(t.deferred.sent*n) >= float64(room+t.deferred.sent)+turnover
+	part := float64(own+1) / float64(all+n)
+	return float64(t.deferred.sent) >= partExcess*part*(float64(room+t.deferred.sent)+turnover)
 }
 
 // Backlog returns how many requests of this host the servers can serve within a time, if each
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -21,6 +21,8 @@
 	// holdStep is the interval at which held requests look for room that no response
 	// of this host has made. From then on they also use room that other hosts leave.
 	holdStep = 20 * time.Millisecond
+	// deferredStep is that of requests that can let others pass.
+	deferredStep = 50 * time.Millisecond
 	// waitStep is the interval at which the others look whether their time has passed.
 	// The request before them wakes them when it leaves.
 	waitStep = 100 * time.Millisecond
@@ -93,7 +95,11 @@
 		q.waited += d
 		q.s.stats.Waited(q.service, d)
 	}()
-	step := time.NewTimer(holdStep)
+	interval := holdStep
+	if q.slack > 0 {
+		interval = deferredStep
+	}
+	step := time.NewTimer(interval)
 	defer step.Stop()
 	for {
 		select {
@@ -103,7 +109,7 @@
 				step.Reset(waitStep)
 				continue // the requests before this one look first
 			}
-			step.Reset(holdStep)
+			step.Reset(interval)
 		case <-place.Lost():
 			return q.displaced(svc, place)
 		case <-q.ctx.Done():
