Add the tests of crowds of untrusted callers, which fail

Before: 17 of 18 cases of yuccalbe fail: fields at front, lookup, ready, peer and metrics 329 to 398 MB; 418 to 426 files, 2738 with bodies. Empty lines at front pass (24 MB, 238 files).

--- /dev/null
+++ b/cmd/yuccalbe/intake_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/crowd"
+	"github.com/yuccalb/yuccalb/internal/fake/line"
+	"github.com/yuccalb/yuccalb/internal/fake/local"
+	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/internal/fake/proc"
+	"github.com/yuccalb/yuccalb/platform"
+	"github.com/yuccalb/yuccalb/platform/plattest"
+)
+
+const (
+	// crowdSize is the number of connections that are open at once, each opened again
+	// once it is closed.
+	crowdSize = 400
+	// crowdMemoryMB and crowdFiles are the limits in the settings of the host, and the
+	// bounds for the process.
+	crowdMemoryMB = 96
+	crowdFiles    = 300
+	// crowdTime is how long the crowd stays before the bounds are checked.
+	crowdTime = 1500 * time.Millisecond
+)
+
+// shortFields is a request whose header consists of short fields and has no end.
+var shortFields = "GET / HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + strings.Repeat("abc:\r\n", 62<<10/6)
+
+// distinctFields is shortFields with a different name for each field.
+var distinctFields = sync.OnceValue(func() string { return "GET / HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + manyFields() })
+
+// crowdInputs are what each connection of a crowd sends before it stops sending.
+var crowdInputs = map[string]func() string{
+	"fields":          func() string { return shortFields },
+	"distinct fields": distinctFields,
+	"long field":      func() string { return "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 63<<10) },
+	"request line":    func() string { return "GET /" + strings.Repeat("x", 63<<10) },
+	"empty lines":     func() string { return strings.Repeat("\r\n", 30<<10) },
+	"silence":         func() string { return "" },
+	"unread": func() string {
+		return strings.Repeat("GET "+platform.LookupPath+" HTTP/1.1\r\nHost: x\r\n\r\n", 1000)
+	},
+	"unread metrics": func() string { return strings.Repeat("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 1000) },
+	"body": func() string {
+		return "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": body\r\n" + platform.HeaderAPIKey + ": k\r\nContent-Length: 4000000\r\n\r\n" + strings.Repeat("x", 900_000)
+	},
+	"chunks": func() string {
+		return "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": chunks\r\n" + platform.HeaderAPIKey + ": k\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 30_000) + "5;" + strings.Repeat("x", 3000)
+	},
+}
+
+// TestCrowd guards against a host that runs out of memory or file descriptors, or no
+// longer serves, because many connections each send a part of a request, or read no
+// response. Each stays below the limits of one request.
+func TestCrowd(t *testing.T) {
+	bin, err := proc.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		addr   string
+		inputs []string
+	}{
+		{"front", []string{"fields", "distinct fields", "long field", "request line", "empty lines", "silence", "body", "chunks"}},
+		{"lookup", []string{"distinct fields", "silence", "unread"}},
+		{"ready", []string{"distinct fields", "silence"}},
+		{"peer", []string{"distinct fields", "silence"}},
+		{"metrics", []string{"distinct fields", "silence", "unread metrics"}},
+	} {
+		for _, input := range tc.inputs {
+			t.Run(tc.addr+"/"+input, func(t *testing.T) { testCrowd(t, bin, tc.addr, input) })
+		}
+	}
+}
+
+func testCrowd(t *testing.T, bin, name, input string) {
+	h := newCrowdHost(t, bin)
+	h.await(t, "host serves")
+	c := crowd.Start(h.addrs[name], crowdSize, []byte(crowdInputs[input]()), !strings.HasPrefix(input, "unread"))
+	defer c.End()
+	files := 0
+	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		n, err := h.process.OpenFiles()
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = max(files, n)
+	}
+	h.await(t, "ordinary request served beside the crowd")
+	c.End()
+	h.await(t, "ordinary request served after the crowd")
+	peak, err := h.process.PeakMemory()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("peak memory %d MB, %d open files", peak>>20, files)
+	if peak > crowdMemoryMB<<20 {
+		t.Errorf("peak memory %d MB, the host has %d MB", peak>>20, crowdMemoryMB)
+	}
+	if files > crowdFiles {
+		t.Errorf("%d open files, the host has %d", files, crowdFiles)
+	}
+}
+
+// crowdHost is a host with a server.
+type crowdHost struct {
+	process *proc.Process
+	addrs   map[string]netip.AddrPort
+}
+
+func newCrowdHost(t *testing.T, bin string) *crowdHost {
+	t.Helper()
+	store := plattest.NewStore(t)
+	store.PutConfig(plattest.Config{
+		Version: 1, Services: []string{"desk"}, Keys: []string{"k"}, Org: "o", Rate: 1e6, Burst: 1e6,
+		Routes: []plattest.Route{{Prefix: "/safe/", Service: "desk", Kind: "safe", TimeoutMS: 4000}},
+	})
+	h := &crowdHost{addrs: make(map[string]netip.AddrPort)}
+	settings := map[string]any{
+		"host": "h", "site": "a1", "region": "a", "sites": map[string]string{"a1": "a"}, "store": store.Addr().String(), "first": true,
+		"revoke": "3s", "grace": "6s", "retries": 50, "memory": crowdMemoryMB, "files": crowdFiles,
+	}
+	for _, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
+		h.addrs[name] = local.Addr(t)
+		settings[name] = h.addrs[name].String()
+	}
+	b, err := json.Marshal(settings) // JSON is valid YAML
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := origin.New(t, func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") })
+	store.PutServer("s", "desk", "a1", s.Addr(), "ready")
+	h.process = proc.New(t, bin, path)
+	if err := h.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// await waits until the host serves a request with a body.
+func (h *crowdHost) await(t *testing.T, what string) {
+	t.Helper()
+	await.For(t, serveTimeout, what, func() error {
+		conn, err := line.Dial(h.addrs["front"])
+		if err != nil {
+			return err
+		}
+		defer func() { _ = conn.Close() }() // the response was read
+		_ = conn.SetDeadline(time.Now().Add(responseTimeout))
+		a := conn.Do(line.Post("/safe/x", strings.Repeat("x", 6<<10)).With(platform.HeaderAPIKey, "k"), fmt.Sprint("ordinary-", time.Now().UnixNano()))
+		if a.Status != http.StatusOK || a.Err != nil {
+			return fmt.Errorf("status %d, error %w", a.Status, a.Err)
+		}
+		return nil
+	})
+}
--- a/internal/fake/proc/proc.go
+++ b/internal/fake/proc/proc.go
@@ -116,6 +116,18 @@
 	return kb << 10, nil
 }
 
+// OpenFiles returns the number of file descriptors that the running process has open.
+func (p *Process) OpenFiles() (int, error) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read open files of process: %w", err)
+	}
+	return len(files), nil
+}
+
 // Owns reports whether the process has the socket with an inode open.
 func (p *Process) Owns(inode string) bool {
 	p.mu.Lock()
