Bound what connections of callers hold on all addresses of yuccalbe

Cause: a caller's connection cost a host memory and a descriptor from its acceptance on, and each field of a head many times its bytes, without any limit over all connections. ready, peer and metrics had no limit at all, a response that nobody read was kept for good, and so was the rest of a body that no handler read.

Ruled out: a smaller limit per head (many heads below it add up); a limit per IP address of callers (they may share one); netutil.LimitListener (ordinary callers wait behind silent ones); an own HTTP parser.

Change: package edge/intake wraps the listeners. Connections and the bytes and lines of heads are charged to one limit of the host, a fifth of its memory, and descriptors to 0.6 of its files, before net/http gets the bytes. A head of up to 4 KiB by this measure is covered by the connection's charge and takes no lock. When there is no room, the connection that has held most for longest without a complete request is evicted, at a bounded rate; heads wait for room for 2 s. lookup, ready and metrics time out after 5 s. A page of metrics has 4 responses in progress at most. FuzzHead covers the parser of heads.

Conclusion: memory and descriptors are bounded on all addresses of yuccalbe.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
 	"github.com/yuccalb/yuccalb/internal/edge/gossip"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/edge/mirror"
@@ -72,6 +73,17 @@
 	// defaultMemory is the memory in MB assumed when the settings state no limit.
 	defaultMemory    = 512
 	storeDialTimeout = time.Second
+	// auxTimeout bounds the reading of a request and the writing of its response on
+	// the addresses for lookups, health checks and metrics.
+	auxTimeout = 5 * time.Second
+)
+
+// Shares of all connections of callers that the addresses may have. Front may have all.
+const (
+	peerShare    = 0.75
+	lookupShare  = 0.25
+	readyShare   = 0.05
+	metricsShare = 0.05
 )
 
 // Entry is a running gateway host.
@@ -84,6 +96,7 @@
 	relay        *relay.Relay
 	stateHandler http.Handler
 
+	gate        *intake.Gate
 	callerConns *connTracker
 	listener    *listener // serves front
 	front, peer *http.Server
@@ -121,6 +134,7 @@
 	transport := &http.Transport{DialContext: send.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeader}
 	store := platform.NewStore(settings.Store, transport)
 	e.exchange = exchange
+	e.gate = intake.New(intake.LimitsOf(settings.Memory<<20, settings.Files, settings.Cores), metrics.IntakeRefused, log.Logger)
 	e.fleet = fleet.New(fleet.Options{
 		Self:   spec.Host{Name: settings.Host, Site: settings.Site, Front: settings.Front, Peer: settings.Peer, Cores: settings.Cores},
 		Region: settings.Region, Sites: settings.Sites, Seeds: settings.Seeds, First: settings.First,
@@ -196,6 +210,7 @@
 		return float64(n)
 	})
 	m.Gauge("yuccalb_caller_connections", "Open connections of callers.", func() float64 { return float64(e.callerConns.Open()) })
+	m.Gauge("yuccalb_intake_bytes", "Memory that connections of callers and the heads of their requests are charged for, in bytes.", func() float64 { return float64(e.gate.Bytes()) })
 	m.Gauge("yuccalb_inflight_requests", "Requests being served.", func() float64 { return float64(e.relay.Running()) })
 	m.Gauge("yuccalb_body_bytes", "Memory that bodies of requests and responses hold, in bytes.", func() float64 { return float64(e.relay.BodyBytes()) })
 	m.Counter("yuccalb_store_restores_total", "Times that the store came back from a copy.", func() float64 { return float64(e.fleet.Restores()) })
@@ -214,15 +229,22 @@
 	ready := e.server(http.HandlerFunc(e.serveReady))
 	lookup := e.server(http.HandlerFunc(e.serveLookup))
 	e.aux = []*http.Server{ready, lookup}
-	addrs := map[*http.Server]netip.AddrPort{
-		e.front: e.settings.Front, e.peer: e.settings.Peer, ready: e.settings.Ready, lookup: e.settings.Lookup,
+	addrs := []address{
+		{e.front, e.settings.Front, intake.Options{Name: "front"}},
+		{e.peer, e.settings.Peer, intake.Options{Name: "peer", Share: peerShare, Header: relay.NotRunLine}},
+		{ready, e.settings.Ready, intake.Options{Name: "ready", Share: readyShare}},
+		{lookup, e.settings.Lookup, intake.Options{Name: "lookup", Share: lookupShare}},
 	}
 	if e.settings.Metrics.IsValid() {
 		srv := e.server(m.Handler())
 		e.aux = append(e.aux, srv)
-		addrs[srv] = e.settings.Metrics
+		addrs = append(addrs, address{srv, e.settings.Metrics, intake.Options{Name: "metrics", Share: metricsShare}})
 	}
-	for srv, addr := range addrs {
+	for _, srv := range e.aux {
+		srv.ReadTimeout, srv.WriteTimeout = auxTimeout, auxTimeout
+	}
+	for _, a := range addrs {
+		srv, addr := a.srv, a.addr
 		cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
 		l, err := cfg.Listen(context.Background(), "tcp4", addr.String())
 		if err != nil {
@@ -232,6 +254,8 @@
 			e.listener = newListener(tcp)
 			l = e.listener
 		}
+		intake.Attach(srv)
+		l = e.gate.Listen(l, a.intake)
 		e.done.Go(func() {
 			if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				e.log.Error("listener failed", zap.Stringer("addr", addr), zap.Error(err))
@@ -241,6 +265,13 @@
 	return nil
 }
 
+// address is an address that a server serves.
+type address struct {
+	srv    *http.Server
+	addr   netip.AddrPort
+	intake intake.Options
+}
+
 // server returns a server with the common limits.
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
@@ -305,6 +336,7 @@
 			e.callerConns.Sweep(now, e.callerIdleTimeout())
 		case <-summary.C:
 			e.log.Summarize()
+			e.gate.Report()
 		}
 	}
 }
--- /dev/null
+++ b/internal/edge/intake/gate.go
@@ -0,0 +1,259 @@
+// Package intake bounds what the connections of callers make a host hold, before and
+// while requests are read: one limit of memory and one of descriptors, which apply to all
+// its addresses together.
+package intake
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Reasons of refusals, in logs and metrics.
+const (
+	// ReasonConns: no room for a new connection, which is closed.
+	ReasonConns = "connections"
+	// ReasonEvicted: a connection without a complete request is closed for others.
+	ReasonEvicted = "evicted"
+	// ReasonMemory: no memory for a head in time; the response is 503.
+	ReasonMemory = "memory"
+	// ReasonLines: too many lines in a head; the response is 431.
+	ReasonLines = "lines"
+)
+
+// Counter counts refusals by the name of the address and the reason.
+type Counter func(address, reason string)
+
+// Gate holds the limits and the connections of a host. It is safe for concurrent use.
+type Gate struct {
+	limits Limits
+	count  Counter
+	log    *zap.Logger
+	used   atomic.Int64 // written with mu held
+
+	mu        sync.Mutex
+	open      int   // descriptors
+	ending    int64 // memory of evicted connections whose goroutines have not ended
+	pace      pace
+	listeners []*Listener
+
+	refused  atomic.Int64
+	reported int64 // only used by Report
+}
+
+// New returns a gate. count may be nil.
+func New(limits Limits, count Counter, log *zap.Logger) *Gate {
+	if count == nil {
+		count = func(string, string) {}
+	}
+	return &Gate{limits: limits, count: count, log: log, pace: newPace(limits.Cores)}
+}
+
+// Bytes returns the memory in bytes that connections and heads are charged for.
+func (g *Gate) Bytes() int64 { return g.used.Load() }
+
+// Report logs how many connections and requests were refused since the call before, if any.
+// It must not be called concurrently.
+func (g *Gate) Report() {
+	n := g.refused.Load()
+	if n == g.reported {
+		return
+	}
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	g.log.Warn("callers refused at intake", zap.Int64("refused", n-g.reported), zap.Int("connections", open), zap.Int64("bytes", g.Bytes()), zap.Int64("limit", g.limits.Memory))
+	g.reported = n
+}
+
+// refuse counts a refusal.
+func (g *Gate) refuse(l *Listener, reason string) {
+	g.refused.Add(1)
+	g.count(l.name, reason)
+}
+
+// admit charges a new connection, for which it may evict others. It waits for room for a
+// short time, in which further connections stay in the queue of the kernel.
+func (g *Gate) admit(c *Conn) bool {
+	var end time.Time
+	for {
+		now := time.Now()
+		ok, wait := g.tryAdmit(c, now)
+		if ok {
+			return true
+		}
+		if end.IsZero() {
+			end = now.Add(admitTimeout)
+		}
+		if now.After(end) {
+			g.refuse(c.l, ReasonConns)
+			return false
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (g *Gate) tryAdmit(c *Conn, now time.Time) (bool, time.Duration) {
+	g.mu.Lock()
+	var victims []*Conn
+	defer func() {
+		g.mu.Unlock()
+		g.closeAll(victims)
+	}()
+	if c.l.open >= c.l.limit {
+		v := g.evict([]*Listener{c.l}, nil, now)
+		if v == nil {
+			return false, g.pace.interval()
+		}
+		victims = append(victims, v)
+	}
+	for g.open >= g.limits.Conns || !g.fits(connCost) {
+		v := g.evict(g.listeners, nil, now)
+		if v == nil {
+			return false, g.pace.interval()
+		}
+		victims = append(victims, v)
+	}
+	g.open++
+	c.l.open++
+	c.held = connCost
+	c.since = now
+	g.used.Add(connCost)
+	c.l.waiting.push(c)
+	return true, 0
+}
+
+// grow raises the charge of a connection to n bytes, for which it may evict others. It
+// waits for room for growTimeout, and reports whether the connection may go on.
+func (g *Gate) grow(c *Conn, n int64) bool {
+	var end time.Time
+	for {
+		now := time.Now()
+		ok, again := g.tryGrow(c, n, now)
+		if ok || !again {
+			return ok
+		}
+		if end.IsZero() {
+			end = now.Add(growTimeout)
+		}
+		if now.After(end) {
+			return false
+		}
+		time.Sleep(growInterval)
+	}
+}
+
+// tryGrow is one attempt of grow. It also reports whether another attempt may succeed.
+func (g *Gate) tryGrow(c *Conn, n int64, now time.Time) (ok, again bool) {
+	g.mu.Lock()
+	var victims []*Conn
+	defer func() {
+		g.mu.Unlock()
+		g.closeAll(victims)
+	}()
+	if c.evicted {
+		return false, false
+	}
+	for !g.fits(n - c.held) {
+		v := g.evict(g.listeners, c, now)
+		if v == nil {
+			return false, n <= g.limits.Memory
+		}
+		victims = append(victims, v)
+	}
+	g.used.Add(n - c.held)
+	if c.held == connCost {
+		c.list.remove(c)
+		c.l.partial.push(c)
+	}
+	c.held = n
+	return true, false
+}
+
+// fits reports whether n more bytes fit into the memory. The caller holds g.mu.
+func (g *Gate) fits(n int64) bool {
+	used := g.used.Load() + n
+	return used-g.ending <= g.limits.Memory && used <= g.limits.Memory+int64(endingShare*float64(g.limits.Memory))
+}
+
+// evict chooses the connection of the listeners that has held most for longest without a
+// complete request. It returns it for closeAll, or nil if there is none, if it is self, or
+// if too many were evicted lately. The caller holds g.mu.
+func (g *Gate) evict(ls []*Listener, self *Conn, now time.Time) *Conn {
+	var worst *Conn
+	most := 0.0
+	for _, l := range ls {
+		for _, list := range []*connList{&l.lingering, &l.partial, &l.waiting, &l.idle} {
+			c := list.first
+			for i := 0; c != nil && i < candidates; i++ {
+				if s := c.score(now); s > most {
+					worst, most = c, s
+				}
+				c = c.next
+			}
+		}
+	}
+	if self != nil && self.score(now) >= most {
+		return nil
+	}
+	if worst == nil || !g.pace.take(now) {
+		return nil
+	}
+	worst.list.remove(worst)
+	worst.evicted = true
+	g.ending += worst.held
+	g.closed(worst)
+	return worst
+}
+
+// closed counts the descriptor of a connection as closed. The caller holds g.mu.
+func (g *Gate) closed(c *Conn) {
+	if !c.counted {
+		c.counted = true
+		g.open--
+		c.l.open--
+	}
+}
+
+// closeAll closes evicted connections. Their charge is released when net/http closes them
+// as well, at the end of their goroutines.
+func (g *Gate) closeAll(victims []*Conn) {
+	for _, c := range victims {
+		g.refuse(c.l, ReasonEvicted)
+		_ = c.Conn.Close() // the caller gets no response
+	}
+}
+
+// release releases the charge of a connection that is closed.
+func (g *Gate) release(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.released {
+		return
+	}
+	c.released = true
+	c.list.remove(c)
+	g.closed(c)
+	g.used.Add(-c.held)
+	if c.evicted {
+		g.ending -= c.held
+	}
+}
+
+// move moves a connection to another list and sets its charge. It returns false if the
+// connection was evicted or closed.
+func (g *Gate) move(c *Conn, to *connList, held int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.evicted || c.released {
+		return false
+	}
+	c.list.remove(c)
+	g.used.Add(held - c.held)
+	c.held = held
+	c.since = time.Now()
+	to.push(c)
+	return true
+}
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -88,6 +88,9 @@
 	return nil
 }
 
+// NotRunLine is the header line of a response to another host whose request has not run.
+const NotRunLine = headerOutcome + ": " + outcomeNotRun + "\r\n"
+
 // setPeerOutcome states in headerOutcome whether the request may have run.
 func (q *request) setPeerOutcome(status int) {
 	outcome := outcomeUnknown
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -15,6 +15,9 @@
 // durationBuckets are the upper bounds of the buckets of all histograms, in seconds.
 var durationBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.4, 2, 3, 5, 10}
 
+// maxScrapes bounds the responses in progress of each page: each holds all its metrics.
+const maxScrapes = 4
+
 // StatePath is the path of a page with the gateway's counters and gauges only. A
 // collector that keeps only the start of a page gets the decisions there, and not
 // the metrics of the Go runtime, which sort before them.
@@ -44,6 +47,7 @@
 	probes         *prometheus.CounterVec
 	processChecks  *prometheus.CounterVec
 	cautiousSends  *prometheus.CounterVec
+	intakeRefused  *prometheus.CounterVec
 }
 
 // New returns metrics with their own registries.
@@ -105,7 +109,10 @@
 			Name: "yuccalb_store_calls_total", Help: "Calls of the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
 	}
-	m.state.MustRegister(m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.lent, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.processChecks, m.cautiousSends)
+	m.intakeRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccalb_intake_refused_total", Help: "Connections and requests refused before they were read, by address and reason (connections, evicted, memory or lines).",
+	}, []string{"address", "reason"})
+	m.state.MustRegister(m.intakeRefused, m.requests, m.attempts, m.retries, m.retriesDenied, m.limitedSends, m.held, m.lent, m.streamEnds, m.brokenOff, m.takeUps, m.unrecorded, m.store, m.probes, m.processChecks, m.cautiousSends)
 	m.times.MustRegister(m.firstByte, m.firstByteParts, m.response)
 	m.process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -195,6 +202,11 @@
 // servers in doubt.
 func (m *Metrics) CautiousSend(service string) { m.cautiousSends.WithLabelValues(service).Inc() }
 
+// IntakeRefused records a connection or request that was refused before it was read.
+func (m *Metrics) IntakeRefused(address, reason string) {
+	m.intakeRefused.WithLabelValues(address, reason).Inc()
+}
+
 // Probe records a probe of a server.
 func (m *Metrics) Probe(service string, err error) {
 	outcome := "ok"
@@ -224,7 +236,7 @@
 func (m *Metrics) Handler() http.Handler {
 	all := prometheus.Gatherers{m.state, m.times, m.process}
 	mux := http.NewServeMux()
-	mux.Handle(StatePath, promhttp.HandlerFor(m.state, promhttp.HandlerOpts{}))
-	mux.Handle("/", promhttp.HandlerFor(all, promhttp.HandlerOpts{}))
+	mux.Handle(StatePath, promhttp.HandlerFor(m.state, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
+	mux.Handle("/", promhttp.HandlerFor(all, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	return mux
 }
