Evict bodies that no longer grow when others need their room

Cause: callers who stop in the middle of a body kept its memory for 5 s, and their requests counted as in progress, so that ordinary callers got 503.

Ruled out: a shorter timeout (a slow caller's body of 4 MB takes seconds); eviction by rate (a body that has just begun has none yet); a goroutine per body.

Change: reserve.go moves from edge/relay to edge/intake, as yuccalbd needs it as well. Bodies that are being read are in the order in which they last doubled, so that a trickle does not count. When memory is short, the one that has not grown for longest, and for 250 ms at least (1 s for a body over 64 KiB), is ended with 503; large bodies leave an eighth of the memory to small ones. Half of the requests in progress may have their body read.

Before: an ordinary request beside 400 callers who send 900 kB of 4 MB was served after a wait; TestCrowd/front/body took 11.4 s and chunks 15.9 s. After: 2.3 s and 2.6 s, 1.5 s of which are the time of the crowd.

Conclusion: callers who stop in a body no longer keep others out.

--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -90,10 +91,10 @@
 // relayBuffered reads a response and forwards it once it is complete.
 func (q *request) relayBuffered(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	var body bytes.Buffer
-	v := q.s.responseMemory()
-	defer v.release()
-	err := v.read(&body, resp, maxBuffered)
-	if errors.Is(err, errTooLong) || errors.Is(err, errNoMemory) {
+	v := q.s.bodies.Response()
+	defer v.Release()
+	err := v.Read(&body, resp, maxBuffered)
+	if errors.Is(err, intake.ErrTooLong) || errors.Is(err, intake.ErrNoMemory) {
 		return q.relayUnbuffered(resp, &body, &v, onFirstByte)
 	}
 	if err != nil {
@@ -147,7 +148,7 @@
 
 // relayUnbuffered forwards a response that exceeds maxBuffered or the memory for
 // bodies. Its first bytes are in head, whose memory is v.
-func (q *request) relayUnbuffered(resp *send.Response, head *bytes.Buffer, v *reservation, onFirstByte func()) (retry.Result, pick.Outcome) {
+func (q *request) relayUnbuffered(resp *send.Response, head *bytes.Buffer, v *intake.Body, onFirstByte func()) (retry.Result, pick.Outcome) {
 	onFirstByte()
 	if success(resp) {
 		q.recordBegun()
@@ -158,7 +159,7 @@
 	q.keepAtStop()
 	_, err := q.w.Write(head.Bytes())
 	*head = bytes.Buffer{}
-	v.release()
+	v.Release()
 	if err == nil {
 		_, err = io.CopyBuffer(writer{q.w}, resp, make([]byte, copyBuffer))
 	}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/share"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/logs"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
@@ -34,6 +35,9 @@
 	// bodyTimeout is the least time allowed for reading a body. A longer header
 	// timeout of the configuration applies to the body as well.
 	bodyTimeout = 5 * time.Second
+	// readingShare is the share of the requests in progress whose bodies may be being
+	// read, so that callers who stop in the middle of a body leave room to others.
+	readingShare = 0.5
 )
 
 // Relay serves requests of callers and of other hosts.
@@ -52,7 +56,7 @@
 	stop             *stopper
 	lengths          length.Estimator
 	clocks           peerClocks
-	bodyMemory       byteLimit
+	bodies           *intake.Bodies
 	checks           sync.WaitGroup // of checks whether servers have ended, of probes and of watchPath
 	hung             hung
 	ends             ends
@@ -79,7 +83,7 @@
 func New(opts Options) *Relay {
 	s := &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
-		stop: newStopper(), bodyMemory: byteLimit{max: opts.MaxBodyBytes},
+		stop: newStopper(), bodies: intake.NewBodies(opts.MaxBodyBytes),
 		servers: send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 	s.checks.Go(s.watchPath)
@@ -107,7 +111,7 @@
 func (s *Relay) Opened() int64 { return s.servers.Opened() }
 
 // BodyBytes returns the memory in bytes that bodies hold.
-func (s *Relay) BodyBytes() int64 { return s.bodyMemory.used.Load() }
+func (s *Relay) BodyBytes() int64 { return s.bodies.Bytes() }
 
 // Running returns the number of requests in progress.
 func (s *Relay) Running() int64 { return s.running.Load() }
@@ -129,7 +133,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := s.newRequest(w, r)
-	defer q.reserved.release()
+	defer q.reserved.Release()
 	defer q.endAtStop()()
 	if s.running.Load() > s.maxRunning {
 		q.refuse(&refusal{http.StatusServiceUnavailable, reasonBusy, retryAfterHostState})
@@ -234,7 +238,7 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	q := s.newRequest(w, r)
-	defer q.reserved.release()
+	defer q.reserved.Release()
 	defer q.endAtStop()()
 	if err := q.fromPeer(); err != nil {
 		s.log.Error("invalid forwarded request", zap.String("id", q.id), zap.Error(err))
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -19,6 +19,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 	"github.com/yuccalb/yuccalb/internal/edge/fleet"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/edge/stats"
 	"github.com/yuccalb/yuccalb/platform"
@@ -66,7 +67,7 @@
 	rev          eras.Revision
 	keyAge       time.Duration
 	body         []byte
-	reserved     reservation // for the body
+	reserved     intake.Body // for the body
 	pick         pick.Request
 	target       *pick.Request // for the choice of a server in the last attempt: pick, or a stricter one
 	parts        []poison.Part // of the prompt, without the last one
@@ -139,7 +140,7 @@
 }
 
 func (s *Relay) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	q := &request{s: s, reserved: s.requestMemory(), w: w, r: r, id: r.Header.Get(platform.HeaderAttemptID), arrived: time.Now(), lastEvent: r.Header.Get(platform.HeaderLastEventID)}
+	q := &request{s: s, reserved: s.bodies.Request(), w: w, r: r, id: r.Header.Get(platform.HeaderAttemptID), arrived: time.Now(), lastEvent: r.Header.Get(platform.HeaderLastEventID)}
 	q.pick.Connected = s.servers.HasIdle
 	q.setWriteDeadline(time.Time{}) // that of the request before
 	return q
@@ -186,13 +187,22 @@
 	// The rest of a body that is still being read when the host ends its requests is not
 	// needed.
 	defer context.AfterFunc(q.ctx, func() { _ = control.SetReadDeadline(time.Now()) })()
+	most := max(int(readingShare*float64(q.s.maxRunning)), 1)
+	if !q.reserved.Begin(most, func() { _ = control.SetReadDeadline(time.Now()) }) { // fails if the connection is closed
+		q.w.Header().Set("Connection", "close") // the body is not read
+		return &refusal{http.StatusServiceUnavailable, reasonBusy, retryAfterHostState}
+	}
 	var body bytes.Buffer
-	err := q.reserved.read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
+	err := q.reserved.Read(&body, http.MaxBytesReader(q.w, q.r.Body, limit), limit)
+	evicted := q.reserved.End()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case evicted:
+		q.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return &refusal{http.StatusServiceUnavailable, reasonBodyEvicted, retryAfterHostState}
 	case errors.As(err, &tooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, reasonBodyTooLarge, 0}
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, intake.ErrNoMemory):
 		q.w.Header().Set("Connection", "close") // the rest of the body is not read
 		return &refusal{http.StatusServiceUnavailable, reasonBodyMemory, retryAfterHostState}
 	case err != nil && q.aborted():
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/pick"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
 	"github.com/yuccalb/yuccalb/internal/core/stream"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 )
 
@@ -34,8 +35,8 @@
 func (q *request) stream(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
-	v := q.s.responseMemory() // for what exceeds copyBuffer
-	defer v.release()
+	v := q.s.bodies.Response() // for what exceeds copyBuffer
+	defer v.Release()
 	var events stream.Scanner
 	whole := 0 // length of the events at the start of buf that are whole
 	last := q.lastEvent
@@ -46,8 +47,8 @@
 		}
 		if len(buf) == cap(buf) {
 			size := min(2*cap(buf), maxEvent)
-			if !v.reserve(int64(size - copyBuffer)) {
-				return q.classifyTruncation(errNoMemory, q.truncationResult())
+			if !v.Reserve(int64(size - copyBuffer)) {
+				return q.classifyTruncation(intake.ErrNoMemory, q.truncationResult())
 			}
 			buf = append(make([]byte, 0, size), buf...)
 		}
@@ -79,9 +80,9 @@
 				return retry.Done, pick.Aborted
 			}
 			rest := buf[whole:]
-			if buf = buf[:0]; len(rest) < copyBuffer && v.held > 0 {
+			if buf = buf[:0]; len(rest) < copyBuffer && v.Held() > 0 {
 				buf = make([]byte, 0, copyBuffer)
-				v.release()
+				v.Release()
 			}
 			buf = append(buf, rest...)
 			whole = 0
