Keep room for new connections when heads fill the memory of intake

Cause: heads that grow took the whole budget and the rate of evictions, so that new connections of ordinary callers were refused: beside 1200 connections with short fields, TestCrowd/http/fields of yuccalbd waited 7 s for one request.

Change: heads grow up to three quarters of the budget and have an eviction rate of their own.

--- a/internal/edge/intake/gate.go
+++ b/internal/edge/intake/gate.go
@@ -36,7 +36,8 @@
 	mu        sync.Mutex
 	open      int   // descriptors
 	ending    int64 // memory of evicted connections whose goroutines have not ended
-	pace      pace
+	pace      pace  // of evictions for new connections
+	growPace  pace  // of evictions for heads, so that these leave others to new connections
 	listeners []*Listener
 
 	refused  atomic.Int64
@@ -48,7 +49,7 @@
 	if count == nil {
 		count = func(string, string) {}
 	}
-	return &Gate{limits: limits, count: count, log: log, pace: newPace(limits.Cores)}
+	return &Gate{limits: limits, count: count, log: log, pace: newPace(limits.Cores), growPace: newPace(limits.Cores)}
 }
 
 // Bytes returns the memory in bytes that connections and heads are charged for.
@@ -103,14 +104,14 @@
 		g.closeAll(victims)
 	}()
 	if c.l.open >= c.l.limit {
-		v := g.evict([]*Listener{c.l}, nil, now)
+		v := g.evict([]*Listener{c.l}, nil, &g.pace, now)
 		if v == nil {
 			return false, g.pace.interval()
 		}
 		victims = append(victims, v)
 	}
-	for g.open >= g.limits.Conns || !g.fits(connCost) {
-		v := g.evict(g.listeners, nil, now)
+	for g.open >= g.limits.Conns || !g.fits(connCost, g.limits.Memory) {
+		v := g.evict(g.listeners, nil, &g.pace, now)
 		if v == nil {
 			return false, g.pace.interval()
 		}
@@ -156,10 +157,11 @@
 	if c.evicted {
 		return false, false
 	}
-	for !g.fits(n - c.held) {
-		v := g.evict(g.listeners, c, now)
+	limit := int64(growShare * float64(g.limits.Memory))
+	for !g.fits(n-c.held, limit) {
+		v := g.evict(g.listeners, c, &g.growPace, now)
 		if v == nil {
-			return false, n <= g.limits.Memory
+			return false, n <= limit
 		}
 		victims = append(victims, v)
 	}
@@ -172,16 +174,16 @@
 	return true, false
 }
 
-// fits reports whether n more bytes fit into the memory. The caller holds g.mu.
-func (g *Gate) fits(n int64) bool {
+// fits reports whether n more bytes fit into limit. The caller holds g.mu.
+func (g *Gate) fits(n, limit int64) bool {
 	used := g.used.Load() + n
-	return used-g.ending <= g.limits.Memory && used <= g.limits.Memory+int64(endingShare*float64(g.limits.Memory))
+	return used-g.ending <= limit && used <= limit+int64(endingShare*float64(g.limits.Memory))
 }
 
 // evict chooses the connection of the listeners that has held most for longest without a
 // complete request. It returns it for closeAll, or nil if there is none, if it is self, or
-// if too many were evicted lately. The caller holds g.mu.
-func (g *Gate) evict(ls []*Listener, self *Conn, now time.Time) *Conn {
+// if too many were evicted lately by p. The caller holds g.mu.
+func (g *Gate) evict(ls []*Listener, self *Conn, p *pace, now time.Time) *Conn {
 	var worst *Conn
 	most := 0.0
 	for _, l := range ls {
@@ -198,7 +200,7 @@
 	if self != nil && self.score(now) >= most {
 		return nil
 	}
-	if worst == nil || !g.pace.take(now) {
+	if worst == nil || !p.take(now) {
 		return nil
 	}
 	worst.list.remove(worst)
--- a/internal/edge/intake/gate_test.go
+++ b/internal/edge/intake/gate_test.go
@@ -99,7 +99,7 @@
 		return ic != nil
 	})
 	g.mu.Lock()
-	g.evict(g.listeners, nil, time.Now().Add(time.Minute))
+	g.evict(g.listeners, nil, &g.pace, time.Now().Add(time.Minute))
 	g.mu.Unlock() // the connection is evicted, but not closed yet
 	if a := c.Do(line.Get("/"), "id"); a.Err == nil || served.Load() != 1 {
 		t.Errorf("status %d, %d requests served", a.Status, served.Load())
--- a/internal/edge/intake/limit.go
+++ b/internal/edge/intake/limit.go
@@ -20,6 +20,9 @@
 	chargeStep = 4 << 10
 	// maxLines bounds the lines of a head. No head of 16 KiB can have as many.
 	maxLines = 4096
+	// growShare is the share of the memory that must suffice for a head to grow, so that
+	// there is room for new connections.
+	growShare = 0.75
 	// endingShare is the share of the limit that evicted connections may still hold
 	// beyond it, until their goroutines have ended.
 	endingShare = 0.25
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -10,6 +10,8 @@
 type Options struct {
 	// Name is the name of the address in the settings.
 	Name string
+	// Conns is the number of connections that the address may have; 0 means no limit.
+	Conns int
 	// Share is the share of all connections that the address may have; 0 means all.
 	Share float64
 	// Header is a line to add to the responses of refusals, with its end; it may be empty.
@@ -37,6 +39,9 @@
 	if o.Share > 0 {
 		limit = max(int(o.Share*float64(limit)), minConns)
 	}
+	if o.Conns > 0 {
+		limit = min(limit, o.Conns)
+	}
 	a := &Listener{Listener: l, gate: g, name: o.Name, header: o.Header, limit: limit}
 	g.mu.Lock()
 	defer g.mu.Unlock()
