Bound what connections of callers hold on all addresses of yuccalbd

Cause: http bounded the number of connections only, and up to 8192 bodies of 4 MiB; admin read heads of 1 MiB on any number of connections; peer kept connections that never spoke.

Ruled out: a default from the memory of the machine (hosts share machines).

Change: http, admin and peer go through edge/intake. Settings limits.memory (MB, 640 by default, so that 8192 connections fit) and limits.files (that of the operating system by default). Bodies take a twelfth of the memory. Heads at admin have 64 KiB at most. The server for other hosts marks connections as known after the TLS handshake, without TLS at the first call. limits.conns closes connections without a complete request instead of leaving new ones in the queue.

Conclusion: memory is bounded on all addresses of yuccalbd.

--- a/internal/adapt/meter/meter.go
+++ b/internal/adapt/meter/meter.go
@@ -37,8 +37,13 @@
 	Tokens *prometheus.CounterVec
 	// Interrupted counts requests that a forced exit interrupted.
 	Interrupted prometheus.Counter
+
+	intakeRefused *prometheus.CounterVec
 }
 
+// maxScrapes bounds the responses in progress of the page: each holds all metrics.
+const maxScrapes = 4
+
 // New returns a set of metrics with its own registry.
 func New() *Metrics {
 	m := &Metrics{
@@ -68,8 +73,11 @@
 			Name: "yuccalb_interrupted_requests_total", Help: "Requests cut off by a forced exit.",
 		}),
 	}
+	m.intakeRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccalb_intake_refused_total", Help: "Connections and requests refused before they were read, by address and reason.",
+	}, []string{"address", "reason"})
 	m.registry.MustRegister(
-		m.Requests, m.FirstByte, m.Attempts, m.Forwarded, m.ForwardedBytes,
+		m.intakeRefused, m.Requests, m.FirstByte, m.Attempts, m.Forwarded, m.ForwardedBytes,
 		m.Inflight, m.Tokens, m.Interrupted,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -86,6 +94,11 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
 }
 
+// IntakeRefused counts a connection or request that was refused before it was read.
+func (m *Metrics) IntakeRefused(address, reason string) {
+	m.intakeRefused.WithLabelValues(address, reason).Inc()
+}
+
 // CountRequest counts a finished request.
 func (m *Metrics) CountRequest(route, outcome string) {
 	m.Requests.WithLabelValues(route, outcome).Inc()
@@ -99,7 +112,7 @@
 
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry, MaxRequestsInFlight: maxScrapes})
 }
 
 // CountAttempt counts a dispatch to a backend server.
--- a/internal/adapt/peers/server.go
+++ b/internal/adapt/peers/server.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// known tells a listener that bounds connections that the other end is a host.
+func (c *serverConn) known() {
+	if nc, ok := c.nc.(interface{ Served() }); ok {
+		nc.Served()
+	}
+}
+
 // serve serves the calls of one connection.
 func (c *serverConn) serve(ctx context.Context) {
 	defer c.srv.wg.Done()
@@ -187,6 +194,7 @@
 			return
 		}
 		tr = tc
+		c.known()
 	}
 	opts := managerOptions()
 	opts.InactivityTimeout = c.srv.opts.IdleTimeout
@@ -205,6 +213,7 @@
 	}
 	c.calls++
 	s.mu.Unlock()
+	c.known()
 	defer func() {
 		s.mu.Lock()
 		c.calls--
--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/daemon/orders"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 )
 
 // Status is the state of a host and its view of peers, data centres and servers.
@@ -114,6 +115,8 @@
 	orderTimeout = 90 * time.Second
 	// maxOrderBytes bounds the body of an order request.
 	maxOrderBytes = 64 << 10
+	// maxHeader bounds the header of a request in bytes.
+	maxHeader = 64 << 10
 )
 
 // New returns a server. It does not listen until Serve is called.
@@ -128,9 +131,10 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	a.http = &http.Server{
-		Handler: mux, ReadTimeout: readTimeout, WriteTimeout: orderTimeout + readTimeout,
+		Handler: mux, MaxHeaderBytes: maxHeader, ReadTimeout: readTimeout, WriteTimeout: orderTimeout + readTimeout,
 		ErrorLog: zap.NewStdLog(log.Named("admin")),
 	}
+	intake.Attach(a.http)
 	return a
 }
 
--- a/internal/daemon/front/front.go
+++ b/internal/daemon/front/front.go
@@ -14,12 +14,12 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/yuccalb/yuccalb/internal/adapt/trace"
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/serve"
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 )
 
 // Config provides the configuration in force.
@@ -72,6 +72,8 @@
 	log      *zap.Logger
 	self     netip.AddrPort
 	limits   setup.Limits
+	gate     *intake.Gate
+	bodies   *intake.Bodies
 	http     *http.Server
 	requests requestTracker
 	leaving  atomic.Bool
@@ -89,13 +91,16 @@
 	// Self is the address of this host in the hops of a request.
 	Self   netip.AddrPort
 	Limits setup.Limits
+	// Gate and Bodies are the limits of the host for connections and bodies.
+	Gate   *intake.Gate
+	Bodies *intake.Bodies
 }
 
 // New returns a Front that does not accept connections until Serve is called.
 func New(o Options) *Front {
 	f := &Front{
 		cfg: o.Config, server: o.Server, fleet: o.Fleet, tickets: o.Tickets,
-		meter: o.Meter, tracer: o.Tracer, log: o.Log, self: o.Self, limits: o.Limits,
+		meter: o.Meter, tracer: o.Tracer, log: o.Log, self: o.Self, limits: o.Limits, gate: o.Gate, bodies: o.Bodies,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/hosts", f.hosts)
@@ -112,13 +117,14 @@
 		MaxHeaderBytes:    o.Limits.Header,
 		ErrorLog:          zap.NewStdLog(o.Log.Named("http")),
 	}
+	intake.Attach(f.http)
 	return f
 }
 
 // Serve accepts connections on ln until Close. At most Limits.Conns are open at a time;
-// further ones wait in the listen queue.
+// for further ones, those without a complete request are closed.
 func (f *Front) Serve(ln net.Listener) error {
-	err := f.http.Serve(netutil.LimitListener(ln, f.limits.Conns))
+	err := f.http.Serve(f.gate.Listen(ln, intake.Options{Name: "http", Conns: f.limits.Conns}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/daemon/front/front_test.go
+++ b/internal/daemon/front/front_test.go
@@ -22,6 +22,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/serve"
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 )
 
 // fakeConfig is a Config that a test can change.
@@ -89,6 +90,7 @@
 		Config: cfg, Server: server, Fleet: fleet, Tickets: noTickets{},
 		Meter: meter.New(), Tracer: tracer, Log: zap.NewNop(),
 		Limits: setup.Limits{Body: 64, Header: 1 << 10, Read: time.Second, Conns: 4},
+		Gate:   intake.New(intake.LimitsOf(1<<20, 100, 0), nil, zap.NewNop()), Bodies: intake.NewBodies(1 << 20),
 	}), cfg, fleet
 }
 
--- a/internal/daemon/front/routes.go
+++ b/internal/daemon/front/routes.go
@@ -1,10 +1,10 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -19,6 +19,7 @@
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/daemon/pause"
 	"github.com/yuccalb/yuccalb/internal/daemon/serve"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 )
 
 // maxIdempotencyKey bounds an Idempotency-Key, in bytes.
@@ -122,7 +123,9 @@
 	defer span.End()
 	out := &sink{w: w, rc: http.NewResponseController(w), id: c.ID, trail: func() []string { return tr.Steps }}
 
-	rej := f.prepare(w, r, c, resolve)
+	memory := f.bodies.Request()
+	defer memory.Release()
+	rej := f.prepare(w, r, c, &memory, resolve)
 	if rej == nil {
 		out.chatStream = c.Chat != nil && c.Chat.Stream
 		out.onFirstByte = func() { f.meter.ObserveFirstByte(c.Route.Name, time.Since(arrived)) }
@@ -138,7 +141,7 @@
 // prepare authenticates the caller, reads the body, resolves the route, authorizes the
 // request and sets its deadline. A request with a missing, unknown or revoked key is
 // rejected before its body is read, unless it has no key and may be for an open route.
-func (f *Front) prepare(w http.ResponseWriter, r *http.Request, c *serve.Call, resolve func(*model.Snapshot, *serve.Call) *model.Rejection) *model.Rejection {
+func (f *Front) prepare(w http.ResponseWriter, r *http.Request, c *serve.Call, memory *intake.Body, resolve func(*model.Snapshot, *serve.Call) *model.Rejection) *model.Rejection {
 	snap := f.cfg.Current()
 	caller, rej := f.authenticate(r, snap)
 	if rej != nil {
@@ -150,7 +153,7 @@
 	if len(c.IdempotencyKey) > maxIdempotencyKey {
 		return model.Reject(model.ReasonBadRequest, "Idempotency-Key is longer than %d bytes", maxIdempotencyKey)
 	}
-	if rej := f.readBody(w, r, c); rej != nil {
+	if rej := f.readBody(w, r, c, memory); rej != nil {
 		return rej
 	}
 	if rej := resolve(snap, c); rej != nil {
@@ -184,11 +187,30 @@
 	return false
 }
 
-// readBody reads the body, up to Limits.Body bytes and for at most Limits.Read.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request, c *serve.Call) *model.Rejection {
+// bodyRetryAfter is when a caller may retry for whose body there was no memory.
+const bodyRetryAfter = time.Second
+
+// readBody reads the body, up to Limits.Body bytes and for at most Limits.Read. A body that
+// stops is ended earlier if others need its memory.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, c *serve.Call, memory *intake.Body) *model.Rejection {
+	if r.Body == nil || r.ContentLength == 0 {
+		c.Body = []byte{}
+		return nil
+	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(f.limits.Read)) // not supported by recorders in tests
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.limits.Body))
+	overloaded := func() *model.Rejection {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return model.Reject(model.ReasonOverloaded, "no memory for the body").WithRetryAfter(bodyRetryAfter)
+	}
+	if !memory.Begin(f.limits.Conns/2, func() { _ = rc.SetReadDeadline(time.Now()) }) { // fails if the connection is closed
+		return overloaded()
+	}
+	var body bytes.Buffer
+	err := memory.Read(&body, http.MaxBytesReader(w, r.Body, f.limits.Body), f.limits.Body)
+	if memory.End() || errors.Is(err, intake.ErrNoMemory) {
+		return overloaded()
+	}
 	if err == nil {
 		// After an error the deadline is kept. The HTTP server reads the rest of
 		// the body before it sends the response and would otherwise block forever.
@@ -201,7 +223,7 @@
 	if err != nil {
 		return model.Reject(model.ReasonBadRequest, "the body did not arrive whole within %s", f.limits.Read)
 	}
-	c.Body = body
+	c.Body = body.Bytes()
 	return nil
 }
 
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -40,6 +40,7 @@
 	"github.com/yuccalb/yuccalb/internal/daemon/setup"
 	"github.com/yuccalb/yuccalb/internal/daemon/spend"
 	"github.com/yuccalb/yuccalb/internal/daemon/target"
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/wire/peerpb"
 )
 
@@ -87,6 +88,7 @@
 	peers    *peers.Server
 	front    *front.Front
 	admin    *admin.Admin
+	gate     *intake.Gate
 	config   *configuration
 	beats    *beats.Loop
 	claims   atomic.Pointer[spend.Claimer] // nil until the node has started
@@ -134,8 +136,11 @@
 	}
 	n.registerMetrics()
 	n.control.start()
+	n.serving.Go(n.reportIntake)
 	n.serving.Go(func() { n.logServeError(n.front.Serve(lns[1])) })
-	n.serving.Go(func() { n.logServeError(n.admin.Serve(lns[2])) })
+	n.serving.Go(func() {
+		n.logServeError(n.admin.Serve(n.gate.Listen(lns[2], intake.Options{Name: "admin", Share: adminShare})))
+	})
 	n.log.Info("started", zap.Stringer("peer", s.Peer), zap.Stringer("http", s.HTTP), zap.String("site", s.Site))
 	return n, nil
 }
@@ -194,12 +199,13 @@
 		Limiter: n.limits, Targets: n.targets, Engine: n.engine, Plain: n.plain,
 		Remote: streamOpener{n.client}, Once: n.once, Meter: n.metrics, Tracer: n.tracer,
 	})
+	n.gate = newGate(s.Limits, n.metrics, n.log)
 	n.front = front.New(front.Options{
 		Config: n.config, Server: n.server, Fleet: n.control, Tickets: n.once, Meter: n.metrics,
-		Tracer: n.tracer, Log: n.log, Self: s.Peer.AddrPort, Limits: s.Limits,
+		Tracer: n.tracer, Log: n.log, Self: s.Peer.AddrPort, Limits: s.Limits, Gate: n.gate, Bodies: intake.NewBodies(s.Limits.Memory << 20 / bodyPart),
 	})
 	n.admin = admin.New(n, n.metrics.Handler(), n.log)
-	n.peers, err = peers.Serve(&countedListener{ln, &n.traffic}, peers.Handler{
+	n.peers, err = peers.Serve(n.gate.Listen(&countedListener{ln, &n.traffic}, intake.Options{Name: "peer", Share: peerShare}), peers.Handler{
 		Beat: n.beats, Pull: n.config, Grant: n.limiter, Settle: n.limiter, Forward: forwardHandler{n.server},
 	}, peers.ServerOptions{TLS: creds})
 	if err != nil {
--- a/internal/daemon/node/status.go
+++ b/internal/daemon/node/status.go
@@ -77,6 +77,9 @@
 	n.metrics.Gauge("yuccalb_config_confirmed_seconds", "Time since the store confirmed the version.", func() float64 {
 		return n.config.ConfirmedAge().Seconds()
 	})
+	n.metrics.Gauge("yuccalb_intake_bytes", "Memory that connections and the heads of requests are charged for, in bytes.", func() float64 {
+		return float64(n.gate.Bytes())
+	})
 	n.metrics.Counter("yuccalb_peer_received_bytes_total", "Bytes received from other hosts.", func() float64 {
 		return float64(n.traffic.in.Load())
 	})
--- a/internal/daemon/setup/settings.go
+++ b/internal/daemon/setup/settings.go
@@ -95,6 +95,12 @@
 	Idle time.Duration `yaml:"idle"`
 	// Conns is the largest number of open connections; default 8192.
 	Conns int `yaml:"conns"`
+	// Memory is the memory of the host in MB, from which the limits of connections,
+	// request headers and bodies of all callers together are derived; default 640.
+	Memory int64 `yaml:"memory"`
+	// Files is the number of file descriptors of the process, from which the limit of
+	// connections is derived; 0 means that of the operating system.
+	Files int `yaml:"files"`
 }
 
 // Load reads and checks the settings file at path. Relative paths in the file are
@@ -151,6 +157,7 @@
 	setDefault(&s.Limits.Read, 30*time.Second)
 	setDefault(&s.Limits.Idle, 60*time.Second)
 	setDefault(&s.Limits.Conns, 8192)
+	setDefault(&s.Limits.Memory, 640)
 }
 
 // setDefault sets *p to value if it is zero.
@@ -214,6 +221,8 @@
 		{"limits.read", int64(s.Limits.Read)},
 		{"limits.idle", int64(s.Limits.Idle)},
 		{"limits.conns", int64(s.Limits.Conns)},
+		{"limits.memory", s.Limits.Memory},
+		{"limits.files", int64(s.Limits.Files)},
 	} {
 		if v.value < 0 {
 			invalid(v.field, v.value, "must not be negative")
