Let crowds of untrusted callers come in the soak

Change: a 17th fault opens 150 connections to a random address of a host for 2 s, each with a part of a request: short fields, a long field, silence, a body or chunks. The hosts of the soak have 128 MB and 400 files.

--- a/cmd/yuccalbe/intake_test.go
+++ b/cmd/yuccalbe/intake_test.go
@@ -34,6 +34,16 @@
 	crowdTime = 1500 * time.Millisecond
 )
 
+const (
+	// soakCrowd is the number of connections of a crowd in the soak, and soakCrowdTime how
+	// long it stays.
+	soakCrowd     = 150
+	soakCrowdTime = 2 * time.Second
+	// soakMemoryMB and soakFiles are the limits in the settings of the hosts of the soak.
+	soakMemoryMB = 128
+	soakFiles    = 400
+)
+
 // shortFields is a request whose header consists of short fields and has no end.
 var shortFields = "GET / HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + strings.Repeat("abc:\r\n", 62<<10/6)
 
@@ -169,3 +179,22 @@
 		return nil
 	})
 }
+
+// injectCrowd lets a crowd come to an address of a host for a time.
+func (s *soak) injectCrowd(host int) {
+	addresses, inputs := []string{"front", "lookup", "ready", "peer", "metrics"}, []string{"fields", "long field", "silence", "body", "chunks"}
+	text, _ := s.configs[host][addresses[s.rng.IntN(len(addresses))]].(string)
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		s.t.Errorf("address of host %d: %v", host, err)
+		return
+	}
+	input := crowdInputs[inputs[s.rng.IntN(len(inputs))]]()
+	input = strings.ReplaceAll(input, platform.HeaderAPIKey+": k\r\n", platform.HeaderAPIKey+": "+s.currentKey()+"\r\n")
+	c := crowd.Start(addr, soakCrowd, []byte(input), true)
+	s.crowds = append(s.crowds, c)
+	s.crashed.Go(func() {
+		time.Sleep(soakCrowdTime)
+		c.End()
+	})
+}
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/crowd"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
 	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
@@ -108,6 +109,7 @@
 	snapshot   *plattest.Copy
 	snapshotAt time.Time
 	restores   int
+	crowds     []*crowd.Crowd
 	// endless counts the responses without an end.
 	endless atomic.Int64
 
@@ -372,7 +374,7 @@
 	if s.snapshot == nil || s.rng.IntN(4) == 0 {
 		s.snapshot, s.snapshotAt = s.store.Copy(), time.Now()
 	}
-	switch s.rng.IntN(16) {
+	switch s.rng.IntN(17) {
 	case 0:
 		_ = h.Signal(syscall.SIGSTOP) // fails if the process has exited, here and below
 	case 1:
@@ -399,6 +401,8 @@
 		s.restoreStore()
 	case 15:
 		s.release(i)
+	case 16:
+		s.injectCrowd(host)
 	case 14:
 		s.injectCut(host)
 	case 10:
@@ -423,6 +427,9 @@
 // clearFaults ends all faults and registers all servers.
 func (s *soak) clearFaults() {
 	s.store.SetFault(nil)
+	for _, c := range s.crowds {
+		c.End()
+	}
 	for _, p := range s.proxies {
 		p.Set(proxy.Fault{})
 	}
@@ -441,6 +448,7 @@
 	m := map[string]any{
 		"host": fmt.Sprintf("host-%d-%s", i, s.name), "site": site, "region": site[:1], "sites": map[string]string{"a1": "a", "b1": "b"},
 		"store": s.storeProxies[i].Addr().String(), "front": front.String(), "first": true, "revoke": soakRevoke.String(), "grace": "6s", "retries": soakBurst, "ratio": soakRatio,
+		"memory": soakMemoryMB, "files": soakFiles,
 	}
 	for _, name := range []string{"ready", "lookup", "peer", "metrics"} {
 		m[name] = local.Addr(s.t).String()
