--- a/cmd/yuccalbe/intake_test.go
+++ b/cmd/yuccalbe/intake_test.go
@@ -65,6 +65,9 @@
 	"body": func() string {
 		return "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": body\r\n" + platform.HeaderAPIKey + ": k\r\nContent-Length: 4000000\r\n\r\n" + strings.Repeat("x", 900_000)
 	},
+	"rest": func() string {
+		return "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": rest\r\nContent-Length: 1000\r\n\r\n"
+	},
 	"chunks": func() string {
 		return "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": chunks\r\n" + platform.HeaderAPIKey + ": k\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 30_000) + "5;" + strings.Repeat("x", 3000)
 	},
@@ -82,7 +85,7 @@
 		addr   string
 		inputs []string
 	}{
-		{"front", []string{"fields", "distinct fields", "long field", "request line", "empty lines", "silence", "body", "chunks"}},
+		{"front", []string{"fields", "distinct fields", "long field", "request line", "empty lines", "silence", "body", "chunks", "rest"}},
 		{"lookup", []string{"distinct fields", "silence", "unread"}},
 		{"ready", []string{"distinct fields", "silence"}},
 		{"peer", []string{"distinct fields", "silence"}},
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -78,8 +78,11 @@
 	auxTimeout = 5 * time.Second
 )
 
-// Shares of all connections of callers that the addresses may have. Front may have all.
+// Shares of all connections that the addresses may have. Front leaves a part to other
+// hosts: a connection that one of them opens in vain may cost a request that must not run
+// twice.
 const (
+	frontShare   = 0.85
 	peerShare    = 0.75
 	lookupShare  = 0.25
 	readyShare   = 0.05
@@ -230,7 +233,7 @@
 	lookup := e.server(http.HandlerFunc(e.serveLookup))
 	e.aux = []*http.Server{ready, lookup}
 	addrs := []address{
-		{e.front, e.settings.Front, intake.Options{Name: "front"}},
+		{e.front, e.settings.Front, intake.Options{Name: "front", Share: frontShare}},
 		{e.peer, e.settings.Peer, intake.Options{Name: "peer", Share: peerShare, Header: relay.NotRunLine}},
 		{ready, e.settings.Ready, intake.Options{Name: "ready", Share: readyShare}},
 		{lookup, e.settings.Lookup, intake.Options{Name: "lookup", Share: lookupShare}},
--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -69,7 +69,7 @@
 // refuse writes the response to a head that is refused and reads on for a short time, so
 // that the response reaches the caller. It uses b as a buffer.
 func (c *Conn) refuse(reason string, b []byte) {
-	if !c.linger() {
+	if !c.linger(ackTime) {
 		return // evicted, and counted as such
 	}
 	c.l.gate.refuse(c.l, reason)
@@ -119,7 +119,7 @@
 	if !c.bounded.Load() {
 		_ = c.SetReadDeadline(time.Now().Add(restTimeout)) // fails if the connection is closed
 	}
-	c.linger()
+	c.linger(flushTime)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -149,23 +149,22 @@
 	if !ok {
 		return errNoSocket
 	}
-	c.linger()
+	c.linger(ackTime)
 	return tcp.CloseWrite()
 }
 
-// linger marks the response as complete. It returns false if the connection was evicted.
-// The charge stays, since net/http still holds the head.
-func (c *Conn) linger() bool {
+// linger marks the response as complete, so that the connection may be evicted after a
+// delay. It returns false if it was evicted. The charge stays, since net/http still holds
+// the head.
+func (c *Conn) linger(delay time.Duration) bool {
 	c.l.gate.mu.Lock()
 	defer c.l.gate.mu.Unlock()
 	if c.evicted || c.released {
 		return false
 	}
-	if c.list != &c.l.lingering {
-		c.list.remove(c)
-		c.since = time.Now()
-		c.l.lingering.push(c)
-	}
+	c.list.remove(c)
+	c.since = time.Now().Add(delay)
+	c.l.lingering.push(c)
 	return true
 }
 
--- a/internal/edge/intake/limit.go
+++ b/internal/edge/intake/limit.go
@@ -39,9 +39,15 @@
 	// minAge is how long a connection must have been without a complete request before
 	// it is evicted.
 	minAge = 50 * time.Millisecond
-	// idleWeight divides the score of a connection between two requests, since its
-	// caller has completed one.
-	idleWeight = 8
+	// idleWeight divides the score of a connection between two requests: its caller has
+	// completed one, and may use it again until its idle timeout, while silent ones are
+	// closed after a few seconds.
+	idleWeight = 100
+	// flushTime is the time for the end of a response to be written after its handler,
+	// and ackTime that for it to reach the caller, before the connection may be evicted:
+	// closing it earlier could lose the response of a request that has run.
+	flushTime = 2 * time.Second
+	ackTime   = 300 * time.Millisecond
 	// candidates is the number of connections of a list that are compared.
 	candidates = 8
 	// lingerTimeout and lingerBytes bound what is read after a refusal, so that its
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 )
@@ -107,8 +109,18 @@
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 		h.ServeHTTP(w, r)
-		if r.ContentLength != 0 {
+		if !bodyRead(r) {
 			c.awaitRest()
 		}
 	})
 }
+
+// bodyRead reports whether the body of a request is known to have been read to its end. It
+// does not block: an empty read of a body with a length waits for nothing.
+func bodyRead(r *http.Request) bool {
+	if r.ContentLength <= 0 {
+		return r.ContentLength == 0
+	}
+	_, err := r.Body.Read(nil)
+	return errors.Is(err, io.EOF)
+}
