Evict connections whose body was not read as soon as their response is out

Cause: a connection whose handler had not read the body was kept for 2 s. Beside 400 callers with chunked bodies that stop, the connections of refused ones filled the host, 55 a second were accepted, and an ordinary caller waited 5 s for a 503 (TestCrowd/front/chunks 17.1 and 19.0 s).

Ruled out: a shorter time for all, since the response of a request that has run may not be written yet.

Change: only connections whose body was not read to its end may be evicted after their handler: these requests have not run. For chunked bodies a reader around the body records its end.

--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -114,12 +114,13 @@
 func (c *Conn) Served() { c.begin() }
 
 // awaitRest bounds the wait of net/http for the rest of a body that the handler has not read,
-// and lets the connection be evicted meanwhile.
+// and lets the connection be evicted meanwhile. The request has not run, since bodies are
+// read before requests are sent to servers.
 func (c *Conn) awaitRest() {
 	if !c.bounded.Load() {
 		_ = c.SetReadDeadline(time.Now().Add(restTimeout)) // fails if the connection is closed
 	}
-	c.linger(flushTime)
+	c.linger(ackTime)
 }
 
 // SetReadDeadline implements net.Conn.
--- a/internal/edge/intake/limit.go
+++ b/internal/edge/intake/limit.go
@@ -43,11 +43,9 @@
 	// completed one, and may use it again until its idle timeout, while silent ones are
 	// closed after a few seconds.
 	idleWeight = 100
-	// flushTime is the time for the end of a response to be written after its handler,
-	// and ackTime that for it to reach the caller, before the connection may be evicted:
-	// closing it earlier could lose the response of a request that has run.
-	flushTime = 2 * time.Second
-	ackTime   = 300 * time.Millisecond
+	// ackTime is the time for the end of a response to reach the caller before the
+	// connection may be evicted.
+	ackTime = 300 * time.Millisecond
 	// candidates is the number of connections of a list that are compared.
 	candidates = 8
 	// lingerTimeout and lingerBytes bound what is read after a refusal, so that its
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 )
 
 // Options set up the listener of one address.
@@ -108,18 +109,41 @@
 		if !c.begin() {
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
+		var chunked *chunkedBody
+		if r.ContentLength < 0 {
+			chunked = &chunkedBody{ReadCloser: r.Body}
+			r.Body = chunked
+		}
 		h.ServeHTTP(w, r)
-		if !bodyRead(r) {
+		if !bodyRead(r, chunked) {
 			c.awaitRest()
 		}
 	})
 }
 
-// bodyRead reports whether the body of a request is known to have been read to its end. It
-// does not block: an empty read of a body with a length waits for nothing.
-func bodyRead(r *http.Request) bool {
-	if r.ContentLength <= 0 {
-		return r.ContentLength == 0
+// chunkedBody is the body of a request without a length. It records whether it was read to
+// its end, which can't be asked later without waiting for the next chunk.
+type chunkedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// bodyRead reports whether the body of a request was read to its end. It does not block: an
+// empty read of a body with a length waits for nothing.
+func bodyRead(r *http.Request, chunked *chunkedBody) bool {
+	switch {
+	case chunked != nil:
+		return chunked.ended.Load()
+	case r.ContentLength == 0:
+		return true
 	}
 	_, err := r.Body.Read(nil)
 	return errors.Is(err, io.EOF)
