Average what a host sends to other regions over two seconds

Cause: a host sends few plain requests to a region between two of its reports. One of them stood for 40 by the hosts of the region, so that requests were refused at home.

Change: the rate of the last 2 s, times the age of the report.

--- a/internal/edge/fleet/remote.go
+++ b/internal/edge/fleet/remote.go
@@ -48,7 +48,7 @@
 func (f *Fleet) RemoteRegions(service string) []RemoteRegion {
 	var regions []RemoteRegion
 	now := time.Now()
-	hosts := max(int(f.regionSize.Load()), 1)
+	hosts := float64(max(f.regionSize.Load(), 1))
 	for _, r := range f.reports.recent(now) {
 		sum := r.Services[service]
 		if sum.Servers == 0 {
@@ -58,10 +58,11 @@
 		if len(list) == 0 {
 			continue
 		}
-		n := f.sent.since(sentKey{r.Name, service}, r.created)
+		age := now.Sub(r.created)
+		n := f.sent.within(sentKey{r.Name, service}, age, now)
 		regions = append(regions, RemoteRegion{
 			Region: r.Name, Hosts: list, Summary: sum, parts: r.parts[service],
-			Requests: n.requests * hosts, Tokens: n.tokens * hosts, Age: now.Sub(r.created),
+			Requests: int(n.requests * hosts), Tokens: int(n.tokens * hosts), Age: age,
 		})
 	}
 	slices.SortFunc(regions, func(a, b RemoteRegion) int { return strings.Compare(a.Region, b.Region) })
@@ -78,10 +79,10 @@
 type sentKey struct{ region, service string }
 
 // amount is a number of requests and of the tokens that they need prefilled.
-type amount struct{ requests, tokens int }
+type amount struct{ requests, tokens float64 }
 
-// sentWindow is how long requests to remote regions are remembered: reports are older
-// only if the region is out of reach.
+// sentWindow is the time over which the requests to remote regions are averaged: a host sends
+// few of them between two reports, which say little of what the other hosts send.
 const sentWindow = 2 * time.Second
 
 // sentBin is the resolution of sentRequests.
@@ -115,19 +116,20 @@
 	}
 	last := &list[len(list)-1]
 	last.requests++
-	last.tokens += tokens
+	last.tokens += float64(tokens)
 	s.bins[k] = list
 }
 
-// since returns what was sent after a time.
-func (s *sentRequests) since(k sentKey, from time.Time) amount {
+// within returns what was sent on average within a time.
+func (s *sentRequests) within(k sentKey, d time.Duration, now time.Time) amount {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var sum amount
 	list := s.bins[k]
-	for i := len(list) - 1; i >= 0 && list[i].at.After(from); i-- {
+	for i := len(list) - 1; i >= 0 && now.Sub(list[i].at) <= sentWindow; i-- {
 		sum.requests += list[i].requests
 		sum.tokens += list[i].tokens
 	}
-	return sum
+	part := min(d.Seconds()/sentWindow.Seconds(), 1)
+	return amount{sum.requests * part, sum.tokens * part}
 }
