Take no response for complete that ended before its request was read

Cause: a response with neither a length nor chunks ends with its connection. If the server resets it while the request is still being written, the kernel reports the reset once, to the write if that comes first. The read then ends like an ordinary close, and the caller got the part as a complete response. The same holds for a reset after a close, and for a close while the server has not read the request. Package send looked at the result of the write only to decide whether to keep the connection.

Change: a response that ends with its connection is complete only if the write of its request has succeeded, no reset has arrived, and the server's kernel has acknowledged all of the request. Nothing waits: a write that the kernel has taken whole succeeds in spite of a deadline that has passed. Closing a response now waits for the concurrent write, which the close ends, so that the memory of the body is not released before. This also holds for failures: a refusal without a length, sent before the upload was read, becomes a broken response.

Conclusion: a close by a server whose kernel has acknowledged an upload that its process did not read can't be told from a complete response; it is passed on as one whose end is not known.

--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -104,6 +104,28 @@
 	c.refused = append(c.refused, id)
 }
 
+// checkAcknowledged returns errNotTaken if a reset has arrived, or if the kernel of the server has not
+// acknowledged all that was written. It returns nil if that can't be determined.
+func (c *conn) checkAcknowledged() error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return errNotTaken // it was closed
+	}
+	pending, unsent := 0, 0
+	err = raw.Control(func(fd uintptr) {
+		pending, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) // 0 if unknown
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)                     // 0 if unknown
+	})
+	if err != nil || pending != 0 || unsent > 0 {
+		return errNotTaken
+	}
+	return nil
+}
+
 // startIdle sets the time at which the connection expires.
 func (c *conn) startIdle(now time.Time) { c.expires = now.Add(c.idleTimeout - idleMargin) }
 
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 )
 
+// errNotTaken means that a response ended with its connection while the server had not received the
+// whole request.
+var errNotTaken = fmt.Errorf("response ended before its request was received: %w", io.ErrUnexpectedEOF)
+
 // Framing is how a response marks the end of its body.
 type Framing int
 
@@ -105,13 +110,42 @@
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body and, with
-// FramingClose, when the server closes the connection without a reset.
+// FramingClose, when the server closes the connection without a reset after it has
+// received the whole request.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if r.Framing == FramingClose {
+		if err := r.checkTaken(); err != nil {
+			return n, err
+		}
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// checkTaken returns an error unless the server has received the whole request. The end of the connection
+// does not show it: the kernel reports a reset once, to the concurrent write if that comes first, and
+// reads then end as after an ordinary close. The same holds for a reset after a close. The connection
+// can't be used afterwards.
+func (r *Response) checkTaken() error {
+	if r.writeErr != nil {
+		// A write of which the kernel has taken all bytes succeeds in spite of the deadline.
+		_ = r.conn.SetWriteDeadline(time.Unix(1, 0)) // a closed connection ends the write, too
+		if err := r.awaitWritten(); err != nil {
+			return errNotTaken
+		}
 	}
-	return n, err
+	return r.conn.checkAcknowledged()
+}
+
+// awaitWritten waits until the concurrent write has ended and returns its error.
+func (r *Response) awaitWritten() error {
+	err := <-r.writeErr
+	r.writeErr <- err // for later calls
+	return err
 }
 
 // Discard reads the rest of a short body, so that the connection can be reused. A body of
@@ -150,17 +184,16 @@
 	if r.writeErr == nil {
 		return true
 	}
-	select {
-	case err := <-r.writeErr:
-		return err == nil
-	default:
-		return false // the server responded before it had read the request
-	}
+	// Otherwise the server responded before it had read the request.
+	return len(r.writeErr) > 0 && r.awaitWritten() == nil
 }
 
-// closeConn closes the connection.
+// closeConn closes the connection and waits for the concurrent write, which the close ends.
 func (r *Response) closeConn() {
 	r.conn.head.release()
 	r.stop()
 	_ = r.conn.Close() // the response is not needed
+	if r.writeErr != nil {
+		_ = r.awaitWritten() // the response is not needed
+	}
 }
