Refuse responses whose status is none

Cause: package net/http takes any three digits as a status, also with a sign. Statuses below 200 counted as informational, 000, 099, +99 and 101 included, and the bytes that followed were read as the response; statuses from 600 to 999 reached callers. Status 1000 and an empty one were refused before.

Change: a status must be one from 100 to 599 other than 101, since requests ask for no other protocol. Everything else is a broken response: 502 for the caller unless the request may be repeated.

--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -42,6 +42,7 @@
 var (
 	errClosed = errors.New("client is closed")
 	errStray  = errors.New("response belongs to another request")
+	errStatus = errors.New("response has an invalid status")
 )
 
 // Request is one request to one server.
@@ -312,6 +313,11 @@
 	return b.Bytes(), nil
 }
 
+// validStatus reports whether a response to a request that asks for no other protocol may have a status.
+func validStatus(status int) bool {
+	return status >= 100 && status < 600 && status != http.StatusSwitchingProtocols
+}
+
 // readResponse reads the response to req. It skips informational responses and
 // those to other requests.
 func readResponse(cn *conn, req *Request) (*http.Response, error) {
@@ -321,6 +327,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if !validStatus(resp.StatusCode) {
+			return nil, fmt.Errorf("%w: %d", errStatus, resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue // informational
 		}
