Refuse transfer encodings that package net/http ignores

Cause: package net/http ignores Transfer-Encoding in HTTP/1.0, and where a space precedes the colon. The chunks then became part of the body, sizes included, or a Content-Length beside them cut the body.

Ruled out: chunks beside a length in HTTP/1.1 (the chunks count), other encodings before chunks (refused by net/http), missing last chunks.

Change: the bytes of the header are already counted line by line; the name of each line is compared as well. A response with the field that was not read in chunks is broken.

--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -67,7 +67,8 @@
 	return n, err
 }
 
-// readHead reads the status line and header of the response to req.
+// readHead reads the status line and header of the response to req. Package net/http ignores
+// Transfer-Encoding in HTTP/1.0 and before a space, so that chunks would become part of the body.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.head.begin()
 	buffered, _ := c.br.Peek(c.br.Buffered()) // can't fail
@@ -80,6 +81,9 @@
 	if err != nil && c.head.err != nil {
 		err = c.head.err // not that of the incomplete line
 	}
+	if err == nil && c.head.encoded && len(resp.TransferEncoding) == 0 {
+		return nil, errEncoding
+	}
 	return resp, err
 }
 
--- a/internal/edge/send/head.go
+++ b/internal/edge/send/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 )
 
@@ -21,9 +22,13 @@
 var (
 	errHeadTooLong   = fmt.Errorf("response header exceeds %d bytes", maxHead)
 	errTooManyLines  = fmt.Errorf("response header exceeds %d lines", maxLines)
+	errEncoding      = errors.New("response header has a transfer encoding that does not apply")
 	errManyLongHeads = errors.New("too many long response headers at the same time")
 )
 
+// encodingField is the name of the field that encodes the body.
+const encodingField = "Transfer-Encoding"
+
 // headLimit bounds the memory of the head that is read on a connection.
 type headLimit struct {
 	// long counts the long heads of the client.
@@ -34,23 +39,35 @@
 	// text is set if the current line is not empty, and ended after the empty line at
 	// the end of the head.
 	text, ended bool
+	// name is the start of the current line, and encoded is set once one has begun with encodingField.
+	name    []byte
+	encoded bool
 	// err is set once the head has exceeded a limit.
 	err error
 }
 
 // begin begins a head.
-func (h *headLimit) begin() { *h = headLimit{long: h.long, held: h.held} }
+func (h *headLimit) begin() {
+	name := h.name[:0]
+	if name == nil {
+		name = make([]byte, 0, len(encodingField)+1)
+	}
+	*h = headLimit{long: h.long, held: h.held, name: name}
+}
 
 // add counts bytes of the head, which may be followed by bytes of the body. It returns err.
 func (h *headLimit) add(b []byte) error {
 	for len(b) > 0 && !h.ended {
 		line, rest, whole := bytes.Cut(b, []byte{'\n'})
 		h.size += len(b) - len(rest)
+		h.name = append(h.name, line[:min(len(line), cap(h.name)-len(h.name))]...)
 		h.text = h.text || len(bytes.TrimSuffix(line, []byte{'\r'})) > 0
 		if whole {
 			h.lines++
 			h.ended = !h.text
 			h.text = false
+			h.encoded = h.encoded || h.encodes()
+			h.name = h.name[:0]
 		}
 		b = rest
 	}
@@ -65,6 +82,12 @@
 	return h.err
 }
 
+// encodes reports whether the current line is the field encodingField.
+func (h *headLimit) encodes() bool {
+	n := len(encodingField)
+	return len(h.name) > n && bytes.IndexByte([]byte(": \t"), h.name[n]) >= 0 && strings.EqualFold(string(h.name[:n]), encodingField)
+}
+
 // acquire counts the head as long and reports whether there may be one more.
 func (h *headLimit) acquire() bool {
 	if h.held {
