Wait 5 ms for a reset after a response that ends with its connection

Ruled out: a longer wait, since only a close and a reset that follow each other can be told from a close and an unrelated later one; other framings, whose end shows.

Change: responses that end with their connection look for a reset once more after 5 ms. Others are not delayed.

--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -12,6 +12,10 @@
 // whole request.
 var errNotTaken = fmt.Errorf("response ended before its request was received: %w", io.ErrUnexpectedEOF)
 
+// resetDelay is how long the end of a response that ends with its connection waits for a reset: a server
+// that closes a connection although it has not read the request may reset it right afterwards.
+const resetDelay = 5 * time.Millisecond
+
 // Framing is how a response marks the end of its body.
 type Framing int
 
@@ -138,6 +142,10 @@
 			return errNotTaken
 		}
 	}
+	if err := r.conn.checkAcknowledged(); err != nil {
+		return err
+	}
+	time.Sleep(resetDelay)
 	return r.conn.checkAcknowledged()
 }
 
