Send large bodies without a copy

Cause: package send copied each request into one buffer. The memory of bodies is limited to an eighth of the host's, and the copy was not charged: servers that read uploads slowly made a host hold twice that, and so did the hosts of other regions that forwarded them.

Ruled out: charging the copy, which halves what a host can serve; a small request is still written in one piece, as one segment.

Change: the header and a body of more than 16 KiB are written by one vectored write. Since the response waits for that write when it is closed, the memory is released only after it.

--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -290,10 +290,14 @@
 	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
 }
 
-// encode returns the wire format of a request.
-func encode(req *Request) ([]byte, error) {
+// encode returns the wire format of a request, in one piece up to maxInlineWrite. A longer body is not
+// copied: it may be as large as all that its host may hold for bodies.
+func encode(req *Request) (net.Buffers, error) {
 	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	copied := len(req.Body) <= maxInlineWrite
+	if copied {
+		b.Grow(512 + len(req.Body))
+	}
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
@@ -309,8 +313,11 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
+	if !copied {
+		return net.Buffers{b.Bytes(), req.Body}, nil
+	}
 	b.Write(req.Body)
-	return b.Bytes(), nil
+	return net.Buffers{b.Bytes()}, nil
 }
 
 // validStatus reports whether a response to a request that asks for no other protocol may have a status.
--- a/internal/edge/send/process.go
+++ b/internal/edge/send/process.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := cn.Write(question); err != nil {
+	if _, err := question.WriteTo(cn.Conn); err != nil {
 		return fmt.Errorf("ask: %w", err)
 	}
 	resp, err := cn.readHead(&http.Request{Method: http.MethodGet})
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -89,13 +89,13 @@
 	if err := r.conn.SetDeadline(req.Deadline); err != nil {
 		return &Error{Stage: StageConnect, Addr: req.Addr, Reused: r.conn.reused, Err: err}
 	}
-	if len(b) > maxInlineWrite {
+	if len(b) > 1 || len(b[0]) > maxInlineWrite {
 		r.writeErr = make(chan error, 1)
 		go func() {
-			_, err := r.conn.Write(b)
+			_, err := b.WriteTo(r.conn.Conn)
 			r.writeErr <- err
 		}()
-	} else if _, err := r.conn.Write(b); err != nil {
+	} else if _, err := r.conn.Write(b[0]); err != nil {
 		return &Error{Stage: StageWrite, Addr: req.Addr, Reused: r.conn.reused, Err: err}
 	}
 	resp, err := readResponse(r.conn, req)
