Bound the unsent bytes that the kernel holds for slow peers

Cause: the send buffer of a connection grows to 4 MB. A server that reads an upload slowly, or a caller that reads its response slowly, so made the host hold megabytes beside what is charged to its memory for bodies.

Ruled out: a fixed send buffer, which bounds the bytes on their way as well and so the throughput between regions (55 ms); the option on the listening socket, since accepted connections of Go's default listener (MPTCP) do not inherit it.

It bounds only what has not been sent; what is on its way is bounded by the peer's window, and is acknowledged once it is in the peer's buffer.

TestUnsentBytes asserts less than 1 MiB for both; it failed before on accepted ones, without the call.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -207,7 +207,9 @@
 // listen binds all addresses and serves them.
 func (e *Entry) listen(m *stats.Metrics) error {
 	e.front = e.server(e.callerConns.Handler(e.relay))
-	e.front.ConnContext = e.callerConns.ConnContext
+	e.front.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return e.callerConns.ConnContext(e.limitUnsent(ctx, c), c)
+	}
 	e.front.IdleTimeout = 0 // sweep closes idle connections, by the configuration in force
 	e.front.ConnState = e.callerConns.State
 	e.peer = e.server(http.HandlerFunc(e.servePeer))
@@ -245,8 +247,16 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests),
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests), ConnContext: e.limitUnsent,
+	}
+}
+
+// limitUnsent bounds the bytes that the kernel holds for an accepted connection.
+func (e *Entry) limitUnsent(ctx context.Context, c net.Conn) context.Context {
+	if err := send.LimitUnsent(c); err != nil {
+		e.log.Debug("unsent bytes of a connection not limited", zap.Error(err))
 	}
+	return ctx
 }
 
 // servePeer serves other hosts, which read the state of the store or forward requests.
--- a/internal/edge/send/memory_test.go
+++ b/internal/edge/send/memory_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime"
 	"testing"
+	"time"
+
+	"github.com/yuccalb/yuccalb/internal/fake/local"
 )
 
 // TestUploadNotCopied guards against an upload that takes twice its memory while its server reads it.
@@ -27,3 +31,33 @@
 		t.Errorf("%d bytes allocated for an upload of %d", n, size)
 	}
 }
+
+// TestUnsentBytes guards against megabytes that the kernel of a host holds, beside the body itself, for each
+// peer that does not read, on connections that it opens and on those that it accepts.
+func TestUnsentBytes(t *testing.T) {
+	l, err := net.Listen("tcp4", local.Addr(t).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	opened, err := NewDialer(DefaultDial).DialContext(context.Background(), "tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = opened.Close() }()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if err := LimitUnsent(accepted); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]net.Conn{"opened": opened, "accepted": accepted} {
+		_ = c.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // the peer never reads
+		n, err := c.Write(make([]byte, kernelBuffers))
+		if err == nil || n > 1<<20 {
+			t.Errorf("%s connection: %d bytes were taken, error %v", name, n, err)
+		}
+	}
+}
