Charge the buffers of responses to the memory for bodies

Cause: the first 8 KiB of the buffer of each stream, and the 8 KiB with which a response is passed on that is not held, were not counted. On a host of 144 MB with 3,075 files, which serves up to 1,076 requests at a time, callers that read slowly make that 8.6 MB beside the 18 MB for bodies.

Ruled out: refusing a response for lack of its first buffer, since it has run already. Buffers of net/http (4 KiB a connection) are bounded by the connections.

Change: these buffers are charged without a check; everything that grows is refused the earlier.

--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -184,3 +184,50 @@
 		})
 	}
 }
+
+// TestSlowPeersMemory guards against memory for callers that do not read their responses and for servers that do
+// not read their requests that is not counted, or that exceeds what a host may hold for bodies.
+func TestSlowPeersMemory(t *testing.T) {
+	const callers, size, buffer = 12, 1 << 20, 8 << 10
+	cl := newCluster(t)
+	settings := cl.settings("a1")
+	settings.Memory = 80
+	e := cl.start(settings)
+	cl.waitReady(e)
+	release := make(chan struct{})
+	s := origin.New(t, func(x *origin.Exchange) bool {
+		switch x.URL.Path {
+		case "/chat/events":
+			x.StartStream()
+		case "/chat/large":
+			x.StartUnframed("HTTP/1.1", "Content-Type: image/png", "Content-Length: 1000000000")
+		default:
+			<-release // reads nothing
+			return false
+		}
+		text := strings.Repeat("data: x\n\n", 1<<10)
+		for x.Chunk(text) {
+		}
+		return false
+	})
+	s.LeaveBody = true
+	cl.addServer("s1", "a1", s)
+	t.Cleanup(func() { close(release) }) // before the server waits for its script
+	limit := int64(bodyShare * float64(settings.Memory<<20))
+	begin := func(n int, call line.Call) {
+		for range n {
+			if _, err := io.WriteString(cl.dial(e), call.Bytes(nextID())); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	begin(callers, post("/chat/events", "1"))
+	cl.eventually("the buffers of streams are counted", func() bool { return e.relay.BodyBytes() >= callers*buffer })
+	begin(callers, post("/chat/large", "1"))
+	begin(callers/4, post("/chat/upload", strings.Repeat("x", size)))
+	cl.eventually("the uploads are counted", func() bool { return e.relay.BodyBytes() >= callers/4*size })
+	if n := e.relay.BodyBytes(); n > limit {
+		t.Errorf("%d bytes are held, %d allowed", n, limit)
+	}
+	cl.eventually("no memory is counted", func() bool { return e.relay.BodyBytes() == 0 })
+}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -158,7 +158,7 @@
 	q.keepAtStop()
 	_, err := q.w.Write(head.Bytes())
 	*head = bytes.Buffer{}
-	v.release()
+	v.hold(copyBuffer)
 	if err == nil {
 		_, err = io.CopyBuffer(writer{q.w}, resp, make([]byte, copyBuffer))
 	}
--- a/internal/edge/relay/reserve.go
+++ b/internal/edge/relay/reserve.go
@@ -57,6 +57,13 @@
 	return true
 }
 
+// hold sets the reservation to n bytes even if the limit does not permit them: a response that has been begun
+// can't do without its buffer. Other reservations are refused the earlier.
+func (v *reservation) hold(n int64) {
+	v.limit.used.Add(n - v.held)
+	v.held = n
+}
+
 // read appends the bytes of r up to its end to b, which must be empty at the first call.
 // It reserves memory before it reads, and twice as much each time it is full, since the
 // declared length of a body may be false. The error is errNoMemory, errTooLong if b
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -34,7 +34,8 @@
 func (q *request) stream(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
-	v := q.s.responseMemory() // for what exceeds copyBuffer
+	v := q.s.responseMemory()
+	v.hold(copyBuffer)
 	defer v.release()
 	var events stream.Scanner
 	whole := 0 // length of the events at the start of buf that are whole
@@ -46,7 +47,7 @@
 		}
 		if len(buf) == cap(buf) {
 			size := min(2*cap(buf), maxEvent)
-			if !v.reserve(int64(size - copyBuffer)) {
+			if !v.reserve(int64(size)) {
 				return q.classifyTruncation(errNoMemory, q.truncationResult())
 			}
 			buf = append(make([]byte, 0, size), buf...)
@@ -79,9 +80,9 @@
 				return retry.Done, pick.Aborted
 			}
 			rest := buf[whole:]
-			if buf = buf[:0]; len(rest) < copyBuffer && v.held > 0 {
+			if buf = buf[:0]; len(rest) < copyBuffer && v.held > copyBuffer {
 				buf = make([]byte, 0, copyBuffer)
-				v.release()
+				v.hold(copyBuffer)
 			}
 			buf = append(buf, rest...)
 			whole = 0
