Test bodiless responses and invalid statuses further

Cause: the checks of transfer encodings and of statuses could refuse correct responses without a body, and had no fuzz seeds.

Ruled out: HEAD, 204 and 304, with chunks, with neither length nor chunks, or while a large upload is still being written: they are complete. A transfer encoding with a space before the colon is refused.

Change: five rows of TestFaultyResponse; two seeds and a check of the status in FuzzReadResponse.

--- a/internal/edge/send/faulty_test.go
+++ b/internal/edge/send/faulty_test.go
@@ -92,6 +92,11 @@
 		"chunks in HTTP/1.0":                {"HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n", half, 0, false},
 		"chunks and length in HTTP/1.0":     {"HTTP/1.0 200 OK\r\n" + id + "transfer-encoding : chunked\r\nContent-Length: 4\r\n\r\n4\r\nsome\r\n", half, 0, false},
 		"chunks in HTTP/1.0, other case":    {"HTTP/1.0 200 OK\r\n" + id + "TRANSFER-encoding:chunked\r\n\r\n4\r\nsome\r\n", half, 0, false},
+		"HEAD, chunks":                      {ok + "Transfer-Encoding: chunked\r\n\r\n", reset, 0, true},
+		"HEAD, neither length nor chunks":   {ok + "\r\n", reset, 0, true},
+		"204, chunks":                       {"HTTP/1.1 204 X\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n", half, 0, true},
+		"304, large upload":                 {"HTTP/1.1 304 X\r\n" + id + "\r\n", reset, large, true},
+		"space before the colon":            {ok + "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n4\r\nsome\r\n", half, 0, false},
 		"status 000":                        {"HTTP/1.1 000 X\r\n" + id + "Content-Length: 2\r\n\r\nok", half, 0, false},
 		"status 000, then 200":              {"HTTP/1.1 000 X\r\n\r\n" + next, half, 0, false},
 		"status 099, then 200":              {"HTTP/1.1 099 X\r\n\r\n" + next, half, 0, false},
@@ -109,6 +114,9 @@
 			if c.upload > 0 {
 				req.Method, req.HasBody, req.Body = http.MethodPost, true, make([]byte, c.upload)
 			}
+			if strings.HasPrefix(name, "HEAD") {
+				req.Method = http.MethodHead
+			}
 			client := NewClient(DefaultDial)
 			resp, err := client.Do(context.Background(), req)
 			body := []byte(nil)
--- a/internal/edge/send/fuzz_test.go
+++ b/internal/edge/send/fuzz_test.go
@@ -19,7 +19,7 @@
 // Read reads from s.Reader.
 func (s bytesConn) Read(p []byte) (int, error) { return s.Reader.Read(p) }
 
-// FuzzReadResponse guards against accepting the response to another request, a
+// FuzzReadResponse guards against accepting the response to another request, an invalid status, a
 // body longer than the input, and a panic on malformed input.
 func FuzzReadResponse(f *testing.F) {
 	for _, s := range []string{
@@ -29,6 +29,8 @@
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
 		"HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\nuntil the end",
+		"HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 700 X\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
 		"no response\r\n\r\n",
 	} {
 		f.Add([]byte(s))
@@ -42,6 +44,9 @@
 		if got := resp.Header.Get(idHeader); got != "1" {
 			t.Errorf("the response to request %q was accepted", got)
 		}
+		if !validStatus(resp.StatusCode) || resp.StatusCode < http.StatusOK {
+			t.Errorf("status %d was accepted", resp.StatusCode)
+		}
 		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(b)) {
 			t.Errorf("a body of %d bytes from %d bytes", n, len(b))
 		}
