Bound the large bodies in flight to one server

Cause: a server crashes if the requests that it holds exceed its memory. If it reads slowly, a host sent it all that the host may hold for bodies, an eighth of its memory, and had none left for requests to other servers.

Ruled out: bytes per server in the state reports. They are small, but decide nothing while no server states its memory; docs/design/held.md says what was weighed. Waiting for room, since a large body at the head of the queue delays requests that may use the server.

Change: the bodies of 64 KiB and more that a host has in flight to one server are at most a quarter of its memory for bodies; one body is always permitted. At the bound the server is left out of the choice for that request, which goes to another server, to another region, or is refused as not run. The gauge yuccalb_server_body_bytes shows the server with the most.

--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -185,6 +186,52 @@
 	}
 }
 
+// TestLargeBodiesInFlight guards against a server that crashes, or uses up the memory of its hosts, because it gets
+// more large uploads than it reads, and against refusals while another server or a small request could be served.
+func TestLargeBodiesInFlight(t *testing.T) {
+	const size = 1 << 20
+	cl := newCluster(t)
+	settings := cl.settings("a1")
+	settings.Memory = 80 // two bodies of size may be in flight to one server
+	e := cl.start(settings)
+	cl.waitReady(e)
+	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	reply := func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "{}", "Content-Type: application/json") }
+	s := cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		if len(x.Body) == size {
+			<-release
+		}
+		return reply(x)
+	})
+	t.Cleanup(finish) // before the server waits for its scripts
+	large := post("/chat/x", strings.Repeat("x", size))
+	var conns []*line.Conn
+	for i := range 2 {
+		conns = append(conns, cl.dial(e))
+		if _, err := io.WriteString(conns[i], large.Bytes(nextID())); err != nil {
+			t.Fatal(err)
+		}
+		cl.eventually("the upload is at the server", func() bool { return len(s.Seen()) == i+1 })
+	}
+	if n := e.relay.MostInFlight(); n != 2*size {
+		t.Errorf("%d bytes are in flight to the server", n)
+	}
+	wantStatus(t, cl.do(e, large), http.StatusServiceUnavailable)
+	wantStatus(t, cl.do(e, post("/chat/x", "1")), http.StatusOK)
+	if n := len(s.Seen()); n != 3 {
+		t.Errorf("the server got %d requests, 3 were to be sent", n)
+	}
+	cl.server("s2", "a1", reply)
+	wantStatus(t, cl.do(e, large), http.StatusOK)
+	finish()
+	for _, conn := range conns {
+		wantStatus(t, conn.Receive(http.MethodPost), http.StatusOK)
+	}
+	cl.eventually("no bytes are in flight", func() bool { return e.relay.MostInFlight() == 0 })
+	wantStatus(t, cl.do(e, large), http.StatusOK)
+}
+
 // TestSlowPeersMemory guards against memory for callers that do not read their responses and for servers that do
 // not read their requests that is not counted, or that exceeds what a host may hold for bodies.
 func TestSlowPeersMemory(t *testing.T) {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -198,6 +198,7 @@
 	m.Gauge("yuccalb_caller_connections", "Open connections of callers.", func() float64 { return float64(e.callerConns.Open()) })
 	m.Gauge("yuccalb_inflight_requests", "Requests being served.", func() float64 { return float64(e.relay.Running()) })
 	m.Gauge("yuccalb_body_bytes", "Memory that bodies of requests and responses hold, in bytes.", func() float64 { return float64(e.relay.BodyBytes()) })
+	m.Gauge("yuccalb_server_body_bytes", "Large request bodies in flight to the server with the most, in bytes.", func() float64 { return float64(e.relay.MostInFlight()) })
 	m.Counter("yuccalb_store_restores_total", "Times that the store came back from a copy.", func() float64 { return float64(e.fleet.Restores()) })
 	m.Counter("yuccalb_connections_opened_total", "Connections opened to backend servers.", func() float64 { return float64(e.relay.Opened()) })
 	m.Counter("yuccalb_log_lines_dropped_total", "Log lines dropped because the buffer was full.", func() float64 { return float64(e.log.Dropped()) })
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -168,10 +168,13 @@
 		if q.cautious {
 			q.s.stats.CautiousSend(q.service)
 		}
+		var res retry.Result
+		var again bool
 		if local {
-			return q.sendLocal(choice), nil
+			res, again = q.sendLocal(choice)
+		} else {
+			res, again = q.sendPeer()
 		}
-		res, again := q.sendPeer()
 		if !again {
 			return res, nil
 		}
@@ -180,16 +183,24 @@
 	}
 }
 
-// sendLocal sends the request to a server of the local region.
-func (q *request) sendLocal(c pick.Choice) retry.Result {
+// sendLocal sends the request to a server of the local region. It returns true if large bodies have been
+// sent to that server since it was chosen, so that another one may be chosen.
+func (q *request) sendLocal(c pick.Choice) (res retry.Result, again bool) {
 	svc := q.chosenFrom
 	e, ok := svc.Table.Server(c.ID)
 	q.server = c.ID
 	q.dest = destination{addr: e.Addr}
 	if !ok {
 		svc.Table.Done(&c, pick.Aborted, time.Now())
-		return retry.NotRun
+		return retry.NotRun, false
+	}
+	size := int64(len(q.body))
+	if !q.s.flight.add(c.ID, size) {
+		svc.Table.Done(&c, pick.Aborted, time.Now())
+		return retry.NotRun, true
 	}
+	defer svc.Held.Wake()
+	defer q.s.flight.remove(c.ID, size)
 	if c.Limited {
 		q.s.stats.LimitedSend(q.service)
 	}
@@ -197,14 +208,13 @@
 	onFirstByte := func() { svc.Table.FirstByte(&q.choice, time.Now()) }
 	res, outcome := q.exchangeLocal(onFirstByte)
 	svc.Table.Done(&q.choice, q.serverOutcome(outcome), time.Now())
-	svc.Held.Wake()
 	q.recordCrash(svc, &q.choice, outcome)
 	// An error response does not exclude the server: it may be the only one.
 	if outcome != pick.Served && outcome != pick.Aborted && outcome != pick.Failed {
 		q.pick.Exclude = append(q.pick.Exclude, c.ID)
 	}
 	q.s.stats.Attempt(q.service, "local", outcomeName(outcome))
-	return res
+	return res, false
 }
 
 // sendPeer sends the request to a host of a remote region, or to another one of the local
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -46,6 +46,7 @@
 
 // chooseTarget is choose for q.target.
 func (q *request) chooseTarget(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
+	defer q.excludeFull()()
 	svc := q.s.fleet.Service(q.service)
 	var local admit.Estimate
 	usable := false
@@ -106,6 +107,9 @@
 	if q.reason == reasonProcess {
 		ref.reason = reasonProcess // the servers that are left may not get it either
 	}
+	if q.flightFull {
+		ref.reason = reasonInFlight
+	}
 	if svc == nil {
 		return ref
 	}
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -26,6 +26,7 @@
 	reasonBadRequest      = "bad request"
 	reasonBodyTooLarge    = "body too large"
 	reasonBodyMemory      = "no memory for bodies"
+	reasonInFlight        = "large bodies in flight to servers"
 	reasonBodyNotRead     = "body not read"
 	reasonOrgLimit        = "organisation over its limit"
 	reasonNoServer        = "no server"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -53,6 +53,7 @@
 	lengths          length.Estimator
 	clocks           peerClocks
 	bodyMemory       byteLimit
+	flight           *flight
 	checks           sync.WaitGroup // of checks whether servers have ended, of probes and of watchPath
 	hung             hung
 	ends             ends
@@ -79,7 +80,7 @@
 func New(opts Options) *Relay {
 	s := &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
-		stop: newStopper(), bodyMemory: byteLimit{max: opts.MaxBodyBytes},
+		stop: newStopper(), bodyMemory: byteLimit{max: opts.MaxBodyBytes}, flight: newFlight(int64(flightShare * float64(opts.MaxBodyBytes))),
 		servers: send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 	s.checks.Go(s.watchPath)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -134,6 +134,9 @@
 	// and unsent is set if a host has refused the attempt without asking a server.
 	lentBy string
 	unsent bool
+	// flightFull is set if servers were left out of the last choice because of the large bodies
+	// in flight to them.
+	flightFull bool
 	// refusalInputs are the values that led to a refusal, for its log line.
 	refusalInputs []zap.Field
 }
