Reset a response that its host breaks off and whose end is not marked

Cause: a response with neither a length nor chunks, also one to a caller of HTTP/1.0, ends with the caller's connection. If a write failed because the caller read too slowly, or if a planned stop reached its end, net/http closed that connection as after a complete response, and the kernel still delivered what it held. The reset by which such a response is broken off was sent only when the response of the server had failed.

Ruled out: responses with a length or chunks, whose end shows; responses between hosts, which always mark it.

Change: from the header of such a response until all of it is written and flushed, a close of the connection is a reset (SO_LINGER of 0), whoever closes it: net/http, the end of a stop, or the kernel when the process is killed. The connection is in the context of its requests for that.

Before, 6 of 6 cases of the new TestUnframedCutByHost looked complete to the caller (events and bodies, HTTP/1.0; the caller reads too slowly, the host stops); after, none, and the tests of streams and framing pass.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -209,7 +209,7 @@
 func (e *Entry) listen(m *stats.Metrics) error {
 	e.front = e.server(e.callerConns.Handler(e.relay))
 	e.front.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return e.callerConns.ConnContext(e.limitUnsent(ctx, c), c)
+		return e.callerConns.ConnContext(e.connContext(ctx, c), c)
 	}
 	e.front.IdleTimeout = 0 // sweep closes idle connections, by the configuration in force
 	e.front.ConnState = e.callerConns.State
@@ -248,16 +248,17 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests), ConnContext: e.limitUnsent,
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests), ConnContext: e.connContext,
 	}
 }
 
-// limitUnsent bounds the bytes that the kernel holds for an accepted connection.
-func (e *Entry) limitUnsent(ctx context.Context, c net.Conn) context.Context {
+// connContext bounds the bytes that the kernel holds for an accepted connection, and returns the context of its
+// requests.
+func (e *Entry) connContext(ctx context.Context, c net.Conn) context.Context {
 	if err := send.LimitUnsent(c); err != nil {
 		e.log.Debug("unsent bytes of a connection not limited", zap.Error(err))
 	}
-	return ctx
+	return relay.WithConn(ctx, c)
 }
 
 // servePeer serves other hosts, which read the state of the store or forward requests.
--- a/internal/edge/entry/framing_test.go
+++ b/internal/edge/entry/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -284,3 +285,53 @@
 		})
 	}
 }
+
+// TestUnframedCutByHost guards against a response that its host breaks off, because its caller has not read it in
+// time or the host stops, and that ends for its caller like a complete one.
+func TestUnframedCutByHost(t *testing.T) {
+	text := strings.Repeat(origin.Event(1), 1<<10)
+	for name, c := range map[string]struct {
+		call   line.Call
+		script origin.Script
+		stop   bool
+	}{
+		"events":               {post("/chat/x", "1"), func(x *origin.Exchange) bool { return x.StartUnframed("HTTP/1.1") }, false},
+		"body":                 {post("/order/x", "1"), func(x *origin.Exchange) bool { return x.StartUnframed("HTTP/1.1") }, false},
+		"events to HTTP/1.0":   {http10(post("/chat/x", "1")), func(x *origin.Exchange) bool { return x.StartStream() }, false},
+		"events, host stops":   {post("/chat/x", "1"), func(x *origin.Exchange) bool { return x.StartUnframed("HTTP/1.1") }, true},
+		"body, host stops":     {post("/order/x", "1"), func(x *origin.Exchange) bool { return x.StartUnframed("HTTP/1.1") }, true},
+		"HTTP/1.0, host stops": {http10(post("/chat/x", "1")), func(x *origin.Exchange) bool { return x.StartStream() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			e := cl.host("a1")
+			cl.server("s1", "a1", func(x *origin.Exchange) bool {
+				send := x.Send
+				if c.script(x); strings.Contains(name, "HTTP/1.0") {
+					send = x.Chunk
+				}
+				for send(text) {
+				}
+				return false
+			})
+			conn := cl.dial(e)
+			if _, err := io.WriteString(conn, c.call.With(platform.HeaderDeadline, "1500").Bytes(nextID())); err != nil {
+				t.Fatal(err)
+			}
+			br := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("response %+v, %v", resp, err)
+			}
+			if c.stop {
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel() // ends the grace time
+				_ = e.Close(ctx)
+			}
+			cl.eventually("the request has ended", func() bool { return e.relay.Running() == 0 })
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+				t.Errorf("the response looks complete: %d bytes", n)
+			}
+		})
+	}
+}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -118,7 +118,11 @@
 		length = resp.Length
 	}
 	q.writeHeader(resp, length)
-	if _, err := q.w.Write(body.Bytes()); err != nil {
+	_, err = q.w.Write(body.Bytes())
+	if err == nil {
+		err = q.endUnmarkedBody()
+	}
+	if err != nil {
 		q.s.log.Debug("response not written to caller", zap.String("id", q.id), zap.Error(err))
 	}
 	name := "served"
@@ -162,6 +166,9 @@
 	if err == nil {
 		_, err = io.CopyBuffer(writer{q.w}, resp, make([]byte, copyBuffer))
 	}
+	if err == nil {
+		err = q.endUnmarkedBody()
+	}
 	if err != nil {
 		return q.classifyTruncation(err, retry.Truncated)
 	}
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,9 +52,49 @@
 	default:
 		q.endsWithConn = !q.r.ProtoAtLeast(1, 1)
 	}
+	if q.endsWithConn {
+		q.resetOnClose(true)
+	}
 	q.w.WriteHeader(resp.Status)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// WithConn returns the context of the requests on a connection, for http.Server.ConnContext.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// resetOnClose sets whether a close of the caller's connection is a reset, whatever closes it: a write that
+// fails because the caller reads too slowly, the end of a planned stop, or the end of the process.
+func (q *request) resetOnClose(on bool) {
+	c, ok := q.r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	sec := -1 // the default
+	if on {
+		sec = 0
+	}
+	if err := c.SetLinger(sec); err != nil {
+		q.s.log.Debug("close of the connection not set", zap.String("id", q.id), zap.Error(err))
+	}
+}
+
+// endUnmarkedBody ends a response that ends with its connection, once all of it is written: from then on its
+// close is an ordinary one.
+func (q *request) endUnmarkedBody() error {
+	if !q.endsWithConn {
+		return nil
+	}
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		return err
+	}
+	q.resetOnClose(false)
+	return nil
+}
+
 // writeMargin is the time after the deadline, or after the beginning of a later response,
 // until which the caller must have read it.
 const writeMargin = 500 * time.Millisecond
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -148,6 +148,11 @@
 		q.reason = reasonEndUnknown
 		return retry.EndUnknown, pick.Served
 	}
+	if err := q.endUnmarkedBody(); err != nil {
+		q.reason = reasonDisconnected
+		q.finish("left", resp.Status)
+		return retry.Done, pick.Aborted
+	}
 	q.finish("served", resp.Status)
 	return retry.Done, pick.Served
 }
