--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -217,6 +217,7 @@
 	m.Gauge("yuccalb_intake_bytes", "Memory that connections of callers and the heads of their requests are charged for, in bytes.", func() float64 { return float64(e.gate.Bytes()) })
 	m.Gauge("yuccalb_inflight_requests", "Requests being served.", func() float64 { return float64(e.relay.Running()) })
 	m.Gauge("yuccalb_body_bytes", "Memory that bodies of requests and responses hold, in bytes.", func() float64 { return float64(e.relay.BodyBytes()) })
+	m.Gauge("yuccalb_server_body_bytes", "Large request bodies in flight to the server with the most, in bytes.", func() float64 { return float64(e.relay.MostInFlight()) })
 	m.Counter("yuccalb_store_restores_total", "Times that the store came back from a copy.", func() float64 { return float64(e.fleet.Restores()) })
 	m.Counter("yuccalb_connections_opened_total", "Connections opened to backend servers.", func() float64 { return float64(e.relay.Opened()) })
 	m.Counter("yuccalb_log_lines_dropped_total", "Log lines dropped because the buffer was full.", func() float64 { return float64(e.log.Dropped()) })
@@ -226,7 +227,9 @@
 // listen binds all addresses and serves them.
 func (e *Entry) listen(m *stats.Metrics) error {
 	e.front = e.server(e.callerConns.Handler(e.relay))
-	e.front.ConnContext = e.callerConns.ConnContext
+	e.front.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return e.callerConns.ConnContext(e.connContext(ctx, c), c)
+	}
 	e.front.IdleTimeout = 0 // sweep closes idle connections, by the configuration in force
 	e.front.ConnState = e.callerConns.State
 	e.peer = e.server(http.HandlerFunc(e.servePeer))
@@ -280,8 +283,17 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests),
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(e.log.Requests), ConnContext: e.connContext,
+	}
+}
+
+// connContext bounds the bytes that the kernel holds for an accepted connection, and returns the context of its
+// requests.
+func (e *Entry) connContext(ctx context.Context, c net.Conn) context.Context {
+	if err := send.LimitUnsent(c); err != nil {
+		e.log.Debug("unsent bytes of a connection not limited", zap.Error(err))
 	}
+	return relay.WithConn(ctx, c)
 }
 
 // servePeer serves other hosts, which read the state of the store or forward requests.
--- a/internal/edge/intake/body.go
+++ b/internal/edge/intake/body.go
@@ -115,6 +115,13 @@
 	return true
 }
 
+// Hold sets the memory to n bytes even if the limit does not permit them: a response that has
+// begun can't do without its buffer. Others are refused the earlier.
+func (v *Body) Hold(n int64) {
+	v.limit.used.Add(n - v.held)
+	v.held = n
+}
+
 // Read appends the bytes of r up to its end to b, which must be empty at the first call.
 // It reserves memory before it reads, and twice as much each time it is full, since the
 // declared length of a body may be false. The error is ErrNoMemory, ErrTooLong if b
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -27,6 +27,7 @@
 	reasonBodyTooLarge    = "body too large"
 	reasonBodyMemory      = "no memory for bodies"
 	reasonBodyEvicted     = "body too slow for its memory"
+	reasonInFlight        = "large bodies in flight to servers"
 	reasonBodyNotRead     = "body not read"
 	reasonOrgLimit        = "organisation over its limit"
 	reasonNoServer        = "no server"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -57,6 +57,7 @@
 	lengths          length.Estimator
 	clocks           peerClocks
 	bodies           *intake.Bodies
+	flight           *flight
 	checks           sync.WaitGroup // of checks whether servers have ended, of probes and of watchPath
 	hung             hung
 	ends             ends
@@ -83,7 +84,7 @@
 func New(opts Options) *Relay {
 	s := &Relay{
 		fleet: opts.Fleet, records: opts.Records, log: opts.Log, stats: opts.Stats, maxRunning: opts.MaxRunning, disableKeepAlive: opts.DisableKeepAlive,
-		stop: newStopper(), bodies: intake.NewBodies(opts.MaxBodyBytes),
+		stop: newStopper(), bodies: intake.NewBodies(opts.MaxBodyBytes), flight: newFlight(int64(flightShare * float64(opts.MaxBodyBytes))),
 		servers: send.NewDialClient(opts.Dial), peers: send.NewClient(2 * send.DefaultDial),
 	}
 	s.checks.Go(s.watchPath)
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -35,7 +35,8 @@
 func (q *request) stream(resp *send.Response, onFirstByte func()) (retry.Result, pick.Outcome) {
 	control := http.NewResponseController(q.w)
 	buf := make([]byte, 0, copyBuffer)
-	v := q.s.bodies.Response() // for what exceeds copyBuffer
+	v := q.s.bodies.Response()
+	v.Hold(copyBuffer)
 	defer v.Release()
 	var events stream.Scanner
 	whole := 0 // length of the events at the start of buf that are whole
@@ -47,7 +48,7 @@
 		}
 		if len(buf) == cap(buf) {
 			size := min(2*cap(buf), maxEvent)
-			if !v.Reserve(int64(size - copyBuffer)) {
+			if !v.Reserve(int64(size)) {
 				return q.classifyTruncation(intake.ErrNoMemory, q.truncationResult())
 			}
 			buf = append(make([]byte, 0, size), buf...)
@@ -80,9 +81,9 @@
 				return retry.Done, pick.Aborted
 			}
 			rest := buf[whole:]
-			if buf = buf[:0]; len(rest) < copyBuffer && v.Held() > 0 {
+			if buf = buf[:0]; len(rest) < copyBuffer && v.Held() > copyBuffer {
 				buf = make([]byte, 0, copyBuffer)
-				v.Release()
+				v.Hold(copyBuffer)
 			}
 			buf = append(buf, rest...)
 			whole = 0
@@ -148,6 +149,11 @@
 		q.reason = reasonEndUnknown
 		return retry.EndUnknown, pick.Served
 	}
+	if err := q.endUnmarkedBody(); err != nil {
+		q.reason = reasonDisconnected
+		q.finish("left", resp.Status)
+		return retry.Done, pick.Aborted
+	}
 	q.finish("served", resp.Status)
 	return retry.Done, pick.Served
 }
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -67,7 +67,8 @@
 	return n, err
 }
 
-// readHead reads the status line and header of the response to req.
+// readHead reads the status line and header of the response to req. Package net/http ignores
+// Transfer-Encoding in HTTP/1.0 and before a space, so that chunks would become part of the body.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.head.begin()
 	buffered, _ := c.br.Peek(c.br.Buffered()) // can't fail
@@ -80,6 +81,9 @@
 	if err != nil && c.head.err != nil {
 		err = c.head.err // not that of the incomplete line
 	}
+	if err == nil && c.head.encoded && len(resp.TransferEncoding) == 0 {
+		return nil, errEncoding
+	}
 	return resp, err
 }
 
@@ -104,6 +108,28 @@
 	c.refused = append(c.refused, id)
 }
 
+// checkAcknowledged returns errNotTaken if a reset has arrived, or if the kernel of the server has not
+// acknowledged all that was written. It returns nil if that can't be determined.
+func (c *conn) checkAcknowledged() error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return errNotTaken // it was closed
+	}
+	pending, unsent := 0, 0
+	err = raw.Control(func(fd uintptr) {
+		pending, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) // 0 if unknown
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)                     // 0 if unknown
+	})
+	if err != nil || pending != 0 || unsent > 0 {
+		return errNotTaken
+	}
+	return nil
+}
+
 // startIdle sets the time at which the connection expires.
 func (c *conn) startIdle(now time.Time) { c.expires = now.Add(c.idleTimeout - idleMargin) }
 
