Encode the content of notices

Cause: the fields of pick.Notice were embedded in gossip.Notice with the same numbers as the fields of the latter, so that CBOR left them out.

Change: the content is a field of its own.

--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -63,10 +63,10 @@
 
 // check returns an error if the notice holds values that no correct host sends.
 func (n *Notice) check() error {
-	l := n.Load
+	l := n.Notice.Load
 	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory), count("requests", l.Later), count("unread tokens", l.LaterUnread)}
-	if len(n.Parts) > 0 {
-		errs = append(errs, placements([]pick.Placement{{Server: n.Server, Parts: n.Parts}})...)
+	if len(n.Notice.Parts) > 0 {
+		errs = append(errs, placements([]pick.Placement{{Server: n.Notice.Server, Parts: n.Notice.Parts}})...)
 	}
 	return errors.Join(errs...)
 }
--- a/internal/edge/gossip/gossip_test.go
+++ b/internal/edge/gossip/gossip_test.go
@@ -129,4 +129,4 @@
 }
 
 // ReceiveNotice counts notices.
-func (s *fakeSource) ReceiveNotice(Notice) { s.notices.Add(1) }
+func (h *fakeSource) ReceiveNotice(Notice) { h.notices.Add(1) }
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -137,10 +137,10 @@
 
 // Notice announces a request that its host has sent to a server of a service.
 type Notice struct {
-	Host         string `cbor:"1,keyasint"`
-	ProcessStart int64  `cbor:"2,keyasint"`
-	Service      string `cbor:"3,keyasint"`
-	pick.Notice
+	Host         string      `cbor:"1,keyasint"`
+	ProcessStart int64       `cbor:"2,keyasint"`
+	Service      string      `cbor:"3,keyasint"`
+	Notice       pick.Notice `cbor:"4,keyasint"`
 }
 
 // Peer is the last state received from another host.
