Let engines alone hold requests that can wait

What stays: the kinds that let others pass, the priority at engines, their load apart, servers in time first for preferred requests.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -35,8 +35,6 @@
 	// shortest goal of requests to the same servers that are at least as urgent,
 	// 0 if unknown.
 	Goal, Remaining, ShortestGoal time.Duration
-	// Slack is for how long the request can let others pass, see rank.Kinds.
-	Slack time.Duration
 	// Prompt is the number of tokens of the prompt, and Shared the number of these
 	// in the prefix that other requests share.
 	Prompt, Shared int
@@ -123,8 +121,7 @@
 // Bound returns the expected time to the first byte beyond which a request is refused:
 // a longer queue would not serve more requests, but all of them late. Requests to the
 // same servers may wait equally long, as the shortest goal among them allows. Otherwise
-// those with longer goals would fill the queue so far that the others are refused. Servers
-// prefer the others to a request with a slack, which may therefore wait for that long. The
+// those with longer goals would fill the queue so far that the others are refused. The
 // prefill time of the request's own prompt is not counted against it, as large prompts
 // would never be served then.
 func (d *Demand) Bound() time.Duration {
@@ -135,8 +132,7 @@
 	if d.ShortestGoal > 0 {
 		goal = min(goal, d.ShortestGoal)
 	}
-	wait := max(time.Duration(maxWaitShare*float64(goal)), d.Slack)
-	return min(d.Remaining, wait+d.Pace.PrefillTime(d.Prompt))
+	return min(d.Remaining, time.Duration(maxWaitShare*float64(goal))+d.Pace.PrefillTime(d.Prompt))
 }
 
 // TooLate reports whether the first byte is expected later than Bound, and if so, after
--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -48,16 +48,11 @@
 	defer t.mu.Unlock()
 	var shortest Wait
 	found := false
-	spent := req.Deferrable && t.spent(now)
 	for _, s := range t.servers {
 		if t.leaving(s) || !req.allows(s) {
 			continue
 		}
-		w := t.wait(s, req.Extra, now)
-		if w.For == 0 && (spent || t.reserved(s, req)) && s.failures < failureThreshold {
-			w = Wait{For: t.roomWait(s, now), Full: true}
-		}
-		if w.For > 0 && (!found || w.For < shortest.For) {
+		if w := t.wait(s, req.Extra, now); w.For > 0 && (!found || w.For < shortest.For) {
 			shortest = w
 			found = true
 		}
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -40,7 +40,6 @@
 	reported map[string]time.Time
 	// lenders are the other hosts of the region that have reported their room.
 	lenders  map[string]*lender
-	deferred deferred
 	rng      *rand.Rand
 	arrivals arrivals
 }
@@ -151,7 +150,7 @@
 	if req.Via {
 		return true
 	}
-	if full, _ := t.full(s, req, now); full || t.reserved(s, req) {
+	if full, _ := t.full(s, req, now); full {
 		return false
 	}
 	a, limited := t.allowance(s, now)
@@ -164,9 +163,6 @@
 
 // candidates returns the servers that may get a request, with their costs.
 func (t *Table) candidates(req *Request, now time.Time) []candidate {
-	if req.Deferrable && !req.Via && t.spent(now) {
-		return nil
-	}
 	ranks := t.ranks(req.Prefix())
 	list := make([]candidate, 0, len(t.order))
 	for i, id := range t.order {
@@ -217,9 +213,6 @@
 	if t.limited(s, now) {
 		s.level--
 	}
-	if req.Deferrable {
-		t.recordDeferred(now)
-	}
 	if s.failures >= failureThreshold {
 		s.probing = true
 	}
--- a/internal/core/rank/kinds.go
+++ b/internal/core/rank/kinds.go
@@ -74,28 +74,18 @@
 	return shortest
 }
 
-// Slack returns for how long requests of a kind can let those of another kind pass, 0 if they
-// should not, see yields: half of what their goal leaves after that of the other kind. The rest
-// is for their own work and for errors of estimates.
-func (m *Kinds) Slack(k Kind, now time.Time) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expire(now)
-	own := m.seen[k]
-	if own == nil {
-		return 0
-	}
-	var slack time.Duration
-	for other, o := range m.seen {
-		if yields(k, own, other, o) {
-			slack = max(slack, (k.Goal-other.Goal)/2)
-		}
-	}
-	return slack
+// Deferrable reports whether requests of a kind let those of another kind pass. See yields.
+func (m *Kinds) Deferrable(k Kind, now time.Time) bool {
+	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return yields(k, own, other, o) })
 }
 
 // Preferred reports whether requests of another kind let those of this kind pass.
 func (m *Kinds) Preferred(k Kind, now time.Time) bool {
+	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return yields(other, o, k, own) })
+}
+
+// any reports whether a condition holds for a kind and one of the recent kinds.
+func (m *Kinds) any(k Kind, now time.Time, holds func(own *observed, other Kind, o *observed) bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
@@ -104,7 +94,7 @@
 		return false
 	}
 	for other, o := range m.seen {
-		if yields(other, o, k, own) {
+		if holds(own, other, o) {
 			return true
 		}
 	}
--- a/internal/core/rank/kinds_test.go
+++ b/internal/core/rank/kinds_test.go
@@ -28,36 +28,39 @@
 	}
 }
 
-// TestSlack guards against requests that let others pass although these are less urgent,
+// TestDeferrable guards against requests that let others pass although these are less urgent,
 // can wait as long or need less work, and against requests with a long goal that keep
 // urgent ones with a short goal waiting.
-func TestSlack(t *testing.T) {
+func TestDeferrable(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	long := Kind{Level: 0, Goal: time.Second}
 	tests := []struct {
 		name string
 		kind Kind
 		work int
-		want time.Duration
+		want bool
 	}{
-		{"longer goal, less urgent, less work", Kind{Level: 2, Goal: 3 * time.Second}, 400, time.Second},
-		{"as urgent", Kind{Level: 0, Goal: 3 * time.Second}, 400, time.Second},
-		{"goal leaves no room", Kind{Level: 2, Goal: 1500 * ms}, 400, 0},
-		{"more work", Kind{Level: 2, Goal: 3 * time.Second}, 20_000, 0},
-		{"more urgent by the route", Kind{Level: -1, Goal: 3 * time.Second}, 400, 0},
-		{"more urgent organisation", Kind{Priority: -1, Level: 2, Goal: 3 * time.Second}, 400, 0},
-		{"shorter goal", Kind{Level: 0, Goal: 800 * ms}, 400, 0},
+		{"longer goal, less urgent, less work", Kind{Level: 2, Goal: 3 * time.Second}, 400, true},
+		{"as urgent", Kind{Level: 0, Goal: 3 * time.Second}, 400, true},
+		{"goal leaves no room", Kind{Level: 2, Goal: 1500 * ms}, 400, false},
+		{"more work", Kind{Level: 2, Goal: 3 * time.Second}, 20_000, false},
+		{"more urgent by the route", Kind{Level: -1, Goal: 3 * time.Second}, 400, false},
+		{"more urgent organisation", Kind{Priority: -1, Level: 2, Goal: 3 * time.Second}, 400, false},
+		{"shorter goal", Kind{Level: 0, Goal: 800 * ms}, 400, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var kinds Kinds
 			kinds.Record(long, 17_000, now)
 			kinds.Record(tt.kind, tt.work, now)
-			if got := kinds.Slack(tt.kind, now); got != tt.want {
-				t.Errorf("slack %v, want %v", got, tt.want)
+			if got := kinds.Deferrable(tt.kind, now); got != tt.want {
+				t.Errorf("deferrable: %v, want %v", got, tt.want)
 			}
-			if got := kinds.Slack(tt.kind, now.Add(2*kindTTL)); got != 0 {
-				t.Errorf("slack %v without recent requests, want 0", got)
+			if got := kinds.Preferred(long, now); got != tt.want {
+				t.Errorf("the other kind is preferred: %v, want %v", got, tt.want)
+			}
+			if kinds.Deferrable(tt.kind, now.Add(2*kindTTL)) {
+				t.Error("deferrable without recent requests")
 			}
 		})
 	}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -125,8 +125,8 @@
 	Poison *poison.Detector
 	// Kinds are those of the recent requests to the service at this host.
 	Kinds rank.Kinds
-	// Held are the requests that wait for room: at servers with a refusal limit, and those
-	// that let others pass. A host has one such line for a service.
+	// Held are the requests that wait for room at servers with a refusal limit. A host has
+	// one such line for a service.
 	Held hold.Line
 }
 
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -124,9 +124,7 @@
 		case w.Full:
 			ref.reason = reasonNoRoom
 		}
-		// A deferrable request has waited for as long as it can let others pass. Before
-		// those that wait now have got their turn, it would be refused again.
-		ref.retryAfter = max(w.For, retryAfterBusy, q.slack)
+		ref.retryAfter = max(w.For, retryAfterBusy)
 	}
 	return ref
 }
@@ -141,7 +139,6 @@
 		d.Pace = svc.Table.Pace()
 		now := time.Now()
 		d.ShortestGoal = svc.Kinds.Shortest(q.priority(), now)
-		d.Slack = q.slack
 	}
 	return d
 }
@@ -156,8 +153,7 @@
 	q.classified = true
 	k := rank.Kind{Priority: q.priority(), Level: q.level(), Goal: q.route.Goal}
 	svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
-	q.slack = svc.Kinds.Slack(k, now)
-	q.pick.Deferrable = q.slack > 0
+	q.pick.Deferrable = svc.Kinds.Deferrable(k, now)
 	q.preferred = svc.Kinds.Preferred(k, now)
 }
 
@@ -188,7 +184,7 @@
 	if !late {
 		return nil
 	}
-	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Duration("slack", d.Slack), zap.Duration("own_expected", q.localExpected))
+	q.refusalInputs = append(q.refusalInputs, zap.Duration("bound", d.Bound()), zap.Duration("goal", d.Goal), zap.Duration("least_goal", d.ShortestGoal), zap.Bool("deferrable", q.pick.Deferrable), zap.Duration("own_expected", q.localExpected))
 	return &refusal{http.StatusServiceUnavailable, reasonTooLate, max(wait, retryAfterBusy)}
 }
 
@@ -200,7 +196,7 @@
 	var best destination
 	var estimate admit.Estimate
 	for _, r := range q.s.fleet.RemoteRegions(q.service) {
-		if !q.allows(r.Region) || !q.versionIn(r.Region) || q.keepOut(&r, d) {
+		if !q.allows(r.Region) || !q.versionIn(r.Region) || r.Limited && q.allows(q.s.fleet.LocalRegion()) {
 			continue
 		}
 		cached, wait := r.Cached(q.pick.Parts)
@@ -221,16 +217,6 @@
 	return best, estimate, best.addr.IsValid()
 }
 
-// keepOut reports whether the request should not be sent to a remote region because it hardly
-// has room for it.
-func (q *request) keepOut(r *fleet.RemoteRegion, d *admit.Demand) bool {
-	if !q.allows(q.s.fleet.LocalRegion()) {
-		return false // it has nowhere else to go
-	}
-	turns := r.Age.Seconds() / max(d.Pace.SlotTime, time.Millisecond).Seconds()
-	return r.Limited || q.pick.Deferrable && r.Reserved(r.Requests, turns)
-}
-
 // pickHost returns one of the hosts that this request was not sent to before. It
 // prefers those with an idle connection: opening one to a remote region takes as
 // long as the request itself.
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -59,11 +59,11 @@
 	return h
 }
 
-// urgency returns the priority at the server, which admits requests with a slack after
-// others of the same priority.
+// urgency returns the priority at the server, which admits deferrable requests after others
+// of the same priority.
 func (q *request) urgency() int {
 	p := q.priority()
-	if q.slack > 0 {
+	if q.pick.Deferrable {
 		p++
 	}
 	return min(max(p, 0), maxPriority)
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -21,8 +21,6 @@
 	// holdStep is the interval at which held requests look for room that no response
 	// of this host has made. From then on they also use room that other hosts leave.
 	holdStep = 20 * time.Millisecond
-	// deferredStep is that of requests that can let others pass.
-	deferredStep = 50 * time.Millisecond
 	// waitStep is the interval at which the others look whether their time has passed.
 	// The request before them wakes them when it leaves.
 	waitStep = 100 * time.Millisecond
@@ -46,7 +44,7 @@
 		}
 	}
 	claim := q.claim(svc, now)
-	place, ok := svc.Held.Join(q.mostHeld(svc), claim)
+	place, ok := svc.Held.Join(max(svc.Table.Room(), minHeld), claim)
 	if !ok {
 		c, local, ref := q.choose(now, remaining)
 		if ref != nil {
@@ -76,15 +74,6 @@
 	return c
 }
 
-// mostHeld returns how many requests may wait for the servers of the service.
-func (q *request) mostHeld(svc *fleet.Service) int {
-	n := svc.Table.Room()
-	if q.slack > 0 {
-		n = max(n, svc.Table.Backlog(q.slack))
-	}
-	return max(n, minHeld)
-}
-
 // awaitRoom chooses a server or a remote region once one has room, and returns the last
 // refusal if none has in time.
 func (q *request) awaitRoom(svc *fleet.Service, place *hold.Place) (pick.Choice, bool, *refusal) {
@@ -95,11 +84,7 @@
 		q.waited += d
 		q.s.stats.Waited(q.service, d)
 	}()
-	interval := holdStep
-	if q.slack > 0 {
-		interval = deferredStep
-	}
-	step := time.NewTimer(interval)
+	step := time.NewTimer(holdStep)
 	defer step.Stop()
 	for {
 		select {
@@ -109,7 +94,7 @@
 				step.Reset(waitStep)
 				continue // the requests before this one look first
 			}
-			step.Reset(interval)
+			step.Reset(holdStep)
 		case <-place.Lost():
 			return q.displaced(svc, place)
 		case <-q.ctx.Done():
@@ -167,9 +152,6 @@
 
 // holdTime returns for how long the request may wait for room.
 func (q *request) holdTime() time.Duration {
-	if q.slack > 0 {
-		return min(q.slack, q.remaining()/2)
-	}
 	d := min(holdTime, q.remaining()/timeShare)
 	if q.route.Goal > 0 {
 		d = min(d, q.route.Goal/goalShare)
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -136,9 +136,8 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
-	// slack is for how long the request can let others pass, and preferred is set if others
-	// let it pass, see rank.Kinds. Both are known once classified is set.
-	slack      time.Duration
+	// preferred is set if requests of another kind let this one pass. It is known, as is
+	// pick.Deferrable, once classified is set.
 	preferred  bool
 	classified bool
 	// heldSince is when the request began to wait for room, and holdUntil when it no longer
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -199,8 +199,7 @@
 	kind := rank.Kind{Priority: class.Priority, Level: class.Level, Goal: class.Goal}
 	h.kinds.Record(kind, req.Prompt, at)
 	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
-	d.Slack = h.kinds.Slack(kind, at)
-	if req.Deferrable = d.Slack > 0; req.Deferrable {
+	if req.Deferrable = h.kinds.Deferrable(kind, at); req.Deferrable {
 		r.Urgency++
 	}
 	if h.kinds.Preferred(kind, at) {
