Leave plain services out of the free slots of a region

Cause: plain services have a dozen slots in a region and 33 ms of work. The free slots of one moment say nothing of the second until the next report, but requests beyond them counted as waiting, and were refused at home.

Change: only engines report slots; plain services are estimated as before.

--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -445,8 +445,9 @@
 	// Limited is set if all usable servers have got what their limits allow, or have
 	// a refusal limit and no room.
 	Limited bool
-	// Free is the number of free batch slots of these servers, if they have any: Slots is
-	// the number of all, 0 if unknown.
+	// Free is the number of free batch slots of engines: Slots is the number of all. Both
+	// are 0 for plain services, whose few slots change hands too often for a report to tell
+	// how many will be free.
 	Free, Slots int
 }
 
@@ -464,7 +465,7 @@
 		sum.Servers++
 		sum.Limited = sum.Limited && (w.Limited || w.Full)
 		waits = append(waits, t.shortWait(s, now))
-		if slots := s.slots(&t.model); slots > 0 {
+		if slots := s.slots(&t.model); slots > 0 && t.model.Engine {
 			sum.Slots += slots
 			sum.Free += max(slots-s.total().Running, 0)
 		}
