Count evicted bodies until their reads end

Cause: in a run of all daemon tests at a load average of 25, TestCrowd/http/body of yuccalbd reached 178 MB of 160 (146 MB before). The memory of an evicted body was released at once, while its goroutine still had to wake up. In another run, TestChargeEnds found a charge that did not end: a connection that waited for room while the server closed was served after it.

Bodies of yuccalbd have a sixteenth of limits.memory (a twelfth before), as its garbage collector has no memory limit. Listener.Close closes a connection that waits.

--- a/internal/daemon/node/intake.go
+++ b/internal/daemon/node/intake.go
@@ -17,7 +17,7 @@
 	peerShare  = 0.5
 	adminShare = 0.05
 	// bodyPart is the part of the memory for bodies of requests: one in so many.
-	bodyPart = 12
+	bodyPart = 16
 	// defaultFiles is the number of file descriptors assumed if the operating system
 	// does not state it.
 	defaultFiles = 4096
--- a/internal/edge/intake/body.go
+++ b/internal/edge/intake/body.go
@@ -28,8 +28,10 @@
 
 // Bodies bounds the memory of a host for bodies. It is safe for concurrent use.
 type Bodies struct {
-	max     int64
-	used    atomic.Int64
+	max  int64
+	used atomic.Int64
+	// ending is the part of used that evicted bodies hold whose reads have not ended.
+	ending  atomic.Int64
 	readers Readers
 }
 
@@ -39,6 +41,19 @@
 // Bytes returns the memory in bytes that bodies hold.
 func (s *Bodies) Bytes() int64 { return s.used.Load() }
 
+// take takes n bytes if they fit into limit. Bodies that end may exceed it to a part.
+func (s *Bodies) take(n, limit int64) bool {
+	used := s.used.Add(n)
+	if used-s.ending.Load() <= limit && used <= s.most(limit) {
+		return true
+	}
+	s.used.Add(-n)
+	return false
+}
+
+// most returns what all bodies may hold with a limit, those that end included.
+func (s *Bodies) most(limit int64) int64 { return limit + int64(endingShare*float64(s.max)) }
+
 // Body is the memory that one body holds of Bodies.
 type Body struct {
 	limit *Bodies
@@ -67,7 +82,7 @@
 		if !ok {
 			return false
 		}
-		v.limit.used.Add(-freed)
+		v.limit.ending.Add(freed)
 	}
 	v.reader = readers.Begin(stop)
 	return true
@@ -81,7 +96,8 @@
 	evicted := v.reader.End()
 	v.reader = nil
 	if evicted {
-		v.held = 0 // was released by the body that evicted it
+		v.limit.ending.Add(-v.held)
+		v.Release()
 	}
 	return evicted
 }
@@ -96,16 +112,15 @@
 	if v.reader != nil && n > SmallBody {
 		limit = int64(largeShare * float64(limit))
 	}
-	for i := 0; v.limit.used.Add(more) > limit; i++ {
-		v.limit.used.Add(-more)
-		if v.reader == nil || i == maxEvictions {
+	for i := 0; !v.limit.take(more, limit); i++ {
+		if v.reader == nil || i == maxEvictions || v.limit.used.Load()+more > v.limit.most(limit) {
 			return false
 		}
 		freed, ok := v.limit.readers.EvictFor(v.reader, n)
 		if !ok {
 			return false
 		}
-		v.limit.used.Add(-freed)
+		v.limit.ending.Add(freed)
 	}
 	if v.reader != nil && !v.reader.Grow(n) {
 		v.limit.used.Add(-more)
--- a/internal/edge/intake/gate.go
+++ b/internal/edge/intake/gate.go
@@ -232,8 +232,8 @@
 func (g *Gate) release(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.released {
-		return
+	if c.released || c.held == 0 {
+		return // released before, or never admitted
 	}
 	c.released = true
 	c.list.remove(c)
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -28,6 +28,7 @@
 	name   string
 	header string
 	limit  int
+	closed atomic.Bool
 
 	// The gate's mutex guards the fields below. waiting holds connections that have sent
 	// no or a short part of a head, partial those that have sent more, idle those between
@@ -60,7 +61,12 @@
 			return nil, err
 		}
 		c := &Conn{Conn: nc, l: l}
-		if l.gate.admit(c) {
+		admitted := l.gate.admit(c)
+		if l.closed.Load() { // the server may not know a connection that it gets now
+			_ = c.Close() // nothing was read
+			return nil, net.ErrClosed
+		}
+		if admitted {
 			return c, nil
 		}
 		_ = c.SetLinger(0) // a reset is cheap, and the caller gets no response
@@ -68,6 +74,12 @@
 	}
 }
 
+// Close closes the listener. A connection that waits for room is closed as well.
+func (l *Listener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/internal/edge/intake/reader.go
+++ b/internal/edge/intake/reader.go
@@ -80,7 +80,7 @@
 }
 
 // EvictFor evicts another body for r, which needs memory to grow to n bytes. It returns the
-// memory that the evicted one held, and whether there was one.
+// memory that the evicted one holds until its read ends, and whether there was one.
 func (s *Readers) EvictFor(r *Reader, n int64) (int64, bool) {
 	stall := stallTime
 	if n > SmallBody {
@@ -96,8 +96,8 @@
 	return s.evict(stall, 1)
 }
 
-// EvictOne evicts a body to bound their number. It returns the memory that it held, and
-// whether there was one.
+// EvictOne evicts a body to bound their number. It returns the memory that it holds until
+// its read ends, and whether there was one.
 func (s *Readers) EvictOne() (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
