Mend what a reading of the whole change found

Cause: a newcomer's reading of the diff. Faults: a log line with two fields named level, one of them the severity; the priority logged twice; a caller on a reused connection that was evicted as if its head had been arriving since it became idle; requests kept waiting behind one that may not use the room that is free; no wake-up after a choice that is given back; a probe of unread bodies that sends 100 Continue after a refusal (by reading net/http); a limit of one connection that lets no body be read; memory of deferrable requests counted for others; equal costs counted as large; tokens sent to another region by the wrong estimate; refusals for bodies in flight left out of a counter.

Change: these, a header that nothing read (Yuccalb-Pause) removed, one delay between regions instead of two, and comments and names as proposed.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -16,8 +16,9 @@
 	// timelyShare is the part of a goal within which a response is to begin. The rest is
 	// a margin for errors of the estimate.
 	timelyShare = 0.8
-	// remoteDelay is added to the time to the first byte in a remote region.
-	remoteDelay = 120 * time.Millisecond
+	// RemoteDelay is the time that a request and its response take between regions: twice
+	// 55 ms, and a margin.
+	RemoteDelay = 120 * time.Millisecond
 	// remoteByteDelay is added to the score per byte of a body for a remote region,
 	// since links between regions have little bandwidth and traffic on them is
 	// expensive.
@@ -26,7 +27,12 @@
 
 // Estimate is the expected performance of a region: a score to compare regions, lower
 // being better, and the time to the first byte.
-type Estimate struct{ Score, First time.Duration }
+type Estimate struct {
+	Score, First time.Duration
+	// Cached is the number of shared tokens that the server is expected to have cached. It
+	// is known for remote regions only.
+	Cached int
+}
 
 // Demand describes a request to the decisions of this package.
 type Demand struct {
@@ -89,7 +95,7 @@
 // remoteEstimate returns the estimate for a server of a remote region, at which a short
 // request waits for a time and a number of shared tokens is cached.
 func (d *Demand) remoteEstimate(wait time.Duration, cached int) Estimate {
-	e := Estimate{First: wait + remoteDelay + d.Pace.PrefillTime(d.Prompt-cached)}
+	e := Estimate{Cached: cached, First: wait + RemoteDelay + d.Pace.PrefillTime(d.Prompt-cached)}
 	missed := d.Pace.PrefillTime(d.Shared - cached)
 	e.Score = e.First + time.Duration(d.Bytes)*remoteByteDelay + time.Duration((pick.MissWeight-1)*float64(missed))
 	return e
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -144,6 +144,7 @@
 	if c.deferrable {
 		l.Later = 1
 		l.LaterUnread = c.unread
+		l.LaterMemory = c.memory
 	}
 	return l
 }
@@ -162,6 +163,7 @@
 	l := Load{Running: -1, Memory: -c.memory}
 	if c.deferrable {
 		l.Later = -1
+		l.LaterMemory = -c.memory
 	}
 	return l
 }
@@ -201,10 +203,11 @@
 	// Running is the number of requests. Unread is the number of uncached prompt
 	// tokens of those whose response has not begun, Memory that of all tokens.
 	Running, Unread, Memory int
-	// Later and LaterUnread are the parts of Running and Unread that are deferrable, see
-	// Request.Deferrable. Earlier versions report none.
+	// Later, LaterUnread and LaterMemory are the parts of Running, Unread and Memory that
+	// are deferrable, see Request.Deferrable. Earlier versions report none.
 	Later       int `cbor:",omitempty"`
 	LaterUnread int `cbor:",omitempty"`
+	LaterMemory int `cbor:",omitempty"`
 }
 
 func (l *Load) add(o Load) {
@@ -213,6 +216,7 @@
 	l.Memory += o.Memory
 	l.Later += o.Later
 	l.LaterUnread += o.LaterUnread
+	l.LaterMemory += o.LaterMemory
 }
 
 // ahead returns the part of the load on a server with a number of batch slots that it serves
@@ -223,10 +227,13 @@
 		return l
 	}
 	unread := l.LaterUnread * waiting / l.Later
+	memory := l.LaterMemory * waiting / l.Later
 	l.Running -= waiting
 	l.Unread -= unread
+	l.Memory -= memory
 	l.Later -= waiting
 	l.LaterUnread -= unread
+	l.LaterMemory -= memory
 	return l
 }
 
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -400,7 +400,7 @@
 		if t.leaving(s) {
 			continue
 		}
-		wait := uint8(min(t.shortWait(s, now)/waitUnit, maxWaitUnits))
+		wait := uint8(min(t.shortWait(s, t.wait(s, true, now), now)/waitUnit, maxWaitUnits))
 		for key, e := range s.cache.entries {
 			if now.Sub(e.used) >= prefixTTL {
 				continue
@@ -425,9 +425,9 @@
 func WaitOf(units uint8) time.Duration { return time.Duration(units) * waitUnit }
 
 // shortWait returns the expected time to the first byte of a short request at a server, with
-// the time until a server with a limit accepts another request.
-func (t *Table) shortWait(s *server, now time.Time) time.Duration {
-	return t.wait(s, true, now).For + s.cost(s.total(), &Request{}, &t.model, 0, now).time
+// the time until it accepts another request.
+func (t *Table) shortWait(s *server, w Wait, now time.Time) time.Duration {
+	return w.For + s.cost(s.total(), &Request{}, &t.model, 0, now).time
 }
 
 // ShortKey returns the short form of a part's key that is used in reports.
@@ -464,7 +464,7 @@
 		w := t.wait(s, true, now)
 		sum.Servers++
 		sum.Limited = sum.Limited && (w.Limited || w.Full)
-		waits = append(waits, t.shortWait(s, now))
+		waits = append(waits, t.shortWait(s, w, now))
 		if slots := s.slots(&t.model); slots > 0 && t.model.Engine {
 			sum.Slots += slots
 			sum.Free += max(slots-s.total().Running, 0)
--- a/internal/core/rank/claim.go
+++ b/internal/core/rank/claim.go
@@ -1,4 +1,5 @@
-// Package rank orders requests that compete for the capacity of a service.
+// Package rank orders requests that compete for the capacity of a service, and records which
+// kinds of requests can be deferred in favour of others.
 package rank
 
 import (
--- a/internal/core/rank/kinds.go
+++ b/internal/core/rank/kinds.go
@@ -1,4 +1,3 @@
-// Package rank orders requests that compete for the servers of a service.
 package rank
 
 import (
@@ -74,14 +73,15 @@
 	return shortest
 }
 
-// Deferrable reports whether requests of a kind let those of another kind pass. See yields.
+// Deferrable reports whether requests of a kind can be deferred in favour of another recent
+// kind, see canDeferTo.
 func (m *Kinds) Deferrable(k Kind, now time.Time) bool {
-	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return yields(k, own, other, o) })
+	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return canDeferTo(k, own, other, o) })
 }
 
-// Preferred reports whether requests of another kind let those of this kind pass.
+// Preferred reports whether another recent kind can be deferred in favour of this one.
 func (m *Kinds) Preferred(k Kind, now time.Time) bool {
-	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return yields(other, o, k, own) })
+	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return canDeferTo(other, o, k, own) })
 }
 
 // any reports whether a condition holds for a kind and one of the recent kinds.
@@ -101,11 +101,11 @@
 	return false
 }
 
-// yields reports whether requests of kind k let those of kind p pass: these are at least as
-// urgent, also by their route, have at most half the goal and need as much work or more. The
-// goal of k then leaves room for a whole request of p, and an engine that prefers p discards
+// canDeferTo reports whether requests of kind k can be deferred in favour of kind p: p is at
+// least as urgent, also by its route, has at most half the goal, and needs as much work or more.
+// The goal of k then leaves time for a whole request of p, and an engine that prefers p discards
 // the smaller part of its work.
-func yields(k Kind, own *observed, p Kind, o *observed) bool {
+func canDeferTo(k Kind, own *observed, p Kind, o *observed) bool {
 	return p.Level <= k.Level && p.Priority <= k.Priority && 2*p.Goal <= k.Goal && o.work >= own.work
 }
 
--- a/internal/core/rank/kinds_test.go
+++ b/internal/core/rank/kinds_test.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// TestDeferrable guards against requests that let others pass although these are less urgent,
+// TestDeferrable guards against requests that are deferred in favour of others although these are less urgent,
 // can wait as long or need less work, and against requests with a long goal that keep
 // urgent ones with a short goal waiting.
 func TestDeferrable(t *testing.T) {
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -45,9 +45,12 @@
 	lapsedShare = 0.1
 	// maxRetryAfter bounds the retry time given to a refused caller.
 	maxRetryAfter = 10 * time.Second
-	// shortUntil is the level, as a fraction of the burst, from which an organisation no
+	// overLimitUntil is the level, as a fraction of the burst, from which an organisation no
 	// longer counts as over its limit.
-	shortUntil = 0.9
+	overLimitUntil = 0.9
+	// largeFactor is the cost, relative to the mean, above which a request counts as large.
+	// It exceeds 1 because the mean only approaches the cost of equal requests.
+	largeFactor = 1.05
 	// costWeight is the weight of the newest request in the mean cost of an
 	// organisation's requests.
 	costWeight = 0.05
@@ -102,33 +105,32 @@
 	reported float64
 	// meanCost is the moving average of the cost of the organisation's requests at this host.
 	meanCost float64
-	// short is set from a refusal until the bucket is nearly full again.
-	short bool
-	// turns counts the large requests that the level lets through: one is admitted for
-	// each whole turn.
-	turns float64
-	peers map[string]*usage
+	// overLimit is set from a refusal until the bucket is nearly full again.
+	overLimit bool
+	// largeCredit grows with each large request while overLimit is set; a whole unit
+	// admits one.
+	largeCredit float64
+	peers       map[string]*usage
 }
 
-// admits reports whether the bucket admits a request. Several hosts may admit a large
-// request before they hear of each other's. While the organisation is over its limit, those
-// of more than the mean cost are therefore admitted less often the lower the level is:
-// otherwise they would overdraw the bucket, and its small requests would be refused until it
-// has filled up again.
+// admits reports whether the bucket admits a request. While the organisation is over its limit,
+// a request of more than the mean cost is admitted with a frequency of the squared fill level:
+// hosts learn of each other's admissions late, and several large ones at once would overdraw the
+// bucket, so that small requests are refused until it has filled up.
 func (b *bucket) admits(cost float64) bool {
 	if b.level < min(cost, b.limit.Burst) {
-		b.short = true
+		b.overLimit = true
 		return false
 	}
-	if !b.short || cost <= b.meanCost {
+	if !b.overLimit || cost <= largeFactor*b.meanCost {
 		return true
 	}
 	x := b.level / b.limit.Burst
-	b.turns += x * x
-	if b.turns < 1 {
+	b.largeCredit += x * x
+	if b.largeCredit < 1 {
 		return false
 	}
-	b.turns = min(b.turns-1, 1)
+	b.largeCredit = min(b.largeCredit-1, 1)
 	return true
 }
 
@@ -168,8 +170,8 @@
 
 // Take admits a request of an organisation if its bucket holds enough tokens,
 // and withdraws cost from it. Requests above the burst need a full bucket and
-// leave it below zero. Requests of more than the organisation's mean cost leave tokens
-// to the others. Without a rate, all requests are admitted.
+// leave it below zero. While the organisation is over its limit, requests of more than its mean
+// cost are admitted less often, see admits. Without a rate, all requests are admitted.
 func (l *Limiter) Take(org string, limit Limit, cost float64, now time.Time) Verdict {
 	if limit.Rate <= 0 {
 		return Verdict{Admitted: true}
@@ -278,7 +280,7 @@
 		b.level -= expected
 	}
 	b.level = min(b.level, b.limit.Burst)
-	b.short = b.short && b.level < shortUntil*b.limit.Burst
+	b.overLimit = b.overLimit && b.level < overLimitUntil*b.limit.Burst
 }
 
 // Merge records a report that was received at now, and replaces what was
--- a/internal/daemon/front/routes.go
+++ b/internal/daemon/front/routes.go
@@ -203,7 +203,7 @@
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		return model.Reject(model.ReasonOverloaded, "no memory for the body").WithRetryAfter(bodyRetryAfter)
 	}
-	if !memory.Begin(f.limits.Conns/2, func() { _ = rc.SetReadDeadline(time.Now()) }) { // fails if the connection is closed
+	if !memory.Begin(max(f.limits.Conns/2, 1), func() { _ = rc.SetReadDeadline(time.Now()) }) { // fails if the connection is closed
 		return overloaded()
 	}
 	var body bytes.Buffer
--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -138,9 +138,8 @@
 	n.control.start()
 	n.serving.Go(n.reportIntake)
 	n.serving.Go(func() { n.logServeError(n.front.Serve(lns[1])) })
-	n.serving.Go(func() {
-		n.logServeError(n.admin.Serve(n.gate.Listen(lns[2], intake.Options{Name: "admin", Share: adminShare})))
-	})
+	admin := n.gate.Listen(lns[2], intake.Options{Name: "admin", Share: adminShare})
+	n.serving.Go(func() { n.logServeError(n.admin.Serve(admin)) })
 	n.log.Info("started", zap.Stringer("peer", s.Peer), zap.Stringer("http", s.HTTP), zap.String("site", s.Site))
 	return n, nil
 }
--- a/internal/edge/entry/waiting_test.go
+++ b/internal/edge/entry/waiting_test.go
@@ -104,7 +104,7 @@
 	})
 	close(stop)
 	callers.Wait()
-	for _, name := range []string{"id", "rank", "priority", "level", "work", "waited", "position", "waiting", "slack", "by_rank", "by_level", "by_work"} {
+	for _, name := range []string{"id", "rank", "priority", "route_priority", "work", "waited", "position", "waiting", "slack", "by_rank", "by_route_priority", "by_work"} {
 		if _, ok := fields[name]; !ok {
 			t.Errorf("the line of the displaced request lacks %s: %v", name, fields)
 		}
--- a/internal/edge/events/events.go
+++ b/internal/edge/events/events.go
@@ -58,7 +58,7 @@
 
 // kept lists the fields that are printed although their value is zero: 0 is the most urgent
 // priority.
-var kept = []string{"rank", "priority", "level", "by_rank", "by_level"}
+var kept = []string{"rank", "priority", "route_priority", "by_rank", "by_route_priority"}
 
 // Line is a parsed log line.
 type Line struct {
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -30,7 +30,7 @@
 	}
 	for _, loads := range s.Loads {
 		for id, l := range loads {
-			errs = append(errs, count("load of "+id, l.Running), count("load of "+id, l.Unread), count("load of "+id, l.Memory), count("load of "+id, l.Later), count("load of "+id, l.LaterUnread))
+			errs = append(errs, count("load of "+id, l.Running), count("load of "+id, l.Unread), count("load of "+id, l.Memory), count("load of "+id, l.Later), count("load of "+id, l.LaterUnread), count("load of "+id, l.LaterMemory))
 		}
 	}
 	for _, list := range s.Placements {
@@ -64,7 +64,7 @@
 // check returns an error if the notice holds values that no correct host sends.
 func (n *Notice) check() error {
 	l := n.Notice.Load
-	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory), count("requests", l.Later), count("unread tokens", l.LaterUnread)}
+	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory), count("requests", l.Later), count("unread tokens", l.LaterUnread), count("tokens", l.LaterMemory)}
 	if len(n.Notice.Parts) > 0 {
 		errs = append(errs, placements([]pick.Placement{{Server: n.Notice.Server, Parts: n.Notice.Parts}})...)
 	}
--- a/internal/edge/hold/hold.go
+++ b/internal/edge/hold/hold.go
@@ -152,7 +152,8 @@
 // the place.
 func (p *Place) Lost() <-chan struct{} { return p.lost }
 
-// By returns the request that has taken the place. It may be called once Lost is closed.
+// By returns the claim of the request that has taken the place. It may be called once Lost is
+// closed.
 func (p *Place) By() rank.Claim { return p.by }
 
 // Claim returns the claim with which the request joined the line.
--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -14,8 +14,8 @@
 // errNoSocket is returned for operations that the connection below does not have.
 var errNoSocket = errors.New("not a TCP connection")
 
-// Conn is a connection of a caller. Until the handler of a request begins, the bytes that
-// arrive are counted as those of its head.
+// Conn is an accepted connection. Until the handler of a request begins or Served is called,
+// the bytes that arrive are counted as those of a head.
 type Conn struct {
 	net.Conn
 	l *Listener
--- a/internal/edge/intake/gate.go
+++ b/internal/edge/intake/gate.go
@@ -1,6 +1,6 @@
-// Package intake bounds what the connections of callers make a host hold, before and
-// while requests are read: one limit of memory and one of descriptors, which apply to all
-// its addresses together.
+// Package intake bounds the memory and the file descriptors that the connections of callers
+// make a host use, before and while requests are read. Gate bounds connections and request
+// heads over all addresses together, Bodies the bodies of requests and responses.
 package intake
 
 import (
@@ -167,6 +167,9 @@
 	}
 	g.used.Add(n - c.held)
 	if c.held == connCost {
+		if c.list == &c.l.idle {
+			c.since = now // the head has only begun to arrive
+		}
 		c.list.remove(c)
 		c.l.partial.push(c)
 	}
--- a/internal/edge/intake/limit.go
+++ b/internal/edge/intake/limit.go
@@ -18,13 +18,14 @@
 	freeHead = 4 << 10
 	// chargeStep is the unit in which memory beyond that is charged.
 	chargeStep = 4 << 10
-	// maxLines bounds the lines of a head. No head of 16 KiB can have as many.
+	// maxLines bounds the lines of a head. A head of 16 KiB, the usual limit of a
+	// configuration, has fewer if its lines end with CRLF and hold a field.
 	maxLines = 4096
 	// growShare is the share of the memory that must suffice for a head to grow, so that
 	// there is room for new connections.
 	growShare = 0.75
-	// endingShare is the share of the limit that evicted connections may still hold
-	// beyond it, until their goroutines have ended.
+	// endingShare is the share of a limit that evicted connections, or evicted bodies, may
+	// still hold beyond it until their goroutines have ended.
 	endingShare = 0.25
 	// evictRate is the number of connections per second and core that may be evicted
 	// for new ones, and evictBurst how many at once: callers who open connections again
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -86,8 +86,7 @@
 // Attach makes a server report the states of its requests. The server must serve a
 // Listener only. Attach must be called after the server's hooks and handler are set.
 func Attach(srv *http.Server) {
-	context := srv.ConnContext
-	srv.ConnContext = withConn(context)
+	srv.ConnContext = withConn(srv.ConnContext)
 	state := srv.ConnState
 	srv.ConnState = func(c net.Conn, s http.ConnState) {
 		if ic, ok := c.(*Conn); ok && s == http.StateIdle {
@@ -121,42 +120,29 @@
 		if !c.begin() {
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
-		var chunked *chunkedBody
-		if r.ContentLength < 0 {
-			chunked = &chunkedBody{ReadCloser: r.Body}
-			r.Body = chunked
+		var body *trackedBody
+		if r.ContentLength != 0 {
+			body = &trackedBody{ReadCloser: r.Body}
+			r.Body = body
 		}
 		h.ServeHTTP(w, r)
-		if !bodyRead(r, chunked) {
+		if body != nil && !body.ended.Load() {
 			c.awaitRest()
 		}
 	})
 }
 
-// chunkedBody is the body of a request without a length. It records whether it was read to
-// its end, which can't be asked later without waiting for the next chunk.
-type chunkedBody struct {
+// trackedBody records whether the body of a request was read to its end. Asking the body
+// itself later could wait for a chunk, or send 100 Continue.
+type trackedBody struct {
 	io.ReadCloser
 	ended atomic.Bool
 }
 
-func (b *chunkedBody) Read(p []byte) (int, error) {
+func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
 	}
 	return n, err
 }
-
-// bodyRead reports whether the body of a request was read to its end. It does not block: an
-// empty read of a body with a length waits for nothing.
-func bodyRead(r *http.Request, chunked *chunkedBody) bool {
-	switch {
-	case chunked != nil:
-		return chunked.ended.Load()
-	case r.ContentLength == 0:
-		return true
-	}
-	_, err := r.Body.Read(nil)
-	return errors.Is(err, io.EOF)
-}
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -187,6 +187,7 @@
 // sent to that server since it was chosen, so that another one may be chosen.
 func (q *request) sendLocal(c pick.Choice) (res retry.Result, again bool) {
 	svc := q.chosenFrom
+	defer svc.Held.Wake()
 	e, ok := svc.Table.Server(c.ID)
 	q.server = c.ID
 	q.dest = destination{addr: e.Addr}
@@ -199,7 +200,6 @@
 		svc.Table.Done(&c, pick.Aborted, time.Now())
 		return retry.NotRun, true
 	}
-	defer svc.Held.Wake()
 	defer q.s.flight.remove(c.ID, size)
 	if c.Limited {
 		q.s.stats.LimitedSend(q.service)
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -157,22 +157,19 @@
 	q.preferred = svc.Kinds.Preferred(k, now)
 }
 
-// within returns the time within which the response to a request that others let pass is to
-// begin to be on time, 0 for all other requests.
+// within returns the time within which the response to a preferred request is to begin to be on
+// time, 0 for all other requests.
 func (q *request) within(now time.Time) time.Duration {
 	if !q.preferred {
 		return 0
 	}
 	elapsed := now.Sub(q.arrived)
 	if q.forwarded {
-		elapsed += forwardDelay
+		elapsed += admit.RemoteDelay
 	}
 	return admit.Within(q.route.Goal, elapsed)
 }
 
-// forwardDelay is the time that a forwarded request and its response take between regions.
-const forwardDelay = 120 * time.Millisecond
-
 // checkLate returns a refusal if the first byte is expected too late.
 func (q *request) checkLate(d *admit.Demand, first time.Duration) *refusal {
 	q.expected = first
@@ -208,7 +205,7 @@
 		if !ok {
 			continue
 		}
-		best = destination{region: r.Region, addr: addr, unread: max(q.pick.Prompt-cached, 0)}
+		best = destination{region: r.Region, addr: addr, unread: max(q.pick.Prompt-e.Cached, 0)}
 		if r.Limited {
 			best.limitWait = r.Wait
 		}
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -19,7 +19,7 @@
 }
 
 // peerHeaders are the headers that only hosts send, to one another.
-var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerUntil, headerClock, headerPriority, headerLevel, headerPause, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
+var peerHeaders = []string{headerRoute, headerService, headerOrg, headerTimeout, headerUntil, headerClock, headerPriority, headerLevel, headerGoal, headerOutcome, headerFraming, headerProbe, headerRecorded, headerVersion, headerUnsent, headerNoPath}
 
 // endToEnd returns a copy of h without the hop-by-hop headers and those that
 // Connection names.
@@ -98,9 +98,6 @@
 	h[headerPriority] = []string{strconv.Itoa(q.priority())}
 	h[headerLevel] = []string{strconv.Itoa(q.level())}
 	h[headerOrg] = []string{q.organisation()}
-	if q.route.Pause > 0 {
-		h[headerPause] = []string{formatMillis(q.route.Pause)}
-	}
 	if q.route.Goal > 0 {
 		h[headerGoal] = []string{formatMillis(q.route.Goal)}
 	}
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -125,7 +125,7 @@
 	claim, by := place.Claim(), place.By()
 	now := time.Now()
 	q.logTurn("waiting request displaced", svc, &claim, place.Position(),
-		zap.Int("by_rank", by.Rank(now)), zap.Int("by_level", by.Level), zap.Duration("by_work", by.Work))
+		zap.Int("by_rank", by.Rank(now)), zap.Int("by_route_priority", by.Level), zap.Duration("by_work", by.Work))
 	return q.choose(now, q.deadline.Sub(now))
 }
 
@@ -137,7 +137,7 @@
 	}
 	now := time.Now()
 	fields := append(more, zap.String("id", q.id), zap.String("service", q.service),
-		zap.Int("rank", c.Rank(now)), zap.Int("priority", c.Priority), zap.Int("level", c.Level), zap.Duration("work", c.Work),
+		zap.Int("rank", c.Rank(now)), zap.Int("priority", c.Priority), zap.Int("route_priority", c.Level), zap.Duration("work", c.Work),
 		zap.Duration("waited", now.Sub(c.Since)), zap.Int("position", position), zap.Any("waiting", svc.Held.Counts()))
 	if start := c.LatestStart(); !start.IsZero() {
 		fields = append(fields, zap.Duration("slack", start.Sub(now)))
@@ -147,7 +147,7 @@
 
 // restricted reports whether other requests may use room that this one may not use.
 func (q *request) restricted() bool {
-	return q.forwarded || q.pick.Pinned || len(q.pick.Exclude) > 0 || q.target != &q.pick
+	return q.forwarded || q.pick.Pinned || len(q.pick.Exclude) > 0 || q.flightFull || q.target != &q.pick
 }
 
 // holdTime returns for how long the request may wait for room.
--- a/internal/edge/relay/peer.go
+++ b/internal/edge/relay/peer.go
@@ -79,11 +79,6 @@
 			return fmt.Errorf("header %s: %q is not a number of milliseconds", headerGoal, goal)
 		}
 	}
-	if pause := h.Get(headerPause); pause != "" {
-		if q.route.Pause, ok = platform.ParseMillis(pause); !ok {
-			return fmt.Errorf("header %s: %q is not a number of milliseconds", headerPause, pause)
-		}
-	}
 	for _, flag := range strings.Fields(h.Get(headerRoute)) {
 		switch flag {
 		case flagIdempotent:
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -75,6 +75,7 @@
 	turnedLate      = "late"       // the response would begin too late
 	turnedLimit     = "limit"      // servers state a limit or a pause
 	turnedServer    = "server"     // servers refused it
+	turnedInFlight  = "in flight"  // large bodies in flight to servers
 )
 
 // turnedReason returns the reason for which a refusal turns the request away for lack of
@@ -89,6 +90,8 @@
 		return turnedLimit
 	case reasonNotRun:
 		return turnedServer
+	case reasonInFlight:
+		return turnedInFlight
 	}
 	return ""
 }
--- a/internal/edge/relay/request.go
+++ b/internal/edge/relay/request.go
@@ -36,7 +36,6 @@
 	headerClock    = "Yuccalb-Clock"    // on responses: the clock of the host
 	headerPriority = "Yuccalb-Urgency"  // the priority
 	headerLevel    = "Yuccalb-Level"    // the priority of the route alone
-	headerPause    = "Yuccalb-Pause"    // the route's longest pause between events in ms
 	headerGoal     = "Yuccalb-Goal"     // the route's latency target for the first byte in ms
 	headerProbe    = "Yuccalb-Probe"    // set if the request tests a suspected part of prompts
 	headerRecorded = "Yuccalb-Recorded" // the least number for a record of the stream's version, if not 0; on responses how many the host began
@@ -136,8 +135,8 @@
 	// request is sent.
 	chosenFrom    *fleet.Service
 	entriesReadAt time.Time // when the server list behind choice was read
-	// preferred is set if requests of another kind let this one pass. It is known, as is
-	// pick.Deferrable, once classified is set.
+	// preferred is set if another kind of request can be deferred in favour of this one. It
+	// is known, as is pick.Deferrable, once classified is set.
 	preferred  bool
 	classified bool
 	// heldSince is when the request began to wait for room, and holdUntil when it no longer
@@ -268,9 +267,6 @@
 	if q.org != nil && q.org.HasPriority {
 		return q.org.Priority
 	}
-	if q.route == nil {
-		return 0
-	}
 	return q.route.Priority
 }
 
@@ -336,7 +332,7 @@
 	fields := []zap.Field{
 		zap.String("id", q.id), zap.String("service", q.service), zap.Stringer("config", q.rev), zap.Duration("key_age", q.keyAge),
 		zap.Int("prompt", q.pick.Prompt), zap.Int("shared", q.pick.Shared()), zap.Int("output", q.pick.Output),
-		zap.Int("priority", q.priority()), zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
+		zap.Int("sends", q.tally.Sends), zap.Int("ran", q.tally.Ran), zap.Bool("forwarded", q.forwarded),
 		zap.String("server", q.server), zap.String("region", q.dest.region), zap.Duration("expected", q.expected),
 		zap.Int("running", q.choice.Load.Running), zap.Int("unread", q.choice.Load.Unread), zap.Bool("cached", q.choice.Cached),
 	}
--- a/internal/edge/stats/stats.go
+++ b/internal/edge/stats/stats.go
@@ -84,7 +84,7 @@
 			Name: "yuccalb_held_requests_total", Help: "Requests that waited for room at servers with a refusal limit, by service.",
 		}, []string{"service"}),
 		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "yuccalb_turned_away_total", Help: "Requests refused for lack of capacity, by service, priority and reason (queue full, displaced, waited, late, limit or server).",
+			Name: "yuccalb_turned_away_total", Help: "Requests refused for lack of capacity, by service, priority and reason (queue full, displaced, waited, late, limit, in flight or server).",
 		}, []string{"service", "priority", "reason"}),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "yuccalb_wait_seconds", Help: "Time for which requests waited for room at servers, until they were sent, refused or displaced.", Buckets: durationBuckets,
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -197,7 +197,7 @@
 	h := r.host
 	d := admit.Demand{Goal: class.Goal, Remaining: deadline, Prompt: req.Prompt, Shared: req.Shared(), Pace: h.table.Pace()}
 	kind := rank.Kind{Priority: class.Priority, Level: class.Level, Goal: class.Goal}
-	h.kinds.Record(kind, req.Prompt, at)
+	h.kinds.Record(kind, req.Prompt+req.Output, at)
 	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
 	if req.Deferrable = h.kinds.Deferrable(kind, at); req.Deferrable {
 		r.Urgency++
