Count only the uploads that may be in flight in TestSlowPeersMemory

Cause: the test waited for the memory of three uploads at one server. A quarter of the memory for bodies may be in flight to one server, two of these, so that the third is refused; the condition held only while that one was being read.

Ruled out: a lost count: two uploads are counted while they are in flight, and none afterwards.

Change: the test sends the two uploads that may be in flight, and wants all of their bytes counted; TestLargeBodiesInFlight checks the refusal of a third one.

--- a/internal/edge/entry/bound_test.go
+++ b/internal/edge/entry/bound_test.go
@@ -235,7 +235,7 @@
 // TestSlowPeersMemory guards against memory for callers that do not read their responses and for servers that do
 // not read their requests that is not counted, or that exceeds what a host may hold for bodies.
 func TestSlowPeersMemory(t *testing.T) {
-	const callers, size, buffer = 12, 1 << 20, 8 << 10
+	const callers, uploads, size, buffer = 12, 2, 1 << 20, 8 << 10 // more uploads are refused, see TestLargeBodiesInFlight
 	cl := newCluster(t)
 	settings := cl.settings("a1")
 	settings.Memory = 80
@@ -271,8 +271,8 @@
 	begin(callers, post("/chat/events", "1"))
 	cl.eventually("the buffers of streams are counted", func() bool { return e.relay.BodyBytes() >= callers*buffer })
 	begin(callers, post("/chat/large", "1"))
-	begin(callers/4, post("/chat/upload", strings.Repeat("x", size)))
-	cl.eventually("the uploads are counted", func() bool { return e.relay.BodyBytes() >= callers/4*size })
+	begin(uploads, post("/chat/upload", strings.Repeat("x", size)))
+	cl.eventually("the uploads are counted", func() bool { return e.relay.BodyBytes() >= uploads*size })
 	if n := e.relay.BodyBytes(); n > limit {
 		t.Errorf("%d bytes are held, %d allowed", n, limit)
 	}
