Remove the notices of long prompts

Ruled out: fewer notices; each saves less than it costs.

Change: the notices go, with their tests; the note on reports says what was measured.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -107,9 +107,6 @@
 	regionSize atomic.Int64
 	sent       sentRequests
 
-	noticeMu sync.Mutex // guards notices
-	notices  noticeLimit
-
 	// position is that of this host in the order of its region's hosts.
 	position atomic.Int64
 
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -254,7 +254,6 @@
 		s.Regions = f.localReport(now)
 		return s
 	}
-	s.Notices = true
 	s.Admitted = f.limiter.Admitted()
 	s.Poison = f.poisonReports(poison.Own, now)
 	s.Regions = f.reports.forward(now)
--- a/internal/edge/gossip/check.go
+++ b/internal/edge/gossip/check.go
@@ -61,16 +61,6 @@
 	return errors.Join(errs...)
 }
 
-// check returns an error if the notice holds values that no correct host sends.
-func (n *Notice) check() error {
-	l := n.Notice.Load
-	errs := []error{count("requests", l.Running), count("unread tokens", l.Unread), count("tokens", l.Memory), count("requests", l.Later), count("unread tokens", l.LaterUnread), count("tokens", l.LaterMemory)}
-	if len(n.Notice.Parts) > 0 {
-		errs = append(errs, placements([]pick.Placement{{Server: n.Notice.Server, Parts: n.Notice.Parts}})...)
-	}
-	return errors.Join(errs...)
-}
-
 // check returns an error if the report holds values that no correct host sends.
 func (r *Region) check() error {
 	if r.Name == "" {
--- a/internal/edge/gossip/message.go
+++ b/internal/edge/gossip/message.go
@@ -62,8 +62,6 @@
 	// set if it reaches no server of its region.
 	Unreached []string `cbor:"31,keyasint,omitempty"`
 	CutOff    bool     `cbor:"32,keyasint,omitempty"`
-	// Notices is set if the host reads notices. Earlier versions do not.
-	Notices bool `cbor:"34,keyasint,omitempty"`
 	// Regions are reports of regions: that of the local region is sent to remote
 	// hosts, and those of remote regions are forwarded to local hosts.
 	Regions []Region `cbor:"15,keyasint,omitempty"`
@@ -131,16 +129,6 @@
 	EchoAge      time.Duration   `cbor:"3,keyasint,omitempty"`
 	ProcessStart int64           `cbor:"4,keyasint,omitempty"`
 	State        cbor.RawMessage `cbor:"5,keyasint"`
-	// Notice is set in place of State in frames that only announce a request.
-	Notice *Notice `cbor:"6,keyasint,omitempty"`
-}
-
-// Notice announces a request that its host has sent to a server of a service.
-type Notice struct {
-	Host         string      `cbor:"1,keyasint"`
-	ProcessStart int64       `cbor:"2,keyasint"`
-	Service      string      `cbor:"3,keyasint"`
-	Notice       pick.Notice `cbor:"4,keyasint"`
 }
 
 // Peer is the last state received from another host.
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -205,9 +205,6 @@
 		q.s.stats.LimitedSend(q.service)
 	}
 	q.recordVersion(c.Version)
-	if q.preferred {
-		q.s.fleet.Announce(q.service, &q.choice, &q.pick, time.Now())
-	}
 	onFirstByte := func() { svc.Table.FirstByte(&q.choice, time.Now()) }
 	res, outcome := q.exchangeLocal(onFirstByte)
 	svc.Table.Done(&q.choice, q.serverOutcome(outcome), time.Now())
