Keep connections and bodies in lists of the standard library

Two doubly linked lists of intake did the same with code of their own: that of connections and that of bodies being read. container/list, which core/order and the fakes use already, serves both. A connection now allocates an element when it enters a list, once a request.

The types of bodies being read are used in this package only and are no longer exported. Gate.move returns nothing, since its result was not used. The comment of reader.end said that memory was released already; Body.End releases it.

The order of the lists and the choice of what is evicted stay as they were.

--- a/internal/edge/intake/body.go
+++ b/internal/edge/intake/body.go
@@ -32,7 +32,7 @@
 	used atomic.Int64
 	// ending is the part of used that evicted bodies hold whose reads have not ended.
 	ending  atomic.Int64
-	readers Readers
+	readers readers
 }
 
 // NewBodies returns a limit in bytes.
@@ -61,7 +61,7 @@
 	max  int64
 	held int64
 	// reader is set while the body of a request is being read.
-	reader *Reader
+	reader *reader
 }
 
 // Request returns the memory of the body of a request, which holds nothing yet.
@@ -77,14 +77,14 @@
 // are read, of which there are at most so many. Begin returns false if there is no place.
 func (v *Body) Begin(most int, stop func()) bool {
 	readers := &v.limit.readers
-	if readers.Len() >= most {
-		freed, ok := readers.EvictOne()
+	if readers.len() >= most {
+		freed, ok := readers.evictOne()
 		if !ok {
 			return false
 		}
 		v.limit.ending.Add(freed)
 	}
-	v.reader = readers.Begin(stop)
+	v.reader = readers.begin(stop)
 	return true
 }
 
@@ -93,7 +93,7 @@
 	if v.reader == nil {
 		return false
 	}
-	evicted := v.reader.End()
+	evicted := v.reader.end()
 	v.reader = nil
 	if evicted {
 		v.limit.ending.Add(-v.held)
@@ -109,20 +109,20 @@
 func (v *Body) Reserve(n int64) bool {
 	more := n - v.held
 	limit := v.max
-	if v.reader != nil && n > SmallBody {
+	if v.reader != nil && n > smallBody {
 		limit = int64(largeShare * float64(limit))
 	}
 	for i := 0; !v.limit.take(more, limit); i++ {
 		if v.reader == nil || i == maxEvictions || v.limit.used.Load()+more > v.limit.most(limit) {
 			return false
 		}
-		freed, ok := v.limit.readers.EvictFor(v.reader, n)
+		freed, ok := v.limit.readers.evictFor(v.reader, n)
 		if !ok {
 			return false
 		}
 		v.limit.ending.Add(freed)
 	}
-	if v.reader != nil && !v.reader.Grow(n) {
+	if v.reader != nil && !v.reader.grow(n) {
 		v.limit.used.Add(-more)
 		return false
 	}
--- a/internal/edge/intake/body_test.go
+++ b/internal/edge/intake/body_test.go
@@ -102,7 +102,7 @@
 	}
 	stopped.Release()
 	next.Release()
-	if s.Bytes() != 0 || s.readers.Len() != 0 {
-		t.Errorf("%d bytes of %d bodies are left", s.Bytes(), s.readers.Len())
+	if s.Bytes() != 0 || s.readers.len() != 0 {
+		t.Errorf("%d bytes of %d bodies are left", s.Bytes(), s.readers.len())
 	}
 }
--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -31,8 +32,8 @@
 	// charged for, since is when it entered its list.
 	held                       int64
 	since                      time.Time
-	list                       *connList
-	prev, next                 *Conn
+	list                       *list.List // nil if it is in none
+	place                      *list.Element
 	evicted, released, counted bool
 }
 
@@ -105,7 +106,7 @@
 	if c.evicted {
 		return false
 	}
-	c.list.remove(c)
+	c.unlist()
 	return true
 }
 
@@ -163,9 +164,9 @@
 	if c.evicted || c.released {
 		return false
 	}
-	c.list.remove(c)
+	c.unlist()
 	c.since = time.Now().Add(delay)
-	c.l.lingering.push(c)
+	c.enlist(&c.l.lingering)
 	return true
 }
 
--- a/internal/edge/intake/gate.go
+++ b/internal/edge/intake/gate.go
@@ -4,6 +4,7 @@
 package intake
 
 import (
+	"container/list"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,7 +123,7 @@
 	c.held = connCost
 	c.since = now
 	g.used.Add(connCost)
-	c.l.waiting.push(c)
+	c.enlist(&c.l.waiting)
 	return true, 0
 }
 
@@ -170,8 +171,8 @@
 		if c.list == &c.l.idle {
 			c.since = now // the head has only begun to arrive
 		}
-		c.list.remove(c)
-		c.l.partial.push(c)
+		c.unlist()
+		c.enlist(&c.l.partial)
 	}
 	c.held = n
 	return true, false
@@ -190,13 +191,14 @@
 	var worst *Conn
 	most := 0.0
 	for _, l := range ls {
-		for _, list := range []*connList{&l.lingering, &l.partial, &l.waiting, &l.idle} {
-			c := list.first
-			for i := 0; c != nil && i < candidates; i++ {
+		for _, conns := range []*list.List{&l.lingering, &l.partial, &l.waiting, &l.idle} {
+			e := conns.Front()
+			for i := 0; e != nil && i < candidates; i++ {
+				c := e.Value.(*Conn)
 				if s := c.score(now); s > most {
 					worst, most = c, s
 				}
-				c = c.next
+				e = e.Next()
 			}
 		}
 	}
@@ -206,7 +208,7 @@
 	if worst == nil || !p.take(now) {
 		return nil
 	}
-	worst.list.remove(worst)
+	worst.unlist()
 	worst.evicted = true
 	g.ending += worst.held
 	g.closed(worst)
@@ -239,7 +241,7 @@
 		return // released before, or never admitted
 	}
 	c.released = true
-	c.list.remove(c)
+	c.unlist()
 	g.closed(c)
 	g.used.Add(-c.held)
 	if c.evicted {
@@ -247,18 +249,17 @@
 	}
 }
 
-// move moves a connection to another list and sets its charge. It returns false if the
-// connection was evicted or closed.
-func (g *Gate) move(c *Conn, to *connList, held int64) bool {
+// move moves a connection to another list and sets its charge, unless the connection was
+// evicted or closed.
+func (g *Gate) move(c *Conn, to *list.List, held int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.evicted || c.released {
-		return false
+		return
 	}
-	c.list.remove(c)
+	c.unlist()
 	g.used.Add(held - c.held)
 	c.held = held
 	c.since = time.Now()
-	to.push(c)
-	return true
+	c.enlist(to)
 }
--- a/internal/edge/intake/gate_test.go
+++ b/internal/edge/intake/gate_test.go
@@ -100,12 +100,10 @@
 	if a := c.Do(line.Get("/"), "id"); a.Status != http.StatusOK {
 		t.Fatalf("status %d, error %v", a.Status, a.Err)
 	}
-	var ic *Conn
 	await.True(t, waitTimeout, "connection idle", func() bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		ic = g.listeners[0].idle.first
-		return ic != nil
+		return g.listeners[0].idle.Len() > 0
 	})
 	g.mu.Lock()
 	g.evict(g.listeners, nil, &g.pace, time.Now().Add(time.Minute))
--- a/internal/edge/intake/list.go
+++ b/internal/edge/intake/list.go
@@ -1,38 +1,21 @@
 package intake
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
-// connList is a list of connections, the one that was added first at its begin. The
-// gate's mutex guards it.
-type connList struct{ first, last *Conn }
+// enlist adds the connection, which is in no list, to the end of l. The caller holds the
+// gate's mutex.
+func (c *Conn) enlist(l *list.List) { c.list, c.place = l, l.PushBack(c) }
 
-// push adds a connection that is in no list.
-func (l *connList) push(c *Conn) {
-	c.list, c.prev, c.next = l, l.last, nil
-	if l.last == nil {
-		l.first = c
-	} else {
-		l.last.next = c
+// unlist removes the connection from its list, if it is in one. The caller holds the gate's
+// mutex.
+func (c *Conn) unlist() {
+	if c.list != nil {
+		c.list.Remove(c.place)
+		c.list, c.place = nil, nil
 	}
-	l.last = c
-}
-
-// remove removes a connection. l is its list; nil means that it is in none.
-func (l *connList) remove(c *Conn) {
-	if l == nil {
-		return
-	}
-	if c.prev == nil {
-		l.first = c.next
-	} else {
-		c.prev.next = c.next
-	}
-	if c.next == nil {
-		l.last = c.prev
-	} else {
-		c.next.prev = c.prev
-	}
-	c.list, c.prev, c.next = nil, nil, nil
 }
 
 // score returns how much a connection has held for how long, 0 if it must not be evicted.
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -34,7 +35,7 @@
 	// no or a short part of a head, partial those that have sent more, idle those between
 	// two requests, and lingering those whose response is complete.
 	open                              int
-	waiting, partial, idle, lingering connList
+	waiting, partial, idle, lingering list.List // of *Conn, the one that was added first at the front
 }
 
 // Listen returns a listener that accepts the connections of l within the limits.
--- a/internal/edge/intake/reader.go
+++ b/internal/edge/intake/reader.go
@@ -1,14 +1,15 @@
 package intake
 
 import (
+	"container/list"
 	"sync"
 	"time"
 )
 
 const (
-	// SmallBody is the size in bytes up to which a body counts as small. Small ones find
+	// smallBody is the size in bytes up to which a body counts as small. Small ones find
 	// memory after large ones no longer do.
-	SmallBody = 64 << 10
+	smallBody = 64 << 10
 	// stallTime is how long a body must not have grown before it is evicted for a small
 	// body or for one more body, and longStallTime for a large body. A body grows when it
 	// doubles, so that a slow trickle does not count.
@@ -19,71 +20,72 @@
 	readerCandidates = 32
 )
 
-// Readers holds the bodies that are being read, in the order in which they last grew. It is
+// readers holds the bodies that are being read, in the order in which they last grew. It is
 // safe for concurrent use. The zero value is empty.
-type Readers struct {
-	mu          sync.Mutex
-	first, last *Reader
-	n           int
+type readers struct {
+	mu   sync.Mutex
+	list list.List // of *reader
 }
 
-// Reader is a body that is being read.
-type Reader struct {
-	set        *Readers
-	stop       func()
-	held       int64
-	grown      time.Time
-	prev, next *Reader
-	evicted    bool
+// reader is a body that is being read.
+type reader struct {
+	set     *readers
+	place   *list.Element
+	stop    func()
+	held    int64
+	grown   time.Time
+	evicted bool
 }
 
-// Begin adds a body. stop ends the read if the body is evicted. It is not called after End,
+// begin adds a body. stop ends the read if the body is evicted. It is not called after end,
 // and must not call s.
-func (s *Readers) Begin(stop func()) *Reader {
-	r := &Reader{set: s, stop: stop}
+func (s *readers) begin(stop func()) *reader {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.push(r)
+	r := &reader{set: s, stop: stop, grown: time.Now()}
+	r.place = s.list.PushBack(r)
 	return r
 }
 
-// Len returns the number of bodies.
-func (s *Readers) Len() int {
+// len returns the number of bodies.
+func (s *readers) len() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.n
+	return s.list.Len()
 }
 
-// Grow states the memory in bytes that the body holds. It returns false if the body was
+// grow states the memory in bytes that the body holds. It returns false if the body was
 // evicted.
-func (r *Reader) Grow(held int64) bool {
+func (r *reader) grow(held int64) bool {
 	r.set.mu.Lock()
 	defer r.set.mu.Unlock()
 	if r.evicted {
 		return false
 	}
 	r.held = held
-	r.set.remove(r)
-	r.set.push(r)
+	r.hasGrown()
 	return true
 }
 
-// End removes the body. It reports whether the body was evicted, so that its memory was
-// released already.
-func (r *Reader) End() bool {
+// hasGrown moves the body behind all others. The caller holds set.mu.
+func (r *reader) hasGrown() {
+	r.grown = time.Now()
+	r.set.list.MoveToBack(r.place)
+}
+
+// end removes the body and reports whether it was evicted.
+func (r *reader) end() bool {
 	r.set.mu.Lock()
 	defer r.set.mu.Unlock()
-	if !r.evicted {
-		r.set.remove(r)
-	}
+	r.set.list.Remove(r.place) // does nothing if it was evicted
 	return r.evicted
 }
 
-// EvictFor evicts another body for r, which needs memory to grow to n bytes. It returns the
+// evictFor evicts another body for r, which needs memory to grow to n bytes. It returns the
 // memory that the evicted one holds until its read ends, and whether there was one.
-func (s *Readers) EvictFor(r *Reader, n int64) (int64, bool) {
+func (s *readers) evictFor(r *reader, n int64) (int64, bool) {
 	stall := stallTime
-	if n > SmallBody {
+	if n > smallBody {
 		stall = longStallTime
 	}
 	s.mu.Lock()
@@ -91,14 +93,13 @@
 	if r.evicted {
 		return 0, false
 	}
-	s.remove(r)
-	s.push(r) // it has just filled what it held
+	r.hasGrown() // it has just filled what it held
 	return s.evict(stall, 1)
 }
 
-// EvictOne evicts a body to bound their number. It returns the memory that it holds until
+// evictOne evicts a body to bound their number. It returns the memory that it holds until
 // its read ends, and whether there was one.
-func (s *Readers) EvictOne() (int64, bool) {
+func (s *readers) evictOne() (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.evict(stallTime, 0)
@@ -106,43 +107,21 @@
 
 // evict evicts the body that has not grown for longest, and at least for stall, among those
 // that hold at least so many bytes. The caller holds s.mu.
-func (s *Readers) evict(stall time.Duration, least int64) (int64, bool) {
+func (s *readers) evict(stall time.Duration, least int64) (int64, bool) {
 	now := time.Now()
-	r := s.first
-	for i := 0; r != nil && i < readerCandidates && now.Sub(r.grown) >= stall; i++ {
+	e := s.list.Front()
+	for i := 0; e != nil && i < readerCandidates; i++ {
+		r := e.Value.(*reader)
+		if now.Sub(r.grown) < stall {
+			break // the others have grown since
+		}
 		if r.held >= least {
-			s.remove(r)
+			s.list.Remove(e)
 			r.evicted = true
 			r.stop()
 			return r.held, true
 		}
-		r = r.next
+		e = e.Next()
 	}
 	return 0, false
 }
-
-func (s *Readers) push(r *Reader) {
-	r.grown = time.Now()
-	r.prev, r.next = s.last, nil
-	if s.last == nil {
-		s.first = r
-	} else {
-		s.last.next = r
-	}
-	s.last = r
-	s.n++
-}
-
-func (s *Readers) remove(r *Reader) {
-	if r.prev == nil {
-		s.first = r.next
-	} else {
-		r.prev.next = r.next
-	}
-	if r.next == nil {
-		s.last = r.prev
-	} else {
-		r.next.prev = r.prev
-	}
-	s.n--
-}
