Wait for room at intake in one loop

A new connection and a head that grows wait for room in the same way, in two loops with small differences: the interval, and whether another attempt may succeed. Both use retry now, and one attempt of each returns the time until the next one. Intervals and time-outs stay; the time-out of either counts from the call and no longer from the first failed attempt, which differs by the wait for the mutex.

--- a/internal/edge/intake/gate.go
+++ b/internal/edge/intake/gate.go
@@ -79,25 +79,29 @@
 // admit charges a new connection, for which it may evict others. It waits for room for a
 // short time, in which further connections stay in the queue of the kernel.
 func (g *Gate) admit(c *Conn) bool {
-	var end time.Time
+	ok := retry(admitTimeout, func(now time.Time) (bool, time.Duration) { return g.tryAdmit(c, now) })
+	if !ok {
+		g.refuse(c.l, ReasonConns)
+	}
+	return ok
+}
+
+// retry calls try until it succeeds, for at most timeout. After a failure it waits for the time
+// that try returns; 0 means that no further attempt may succeed.
+func retry(timeout time.Duration, try func(now time.Time) (ok bool, wait time.Duration)) bool {
+	end := time.Now().Add(timeout)
 	for {
 		now := time.Now()
-		ok, wait := g.tryAdmit(c, now)
-		if ok {
-			return true
-		}
-		if end.IsZero() {
-			end = now.Add(admitTimeout)
-		}
-		if now.After(end) {
-			g.refuse(c.l, ReasonConns)
-			return false
+		ok, wait := try(now)
+		if ok || wait == 0 || now.After(end) {
+			return ok
 		}
 		time.Sleep(wait)
 	}
 }
 
-func (g *Gate) tryAdmit(c *Conn, now time.Time) (bool, time.Duration) {
+// tryAdmit is one attempt of admit. It returns the time until the next one.
+func (g *Gate) tryAdmit(c *Conn, now time.Time) (ok bool, wait time.Duration) {
 	g.mu.Lock()
 	var victims []*Conn
 	defer func() {
@@ -130,25 +134,12 @@
 // grow raises the charge of a connection to n bytes, for which it may evict others. It
 // waits for room for growTimeout, and reports whether the connection may go on.
 func (g *Gate) grow(c *Conn, n int64) bool {
-	var end time.Time
-	for {
-		now := time.Now()
-		ok, again := g.tryGrow(c, n, now)
-		if ok || !again {
-			return ok
-		}
-		if end.IsZero() {
-			end = now.Add(growTimeout)
-		}
-		if now.After(end) {
-			return false
-		}
-		time.Sleep(growInterval)
-	}
+	return retry(growTimeout, func(now time.Time) (bool, time.Duration) { return g.tryGrow(c, n, now) })
 }
 
-// tryGrow is one attempt of grow. It also reports whether another attempt may succeed.
-func (g *Gate) tryGrow(c *Conn, n int64, now time.Time) (ok, again bool) {
+// tryGrow is one attempt of grow. It returns the time until the next one, 0 if that can't
+// succeed.
+func (g *Gate) tryGrow(c *Conn, n int64, now time.Time) (ok bool, wait time.Duration) {
 	g.mu.Lock()
 	var victims []*Conn
 	defer func() {
@@ -156,13 +147,16 @@
 		g.closeAll(victims)
 	}()
 	if c.evicted {
-		return false, false
+		return false, 0
 	}
 	limit := int64(growShare * float64(g.limits.Memory))
 	for !g.fits(n-c.held, limit) {
 		v := g.evict(g.listeners, c, &g.growPace, now)
+		if v == nil && n > limit {
+			return false, 0
+		}
 		if v == nil {
-			return false, n <= limit
+			return false, growInterval
 		}
 		victims = append(victims, v)
 	}
@@ -175,7 +169,7 @@
 		c.enlist(&c.l.partial)
 	}
 	c.held = n
-	return true, false
+	return true, 0
 }
 
 // fits reports whether n more bytes fit into limit. The caller holds g.mu.
