Keep the connection of a request in its context once

Two parts of this change were built side by side, and both put the connection of a request into its context under a key of their own: intake to see what was evicted, relay to reset a connection at its close. intake.ConnOf serves both; the connection of intake has SetLinger. The key of entry.connTracker stays, whose tests serve listeners without intake.

TestUnframedCutByHost, TestFaultyServers and the tests of stops pass.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -287,13 +287,13 @@
 	}
 }
 
-// connContext bounds the bytes that the kernel holds for an accepted connection, and returns the context of its
-// requests.
+// connContext bounds the bytes that the kernel holds for an accepted connection. The context of its requests stays
+// as it is.
 func (e *Entry) connContext(ctx context.Context, c net.Conn) context.Context {
 	if err := send.LimitUnsent(c); err != nil {
 		e.log.Debug("unsent bytes of a connection not limited", zap.Error(err))
 	}
-	return relay.WithConn(ctx, c)
+	return ctx
 }
 
 // servePeer serves other hosts, which read the state of the store or forward requests.
--- a/internal/edge/intake/listener.go
+++ b/internal/edge/intake/listener.go
@@ -110,10 +110,17 @@
 	}
 }
 
+// ConnOf returns the connection of a request from its context, and false if its server is not
+// one that Attach was called for, or serves another listener.
+func ConnOf(ctx context.Context) (*Conn, bool) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return c, ok
+}
+
 // handler returns a handler that serves requests on connections that were not evicted.
 func handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*Conn)
+		c, ok := ConnOf(r.Context())
 		if !ok {
 			h.ServeHTTP(w, r)
 			return
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 )
 
@@ -58,18 +58,10 @@
 	q.w.WriteHeader(resp.Status)
 }
 
-// connKey is the key of the connection in the context of a request.
-type connKey struct{}
-
-// WithConn returns the context of the requests on a connection, for http.Server.ConnContext.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // resetOnClose sets whether a close of the caller's connection is a reset, whatever closes it: a write that
 // fails because the caller reads too slowly, the end of a planned stop, or the end of the process.
 func (q *request) resetOnClose(on bool) {
-	c, ok := q.r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
+	c, ok := intake.ConnOf(q.r.Context())
 	if !ok {
 		return
 	}
