Define the least urgent priority once

The constant is now in core/rank, which orders by it.

The tests of lint, rank, stats and the commands pass.

--- a/internal/cli/cmds/class.go
+++ b/internal/cli/cmds/class.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 )
 
 // class is a class of callers, those of one route.
@@ -17,9 +19,6 @@
 	share    float64       // of the requests, relative to the other classes
 }
 
-// maxClassPriority is the least urgent priority of a class.
-const maxClassPriority = 9
-
 // parseClass parses ROUTE=PRIORITY[,GOAL[,SHARE]].
 func parseClass(text string) (class, error) {
 	c := class{share: 1}
@@ -33,8 +32,8 @@
 		return c, fmt.Errorf("class %q has more than a priority, a goal and a share", text)
 	}
 	var err error
-	if c.priority, err = strconv.Atoi(parts[0]); err != nil || c.priority < 0 || c.priority > maxClassPriority {
-		return c, fmt.Errorf("class %q: priority %q is not from 0 to %d", text, parts[0], maxClassPriority)
+	if c.priority, err = strconv.Atoi(parts[0]); err != nil || c.priority < 0 || c.priority > rank.MaxPriority {
+		return c, fmt.Errorf("class %q: priority %q is not from 0 to %d", text, parts[0], rank.MaxPriority)
 	}
 	if len(parts) > 1 {
 		if c.goal, err = time.ParseDuration(parts[1]); err != nil || c.goal < 0 {
--- a/internal/core/lint/faults.go
+++ b/internal/core/lint/faults.go
@@ -1,9 +1,10 @@
 package lint
 
-import "slices"
+import (
+	"slices"
 
-// maxPriority is the least urgent priority; 0 is the most urgent.
-const maxPriority = 9
+	"github.com/yuccalb/yuccalb/internal/core/rank"
+)
 
 // faults reports values that hosts reject, or read as something else than they say.
 func (c *checker) faults() {
@@ -101,8 +102,8 @@
 }
 
 func (c *checker) checkPriority(at Locator, n int64) {
-	if n < 0 || n > maxPriority {
-		c.fail(at(AttrPriority, -1), "value %d: want 0 to %d", n, maxPriority)
+	if n < 0 || n > rank.MaxPriority {
+		c.fail(at(AttrPriority, -1), "value %d: want 0 to %d", n, rank.MaxPriority)
 	}
 }
 
--- a/internal/core/rank/claim.go
+++ b/internal/core/rank/claim.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// MaxPriority is the least urgent priority of routes and organisations; 0 is the most urgent.
+const MaxPriority = 9
+
 // Claim is what a waiting request states about itself. Times that are zero are not set.
 type Claim struct {
 	// Priority is that of the organisation or the route, and Level that of the route
--- a/internal/edge/relay/header.go
+++ b/internal/edge/relay/header.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/rank"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 	"github.com/yuccalb/yuccalb/platform"
 )
@@ -66,12 +67,9 @@
 	if q.pick.Deferrable {
 		p++
 	}
-	return min(max(p, 0), maxPriority)
+	return min(max(p, 0), rank.MaxPriority)
 }
 
-// maxPriority is the least urgent priority that servers accept.
-const maxPriority = 9
-
 // setResume requests the events after the last one that the caller has.
 func (q *request) setResume(h http.Header) {
 	if q.lastEvent != "" {
--- a/internal/edge/stats/waiting.go
+++ b/internal/edge/stats/waiting.go
@@ -4,15 +4,14 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
-)
 
-// maxPriority is the least urgent priority that labels name.
-const maxPriority = 9
+	"github.com/yuccalb/yuccalb/internal/core/rank"
+)
 
 // priorityLabel returns the label value of a priority. Priorities out of range are counted as
 // the next one within, so that the number of values is bounded.
 func priorityLabel(priority int) string {
-	return strconv.Itoa(min(max(priority, 0), maxPriority))
+	return strconv.Itoa(min(max(priority, 0), rank.MaxPriority))
 }
 
 // Waiting registers the gauge of the requests that wait for room at servers, whose values are
