Look at the kinds of requests once per request

A host asked in two calls whether the kind of a request is deferrable and whether it is preferred, each with the mutex, the removal of old kinds and a walk over the others, and it classified the request in two places: before it joins the queue, and again before each choice of a server, where a flag stopped it. Deferral answers both questions in one walk, and chooseInTurn, through which all requests come, classifies them.

TestDeferrable keeps its cases; the tests of rank, admit and relay pass.

--- a/internal/core/rank/kinds.go
+++ b/internal/core/rank/kinds.go
@@ -73,32 +73,22 @@
 	return shortest
 }
 
-// Deferrable reports whether requests of a kind can be deferred in favour of another recent
-// kind, see canDeferTo.
-func (m *Kinds) Deferrable(k Kind, now time.Time) bool {
-	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return canDeferTo(k, own, other, o) })
-}
-
-// Preferred reports whether another recent kind can be deferred in favour of this one.
-func (m *Kinds) Preferred(k Kind, now time.Time) bool {
-	return m.any(k, now, func(own *observed, other Kind, o *observed) bool { return canDeferTo(other, o, k, own) })
-}
-
-// any reports whether a condition holds for a kind and one of the recent kinds.
-func (m *Kinds) any(k Kind, now time.Time, holds func(own *observed, other Kind, o *observed) bool) bool {
+// Deferral reports whether requests of a recent kind can be deferred in favour of another
+// recent kind, and whether it is preferred: another one can be deferred in favour of it. See
+// canDeferTo.
+func (m *Kinds) Deferral(k Kind, now time.Time) (deferrable, preferred bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
 	own := m.seen[k]
 	if own == nil {
-		return false
+		return false, false
 	}
 	for other, o := range m.seen {
-		if holds(own, other, o) {
-			return true
-		}
+		deferrable = deferrable || canDeferTo(k, own, other, o)
+		preferred = preferred || canDeferTo(other, o, k, own)
 	}
-	return false
+	return deferrable, preferred
 }
 
 // canDeferTo reports whether requests of kind k can be deferred in favour of kind p: p is at
--- a/internal/core/rank/kinds_test.go
+++ b/internal/core/rank/kinds_test.go
@@ -53,13 +53,13 @@
 			var kinds Kinds
 			kinds.Record(long, 17_000, now)
 			kinds.Record(tt.kind, tt.work, now)
-			if got := kinds.Deferrable(tt.kind, now); got != tt.want {
+			if got, _ := kinds.Deferral(tt.kind, now); got != tt.want {
 				t.Errorf("deferrable: %v, want %v", got, tt.want)
 			}
-			if got := kinds.Preferred(long, now); got != tt.want {
+			if _, got := kinds.Deferral(long, now); got != tt.want {
 				t.Errorf("the other kind is preferred: %v, want %v", got, tt.want)
 			}
-			if kinds.Deferrable(tt.kind, now.Add(2*kindTTL)) {
+			if got, _ := kinds.Deferral(tt.kind, now.Add(2*kindTTL)); got {
 				t.Error("deferrable without recent requests")
 			}
 		})
--- a/internal/edge/relay/choose.go
+++ b/internal/edge/relay/choose.go
@@ -21,7 +21,6 @@
 // host can't record streams, it allows only servers at which they need no record, or hosts of
 // another region, which may be able to.
 func (q *request) choose(now time.Time, remaining time.Duration) (pick.Choice, bool, *refusal) {
-	q.classify(now)
 	q.pick.Within = q.within(now)
 	var ok bool
 	ref := &refusal{http.StatusServiceUnavailable, reasonNotRecorded, retryAfterBusy}
@@ -145,16 +144,14 @@
 
 // classify records the kind of the request, once, and determines whether the request is
 // deferrable.
-func (q *request) classify(now time.Time) {
-	svc := q.s.fleet.Service(q.service)
-	if q.classified || svc == nil {
+func (q *request) classify(svc *fleet.Service, now time.Time) {
+	if q.classified {
 		return
 	}
 	q.classified = true
 	k := rank.Kind{Priority: q.priority(), Level: q.level(), Goal: q.route.Goal}
 	svc.Kinds.Record(k, q.pick.Prompt+q.pick.Output, now)
-	q.pick.Deferrable = svc.Kinds.Deferrable(k, now)
-	q.preferred = svc.Kinds.Preferred(k, now)
+	q.pick.Deferrable, q.preferred = svc.Kinds.Deferral(k, now)
 }
 
 // within returns the time within which the response to a preferred request is to begin to be on
--- a/internal/edge/relay/hold.go
+++ b/internal/edge/relay/hold.go
@@ -36,7 +36,7 @@
 	if svc == nil {
 		return q.choose(now, remaining)
 	}
-	q.classify(now)
+	q.classify(svc, now)
 	if svc.Held.Len() == 0 || svc.Held.Leads(q.claim(svc, now)) {
 		c, local, ref := q.choose(now, remaining)
 		if ref == nil || ref.reason != reasonNoRoom {
--- a/internal/fake/region/region.go
+++ b/internal/fake/region/region.go
@@ -184,8 +184,7 @@
 	}
 	req.Prompt = run.Prompt
 	r := &Request{Run: run, host: p.hosts[p.rng.IntN(len(p.hosts))]}
-	at := p.start.Add(now)
-	r.Rejected = !r.decide(class, req, at)
+	r.Rejected = !r.decide(class, req, p.start.Add(now))
 	return r
 }
 
@@ -196,10 +195,11 @@
 	kind := rank.Kind{Priority: class.Priority, Level: class.Level, Goal: class.Goal}
 	h.kinds.Record(kind, req.Prompt+req.Output, at)
 	d.ShortestGoal = h.kinds.Shortest(class.Priority, at)
-	if req.Deferrable = h.kinds.Deferrable(kind, at); req.Deferrable {
+	var preferred bool
+	if req.Deferrable, preferred = h.kinds.Deferral(kind, at); req.Deferrable {
 		r.Urgency++
 	}
-	if h.kinds.Preferred(kind, at) {
+	if preferred {
 		req.Within = admit.Within(class.Goal, 0)
 	}
 	_, first, ok := h.table.Expect(req, at)
