Build the load of a request in one place

Three functions built the load of a request when it is sent, when its response begins and when it ends, each with a branch for deferrable requests that copies the same fields. One function takes the three numbers. Load.ahead subtracts by Load.add.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -138,32 +138,11 @@
 	connOpened time.Time
 }
 
-// load returns the load of the request until its response begins.
-func (c *Choice) load() Load {
-	l := Load{Running: 1, Unread: c.unread, Memory: c.memory}
+// load returns a load of the request, all of which is deferrable if the request is.
+func (c *Choice) load(running, unread, memory int) Load {
+	l := Load{Running: running, Unread: unread, Memory: memory}
 	if c.deferrable {
-		l.Later = 1
-		l.LaterUnread = c.unread
-		l.LaterMemory = c.memory
-	}
-	return l
-}
-
-// unreadLoad returns the change of the load when the response begins, and runningLoad that
-// when it ends.
-func (c *Choice) unreadLoad() Load {
-	l := Load{Unread: -c.unread}
-	if c.deferrable {
-		l.LaterUnread = -c.unread
-	}
-	return l
-}
-
-func (c *Choice) runningLoad() Load {
-	l := Load{Running: -1, Memory: -c.memory}
-	if c.deferrable {
-		l.Later = -1
-		l.LaterMemory = -c.memory
+		l.Later, l.LaterUnread, l.LaterMemory = running, unread, memory
 	}
 	return l
 }
@@ -228,12 +207,7 @@
 	}
 	unread := l.LaterUnread * waiting / l.Later
 	memory := l.LaterMemory * waiting / l.Later
-	l.Running -= waiting
-	l.Unread -= unread
-	l.Memory -= memory
-	l.Later -= waiting
-	l.LaterUnread -= unread
-	l.LaterMemory -= memory
+	l.add(Load{Running: -waiting, Unread: -unread, Memory: -memory, Later: -waiting, LaterUnread: -unread, LaterMemory: -memory})
 	return l
 }
 
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -208,7 +208,7 @@
 // recordSent counts a request as sent to the server of a choice.
 func (t *Table) recordSent(c *Choice, req *Request, now time.Time) {
 	s := c.server
-	s.local.add(c.load())
+	s.local.add(c.load(1, c.unread, c.memory))
 	s.updateLateShare(&t.model, now)
 	if t.limited(s, now) {
 		s.level--
@@ -235,7 +235,7 @@
 	}
 	c.firstByte = now
 	s := c.server
-	s.local.add(c.unreadLoad())
+	s.local.add(c.load(0, -c.unread, 0))
 	s.updateLateShare(&t.model, now)
 	s.measure(now.Sub(c.sent), c.Expected, now)
 	if c.Load.Unread == 0 && c.unread >= minPrefillSample && !t.limited(s, now) {
@@ -256,9 +256,9 @@
 	defer t.mu.Unlock()
 	s := c.server
 	if c.firstByte.IsZero() {
-		s.local.add(c.unreadLoad())
+		s.local.add(c.load(0, -c.unread, 0))
 	}
-	s.local.add(c.runningLoad())
+	s.local.add(c.load(-1, 0, -c.memory))
 	s.updateLateShare(&t.model, now)
 	s.probing = false
 	switch o {
