Create the figures of replays in one place

Replay and Pooled each wrote the same literal, to which the classes of routes had to be added twice. Tests of replay and of the commands pass.

--- a/internal/fake/replay/figures.go
+++ b/internal/fake/replay/figures.go
@@ -27,6 +27,10 @@
 	Low, High          float64 // least and greatest p99 of the pooled replays in seconds
 }
 
+func newFigures() *Figures {
+	return &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}, Classes: map[string]*ClassFigures{}}
+}
+
 // maxMicros is the highest value of the histograms, in microseconds.
 const maxMicros = 3600e6
 
@@ -81,7 +85,7 @@
 // Pooled replays the trace with the seeds from 1 to seeds and merges the figures. Low
 // and High are the extremes of the p99 of the single replays.
 func Pooled(rows []Row, s Setup, seeds int) *Figures {
-	sum := &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}, Classes: map[string]*ClassFigures{}}
+	sum := newFigures()
 	for seed := range seeds {
 		s.Seed = uint64(seed + 1)
 		f := Replay(rows, s)
--- a/internal/fake/replay/fleet.go
+++ b/internal/fake/replay/fleet.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/core/queue"
 	"github.com/yuccalb/yuccalb/internal/core/retry"
@@ -71,7 +69,7 @@
 		Setup: s, clock: &clock{now: time.Unix(1e9, 0)},
 		engines: map[string][]*engine{}, hosts: map[string][]*host{},
 		reports: map[*engine]route.Load{}, byAddr: map[netip.AddrPort]*engine{},
-		fig: &Figures{TTFT: newHistogram(), Orgs: map[string]*hdrhistogram.Histogram{}, Rejected: map[string]int{}, Classes: map[string]*ClassFigures{}},
+		fig: newFigures(),
 	}
 	for r, region := range s.Regions {
 		f.addRegion(r, region)
