Read the configuration in force in one place

The check of a configuration read the version in force from the platform with the same steps, time-out and error as diff. Both call Platform.inForce. The tests of the commands pass, among them that of a platform that does not answer.

--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,7 +8,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/yuccalb/yuccalb/internal/adapt/store"
 	"github.com/yuccalb/yuccalb/internal/core/config"
 	"github.com/yuccalb/yuccalb/internal/core/lint"
 	"github.com/yuccalb/yuccalb/internal/core/model"
@@ -203,17 +201,13 @@
 
 // load reads the version in force from the platform.
 func (c *CheckCmd) load() (*lint.View, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	kv := store.New(c.Platform, nil)
-	defer kv.Close()
-	current, err := store.Load(ctx, kv)
+	p := Platform{Platform: c.Platform, Timeout: c.Timeout}
+	cfg, err := p.inForce()
 	if err != nil {
-		return nil, withExitCode(ExitUnreachable, fmt.Errorf("read the configuration in force: %w", err))
+		return nil, err
 	}
-	cfg := &model.Config{}
-	if current != nil {
-		cfg = current.Snapshot.Config
+	if cfg == nil {
+		cfg = &model.Config{}
 	}
 	return config.View("in force", cfg, nil), nil
 }
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -34,6 +34,21 @@
 	return store.New(p.Platform, nil), ctx, cancel
 }
 
+// inForce returns the configuration in force, or nil if there is none.
+func (p *Platform) inForce() (*model.Config, error) {
+	kv, ctx, cancel := p.open()
+	defer cancel()
+	defer kv.Close()
+	current, err := store.Load(ctx, kv)
+	if err != nil {
+		return nil, withExitCode(ExitUnreachable, fmt.Errorf("read the configuration in force: %w", err))
+	}
+	if current == nil {
+		return nil, nil
+	}
+	return current.Snapshot.Config, nil
+}
+
 // DiffCmd shows what apply would change.
 type DiffCmd struct {
 	Dir string `arg:"" help:"Configuration folder." type:"existingdir"`
@@ -46,16 +61,9 @@
 	if err != nil {
 		return err
 	}
-	kv, ctx, cancel := c.open()
-	defer cancel()
-	defer kv.Close()
-	current, err := store.Load(ctx, kv)
+	old, err := c.inForce()
 	if err != nil {
-		return withExitCode(ExitUnreachable, fmt.Errorf("read the configuration in force: %w", err))
-	}
-	var old *model.Config
-	if current != nil {
-		old = current.Snapshot.Config
+		return err
 	}
 	e.Printf("%s", config.Diff(old, cfg))
 	return nil
