--- a/internal/cli/cmds/load.go
+++ b/internal/cli/cmds/load.go
@@ -234,7 +234,7 @@
 	l.update(func(rep *loadReport) {
 		rep.Rejected[v.Error.Reason]++
 		k.report.Refused++
-		_ = k.waits.RecordValue(min(max(1, wait.Microseconds()), maxMicros)) // always in range
+		record(k.waits, wait)
 	})
 }
 
@@ -285,6 +285,11 @@
 	if first {
 		h = l.first
 	}
+	record(h, d)
+}
+
+// record records a time in a histogram of microseconds.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
 	_ = h.RecordValue(min(max(1, d.Microseconds()), maxMicros)) // always in range
 }
 
