--- a/internal/core/config/read_test.go
+++ b/internal/core/config/read_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -10,9 +9,9 @@
 	"testing/fstest"
 
 	"github.com/google/go-cmp/cmp"
-)
 
-var update = flag.Bool("update", false, "rewrite golden files")
+	"github.com/yuccalb/yuccalb/internal/fake/golden"
+)
 
 // validConfig is a valid configuration that test cases extend with errors.
 const validConfig = `regions: [{name: west}]
@@ -147,19 +146,7 @@
 		t.Fatal(err)
 	}
 	got := "# nothing to a\n" + Diff(nil, a) + "# a to b\n" + Diff(a, b) + "# b to a\n" + Diff(b, a) + "# a to a\n" + Diff(a, a)
-	const golden = "testdata/diff.golden"
-	if *update {
-		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("diff (-want +got):\n%s", diff)
-	}
+	golden.Equal(t, "diff.golden", got)
 }
 
 func ExampleRead() {
--- a/internal/core/config/view_test.go
+++ b/internal/core/config/view_test.go
@@ -6,9 +6,8 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/yuccalb/yuccalb/internal/core/lint"
+	"github.com/yuccalb/yuccalb/internal/fake/golden"
 )
 
 // TestViewGolden guards against findings of a folder with wrong files, lines or fields, and
@@ -40,17 +39,5 @@
 	for _, f := range lint.Against(a, b) {
 		fmt.Fprintln(&got, f)
 	}
-	const golden = "testdata/check.golden"
-	if *update {
-		if err := os.WriteFile(golden, []byte(got.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got.String()); diff != "" {
-		t.Errorf("findings (-want +got):\n%s", diff)
-	}
+	golden.Equal(t, "check.golden", got.String())
 }
--- a/internal/edge/events/events_test.go
+++ b/internal/edge/events/events_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"bytes"
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/yuccalb/yuccalb/internal/fake/golden"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // TestHistory guards against a history that misses a line of the request, includes
 // lines of other requests, or shows a state that the host reached only later.
 func TestHistory(t *testing.T) {
@@ -30,19 +27,7 @@
 			if n, err := l.Write(&out, id); err != nil || n == 0 {
 				t.Fatalf("%d lines, %v", n, err)
 			}
-			golden := filepath.Join("testdata", id+".golden")
-			if *update {
-				if err := os.WriteFile(golden, out.Bytes(), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			}
-			want, err := os.ReadFile(golden)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(string(want), out.String()); diff != "" {
-				t.Errorf("history differs (-want +got):\n%s", diff)
-			}
+			golden.Equal(t, id+".golden", out.String())
 		})
 	}
 }
