--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -212,15 +212,6 @@
 	return n
 }
 
-// hosts returns the number of hosts among which limits are divided.
-func (l *Limiter) hosts() int {
-	n := 1
-	for _, p := range l.peers {
-		n += max(p.hosts, 1)
-	}
-	return n
-}
-
 // Refund returns the tokens that Take withdrew for a request that did not run.
 // An organisation near its limit gets no refund: its refused requests would be
 // retried and crowd out those of others.
@@ -261,7 +252,10 @@
 		return
 	}
 	b.updated = now
-	hosts := l.hosts()
+	hosts := 1
+	for _, p := range l.peers {
+		hosts += max(p.hosts, 1)
+	}
 	equal := b.limit.Rate / float64(hosts)
 	b.level += b.limit.Rate * d
 	if missing := l.unreachable(now); l.lapsed && 2*missing >= hosts {
