Share the set-up of processes in the tests of yuccalbe

Three checks of the soak kept the entries of servers listed by the same five lines; keepHeartbeat does.

--- a/cmd/yuccalbe/endless_test.go
+++ b/cmd/yuccalbe/endless_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -90,14 +88,8 @@
 	for _, name := range []string{"ready", "lookup", "peer", "metrics"} {
 		settings[name] = local.Addr(t).String()
 	}
-	b, err := json.Marshal(settings) // JSON is valid YAML
-	if err != nil {
-		t.Fatal(err)
-	}
 	path := filepath.Join(t.TempDir(), "host.yaml")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	writeSettings(t, path, settings)
 	p := proc.New(t, bin, path)
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/yuccalbe/fleet_test.go
+++ b/cmd/yuccalbe/fleet_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -192,7 +191,7 @@
 	for _, name := range []string{"ready", "lookup", "metrics"} {
 		h.settings[name] = local.Addr(f.t).String()
 	}
-	f.writeSettings(h)
+	writeSettings(f.t, h.path, h.settings)
 	h.process = proc.New(f.t, bin, h.path)
 	f.hosts = append(f.hosts, h)
 	if err := h.process.Start(); err != nil {
@@ -200,23 +199,13 @@
 	}
 }
 
-func (f *fleet) writeSettings(h *fleetHost) {
-	b, err := json.Marshal(h.settings) // JSON is valid YAML
-	if err == nil {
-		err = os.WriteFile(h.path, b, 0o600)
-	}
-	if err != nil {
-		f.t.Errorf("write settings: %v", err)
-	}
-}
-
 // restart ends a host with a signal and starts it again.
 func (f *fleet) restart(h *fleetHost, sig syscall.Signal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h.settings["first"] == true {
 		h.settings["first"] = false
-		f.writeSettings(h)
+		writeSettings(f.t, h.path, h.settings)
 	}
 	h.process.Restart(sig)
 }
--- a/cmd/yuccalbe/intake_test.go
+++ b/cmd/yuccalbe/intake_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -148,14 +146,8 @@
 		h.addrs[name] = local.Addr(t)
 		settings[name] = h.addrs[name].String()
 	}
-	b, err := json.Marshal(settings) // JSON is valid YAML
-	if err != nil {
-		t.Fatal(err)
-	}
 	path := filepath.Join(t.TempDir(), "host.yaml")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	writeSettings(t, path, settings)
 	s := origin.New(t, func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") })
 	store.PutServer("s", "desk", "a1", s.Addr(), "ready")
 	h.process = proc.New(t, bin, path)
--- a/cmd/yuccalbe/links_test.go
+++ b/cmd/yuccalbe/links_test.go
@@ -68,11 +68,7 @@
 // of the hosts that are cut off are served at least two thirds as often as those of the others.
 func (s *soak) checkLostPaths() {
 	s.t.Helper()
-	stop := make(chan struct{})
-	var beats sync.WaitGroup
-	beats.Go(func() { s.heartbeat(stop) })
-	defer beats.Wait()
-	defer close(stop)
+	defer s.keepHeartbeat()()
 	time.Sleep(settleTime) // after the faults before
 	kind := func() proxy.Fault { return cutFaults[s.rng.IntN(len(cutFaults))] }
 	s.cut(0, kind())
--- a/cmd/yuccalbe/poison_test.go
+++ b/cmd/yuccalbe/poison_test.go
@@ -55,6 +55,18 @@
 	return false
 }
 
+// keepHeartbeat lets the entries of the servers stay listed until the returned function is
+// called.
+func (s *soak) keepHeartbeat() (end func()) {
+	stop := make(chan struct{})
+	var beats sync.WaitGroup
+	beats.Go(func() { s.heartbeat(stop) })
+	return func() {
+		close(stop)
+		beats.Wait()
+	}
+}
+
 // heartbeat registers the servers that run, at intervals, until stop is closed: the
 // probation of a server that failed ends with its heartbeats.
 func (s *soak) heartbeat(stop <-chan struct{}) {
@@ -98,11 +110,7 @@
 	s.mu.Lock()
 	s.crashes = nil
 	s.mu.Unlock()
-	stop := make(chan struct{})
-	var beats sync.WaitGroup
-	beats.Go(func() { s.heartbeat(stop) })
-	defer beats.Wait()
-	defer close(stop)
+	defer s.keepHeartbeat()()
 	refused := 0
 	await.For(s.t, serveTimeout, "what makes servers crash is refused by all hosts", func() error {
 		for i := range s.hosts {
--- a/cmd/yuccalbe/soak_test.go
+++ b/cmd/yuccalbe/soak_test.go
@@ -151,7 +151,7 @@
 		front := local.Addr(s.t)
 		s.hostProxies = append(s.hostProxies, s.proxy(front))
 		s.configs = append(s.configs, s.settings(i, front))
-		s.writeSettings(s.settingsPath(i), s.configs[i])
+		writeSettings(s.t, s.settingsPath(i), s.configs[i])
 		p := proc.New(t, bin, s.settingsPath(i))
 		s.mu.Lock()
 		s.hosts = append(s.hosts, p)
@@ -463,14 +463,15 @@
 	return m
 }
 
-// writeSettings writes settings to a file.
-func (s *soak) writeSettings(path string, settings map[string]any) {
+// writeSettings writes the settings of a host to a file.
+func writeSettings(t *testing.T, path string, settings map[string]any) {
+	t.Helper()
 	b, err := json.Marshal(settings) // JSON is valid YAML
 	if err == nil {
 		err = os.WriteFile(path, b, 0o600)
 	}
 	if err != nil {
-		s.t.Errorf("write settings: %v", err)
+		t.Errorf("write settings: %v", err)
 	}
 }
 
@@ -478,7 +479,7 @@
 // which is for the first start of the whole system.
 func (s *soak) restart(i int, sig syscall.Signal) {
 	s.configs[i]["first"] = false
-	s.writeSettings(s.settingsPath(i), s.configs[i])
+	writeSettings(s.t, s.settingsPath(i), s.configs[i])
 	s.hosts[i].Restart(sig)
 }
 
--- a/cmd/yuccalbe/urgency_test.go
+++ b/cmd/yuccalbe/urgency_test.go
@@ -68,11 +68,7 @@
 // often than the others.
 func (s *soak) checkUrgency() {
 	s.t.Helper()
-	stop := make(chan struct{})
-	var beats sync.WaitGroup
-	beats.Go(func() { s.heartbeat(stop) })
-	defer beats.Wait()
-	defer close(stop)
+	defer s.keepHeartbeat()()
 	s.overload.on.Store(true)
 	defer s.overload.on.Store(false)
 	for i, l := range s.limits {
