Judge unmarked ends and send bodies in TestFleet

Its callers sent no bodies, so that no request was written while its response was read, and a response that ends with its connection was judged only if its server had sent everything.

Ruled out: judging the end of a process of a server as well; nobody else knows whether such a response is whole, so these are counted apart.

Change: callers send bodies of the sizes of the deployment. Servers answer before they have read a request and reset, end within the header, send a status that is none, and send a response once more a little later. Responses in part without a mark of their end are violations unless the server's process had ended. The proxy forwards a reset that its write gets, which the read in the other direction may not get. A script of the fake server can read the body itself.

--- a/cmd/yuccalbe/fleet_call_test.go
+++ b/cmd/yuccalbe/fleet_call_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,20 +27,25 @@
 	patience = 4 * time.Second
 )
 
-// fleetCalls are the kinds of requests with their share of all in percent.
+// fleetCalls are the kinds of requests with their share of all in percent, and the mean size of their
+// bodies in bytes.
 var fleetCalls = []struct {
 	share  int
 	prefix string
 	method string
 	wait   time.Duration
 	tokens string
+	body   int
 }{
-	{60, "/ask/", http.MethodPost, 5 * time.Second, "347,45"},
-	{6, "/quote/", http.MethodPost, 10 * time.Second, "17000,120"},
-	{22, "/order/", http.MethodPost, 4 * time.Second, ""},
-	{12, "/stock/", http.MethodGet, 4 * time.Second, ""},
+	{60, "/ask/", http.MethodPost, 5 * time.Second, "347,45", 770},
+	{6, "/quote/", http.MethodPost, 10 * time.Second, "17000,120", 34_000},
+	{22, "/order/", http.MethodPost, 4 * time.Second, "", 600},
+	{12, "/stock/", http.MethodGet, 4 * time.Second, "", 0},
 }
 
+// maxBodySize bounds bodies, in parts of their mean size.
+const maxBodySize = 6
+
 // callerPool holds the open connections of callers by host.
 type callerPool struct {
 	mu   sync.Mutex
@@ -119,7 +125,8 @@
 	}
 	kind := fleetCalls[k]
 	path := fmt.Sprintf("%s%s-%d", kind.prefix, c.f.name, c.f.numbers.Add(1))
-	call := line.Call{Method: kind.method, Path: path}.With(platform.HeaderTokens, kind.tokens)
+	size := int(min(c.rng.ExpFloat64(), maxBodySize) * float64(kind.body))
+	call := line.Call{Method: kind.method, Path: path, Body: strings.Repeat("x", size)}.With(platform.HeaderTokens, kind.tokens)
 	until := time.Now().Add(kind.wait)
 	var s fleetStream
 	for n := range 1 + maxTakeUps {
--- a/cmd/yuccalbe/fleet_check_test.go
+++ b/cmd/yuccalbe/fleet_check_test.go
@@ -39,6 +39,9 @@
 	calls    map[string]*fleetCall // by attempt identifier
 	runs     []*fleetRun
 	reported int
+	// unmarked are the responses in part without a mark of their end, of which excused count as allowed.
+	unmarked []func()
+	excused  int
 
 	requests, served, takeUps, joined int
 	resent, resentLate, tooLate       int
@@ -65,7 +68,8 @@
 	number          int
 	server, version string
 	after           int  // last event of the attempt before
-	ended, whole    bool // the whole response was sent
+	whole           bool // the whole response was sent
+	crashed         bool // the process ended before the response did
 }
 
 // event returns the text of an event that a run sends.
@@ -186,10 +190,24 @@
 }
 
 // ran records the end of a run.
-func (c *fleetChecks) ran(r *fleetRun, whole bool) {
+func (c *fleetChecks) ran(r *fleetRun, whole, crashed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.ended, r.whole = true, whole
+	r.whole, r.crashed = whole, crashed
+}
+
+// failUnmarked reports, at the end of the run, a response in part whose end was not marked, unless the process
+// that ran its request last had ended: that is the only end that a caller can't tell from a whole response.
+// The caller holds c.mu.
+func (c *fleetChecks) failUnmarked(rule, id, format string, args ...any) {
+	c.unmarked = append(c.unmarked, func() {
+		runs := c.calls[id].runs
+		if len(runs) > 0 && runs[len(runs)-1].crashed {
+			c.excused++
+			return
+		}
+		c.fail(rule, id, format, args...)
+	})
 }
 
 // receive checks the response to a request, but for the events of a stream.
@@ -203,8 +221,12 @@
 	case a.Err != nil:
 	case a.Status == http.StatusOK:
 		c.served++
-		if !isStream(call.path) && a.Body != id && a.Framed {
+		switch {
+		case isStream(call.path) || a.Body == id:
+		case a.Framed:
 			c.fail("MIXED", id, "got %q", a.Body)
+		default:
+			c.failUnmarked("MIXED", id, "got %q", a.Body)
 		}
 	case refused(a.Status) && !idempotent:
 		call.notRun = true
@@ -250,8 +272,10 @@
 	case a.Err != nil:
 	case text != "":
 		c.fail("ORDER", id, "complete response of %s ends within an event after %d: %q", s.first, s.last, text)
-	case s.last != total && (a.Framed || c.runs[s.run].whole || s.last == 0):
+	case s.last != total && a.Framed:
 		c.fail("ORDER", id, "stream of %s ends as complete after event %d of %d", s.first, s.last, total)
+	case s.last != total:
+		c.failUnmarked("ORDER", id, "stream of %s ends without a mark after event %d of %d", s.first, s.last, total)
 	}
 }
 
@@ -325,6 +349,10 @@
 func (c *fleetChecks) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, check := range c.unmarked {
+		check()
+	}
+	c.f.t.Logf("%d responses in part without a mark of their end, %d of a process that ended", len(c.unmarked), c.excused)
 	for _, service := range []string{draftService, spareService, stockService} {
 		a := c.arrivals[service]
 		slices.SortFunc(a.sent, time.Time.Compare)
--- a/cmd/yuccalbe/fleet_fault_test.go
+++ b/cmd/yuccalbe/fleet_fault_test.go
@@ -220,7 +220,8 @@
 // faultService gives most servers of a service the same fault.
 func (f *fleet) faultService(rng *rand.Rand) {
 	service := []string{draftService, spareService, stockService}[rng.IntN(3)]
-	fault := []int32{fleetRefuse, fleetErrors, fleetReset, fleetLost, fleetWithin, fleetSilent, fleetUnframed}[rng.IntN(7)]
+	faults := []int32{fleetRefuse, fleetErrors, fleetReset, fleetLost, fleetWithin, fleetSilent, fleetUnframed, fleetEarly, fleetHeader}
+	fault := faults[rng.IntN(len(faults))]
 	d := between(rng, time.Second, 10*time.Second)
 	for _, sv := range f.servers {
 		if sv.service == service && rng.IntN(5) > 0 {
--- a/cmd/yuccalbe/fleet_server_test.go
+++ b/cmd/yuccalbe/fleet_server_test.go
@@ -29,6 +29,10 @@
 	fleetSilent   // says nothing for a while, within responses too
 	fleetUnframed // sends responses that end with their connection
 	fleetTwice    // sends responses twice
+	fleetEcho     // sends responses once more a little later
+	fleetEarly    // before it has read a request, sends a part of a response without a length, then resets
+	fleetHeader   // ends connections within the header of responses
+	fleetStatus   // sends a status that is none
 	numFleetFaults
 )
 
@@ -42,6 +46,8 @@
 	// responds.
 	silence  = 1200 * time.Millisecond
 	lateness = 1800 * time.Millisecond
+	// echoDelay is how long after a response it is sent once more.
+	echoDelay = 8 * time.Millisecond
 	// stockErrors is one of how many requests to the stock service fail at its server.
 	stockErrors = 7
 )
@@ -184,6 +190,15 @@
 		}
 		fault := sv.fault.Load()
 		f.checks.arrive(sv, id, x)
+		if fault == fleetEarly && x.Header.Get(platform.HeaderExpectInstance) == id {
+			r := f.checks.run(sv, id, version, x)
+			sendEarly(r, x)
+			f.checks.ran(r, false, sv.ended(born))
+			return x.Reset()
+		}
+		if x.ReadBody() != nil {
+			return false
+		}
 		if x.Header.Get(platform.HeaderExpectInstance) != id {
 			return x.Misdirect()
 		}
@@ -193,11 +208,44 @@
 		defer func() { <-sv.room }()
 		r := f.checks.run(sv, id, version, x)
 		whole := f.answer(sv, r, fault, x)
-		f.checks.ran(r, whole)
+		f.checks.ran(r, whole, sv.ended(born))
+		if whole && fault == fleetEcho {
+			return sleep(x, echoDelay) && x.Reply(http.StatusOK, x.ID())
+		}
 		return whole && fault != fleetUnframed && fault != fleetLost
 	}
 }
 
+// ended reports whether the process that started at born has ended.
+func (sv *fleetServer) ended(born int64) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return !sv.up || sv.born != born
+}
+
+// sendEarly sends a part of a response that ends with its connection.
+func sendEarly(r *fleetRun, x *origin.Exchange) {
+	if !isStream(x.URL.Path) {
+		x.StartUnframed("HTTP/1.1")
+		x.Send(x.ID()[:len(x.ID())/2])
+		return
+	}
+	x.StartUnframed("HTTP/1.1", "Content-Type: text/event-stream")
+	total := eventsOf(x.URL.Path)
+	for id := r.after + 1; id < min(r.after+3, total); id++ {
+		x.Send(r.event(id, total))
+	}
+}
+
+// sendHeader sends a part of the header of a response.
+func sendHeader(n uint64, x *origin.Exchange) {
+	text := "HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 10\r\n\r\n"
+	x.Send(text[:n%uint64(len(text))])
+	if n%3 == 0 {
+		x.Reset()
+	}
+}
+
 // enter waits for a slot. It returns false if too many requests wait, or the caller leaves.
 func (sv *fleetServer) enter(x *origin.Exchange) bool {
 	select {
@@ -236,7 +284,14 @@
 // answer sends the response of a run, and reports whether it is whole.
 func (f *fleet) answer(sv *fleetServer, r *fleetRun, fault int32, x *origin.Exchange) bool {
 	n := hashOf(x.ID())
-	if fault == fleetLate && !sleep(x, lateness) {
+	switch {
+	case fault == fleetLate && !sleep(x, lateness):
+		return false
+	case fault == fleetHeader && n%2 == 0:
+		sendHeader(n/2, x)
+		return false
+	case fault == fleetStatus && n%2 == 0:
+		x.Send("HTTP/1.1 000 X\r\n" + platform.HeaderAttemptID + ": " + x.ID() + "\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 1\r\n\r\n1")
 		return false
 	}
 	if isStream(x.URL.Path) {
--- a/cmd/yuccalbe/fleet_test.go
+++ b/cmd/yuccalbe/fleet_test.go
@@ -162,6 +162,7 @@
 	}
 	sv.room = make(chan struct{}, sv.slots)
 	sv.origin = origin.New(f.t, f.script(sv))
+	sv.origin.LeaveBody = true
 	sv.proxy = proxy.New(f.t, sv.origin.Addr())
 	f.servers = append(f.servers, sv)
 	f.register(sv)
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -24,15 +24,20 @@
 	*http.Request
 	// Raw is the request line and the header as received.
 	Raw string
-	// Body is the whole body. It is empty on a server with LeaveBody set, whose script
-	// reads the body.
+	// Body is the whole body. It is empty on a server with LeaveBody set until the script
+	// calls ReadBody.
 	Body []byte
 	Conn net.Conn
 	// Arrived is the time at which the header was read.
 	Arrived time.Time
 	// Closed is closed when the gateway closes the connection, and at the latest after
-	// the script has returned. On a server with LeaveBody set it is never closed.
+	// the script has returned. On a server with LeaveBody set it is not closed before the
+	// script has called ReadBody.
 	Closed <-chan struct{}
+
+	closed  chan struct{}
+	watched bool // until closed is closed
+	br      *bufio.Reader
 }
 
 // Script answers a request. If it returns false, the server closes the connection.
@@ -152,32 +157,38 @@
 		if err != nil {
 			return
 		}
-		x := &Exchange{Request: req, Conn: c, Arrived: time.Now()}
+		x := &Exchange{Request: req, Conn: c, Arrived: time.Now(), closed: make(chan struct{}), br: br}
 		x.Raw, _, _ = strings.Cut(rec.read.String(), "\r\n\r\n")
-		if !s.LeaveBody {
-			if x.Body, err = io.ReadAll(req.Body); err != nil {
-				return
-			}
+		x.Closed = x.closed
+		if !s.LeaveBody && x.ReadBody() != nil {
+			return
 		}
-		closed := make(chan struct{})
-		x.Closed = closed
 		s.mu.Lock()
 		s.seen = append(s.seen, x)
 		s.mu.Unlock()
-		if !s.LeaveBody {
-			go watchClose(br, closed)
-		}
 		if !s.script(x) {
 			return
 		}
-		if !s.LeaveBody {
+		if x.watched {
 			_ = c.SetReadDeadline(time.Now()) // makes watchClose return
-			<-closed
+			<-x.closed
 			_ = c.SetReadDeadline(time.Time{})
 		}
 	}
 }
 
+// ReadBody reads the whole body. From then on Closed is closed when the gateway closes the connection. It
+// must be called once at most.
+func (x *Exchange) ReadBody() error {
+	var err error
+	if x.Body, err = io.ReadAll(x.Request.Body); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	x.watched = true
+	go watchClose(x.br, x.closed)
+	return nil
+}
+
 // watchClose closes the channel closed when the gateway closes the connection or sends more data, or
 // when the read deadline passes.
 func watchClose(br *bufio.Reader, closed chan struct{}) {
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -84,8 +84,7 @@
 // drop resets all connections. The caller holds p.mu.
 func (p *Proxy) drop() {
 	for c := range p.conns {
-		_ = c.SetLinger(0) // makes the close a reset
-		_ = c.Close()
+		reset(c)
 	}
 	clear(p.conns)
 }
@@ -138,8 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.fault.Reset || p.fault.ResetNew {
-		_ = c.SetLinger(0) // makes the close a reset
-		_ = c.Close()
+		reset(c)
 		return false
 	}
 	p.conns[c] = true
@@ -162,7 +160,7 @@
 			return
 		}
 		if _, werr := dst.Write(buf[:n]); werr != nil {
-			_ = src.Close() // dst is closed
+			reset(src) // the kernel reports a reset of dst once, perhaps not to the read from it
 			return
 		}
 		if err == io.EOF {
@@ -170,13 +168,18 @@
 			return
 		}
 		if err != nil {
-			_ = dst.SetLinger(0) // forwards the reset
-			_ = dst.Close()
+			reset(dst)
 			return
 		}
 	}
 }
 
+// reset closes a connection with a reset. It may be closed already.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
 // pass waits while held holds for the fault, then for its delay. It returns false if the
 // proxy is closed.
 func (p *Proxy) pass(held func(Fault) bool) bool {
