Cut responses without a marked end whose server has ended

Callers saw streams, and other responses, that looked complete and were not. Cause: the same class as for hosts that are killed. When the process of a server ends, the kernel closes its connections in an orderly way; a response with neither a length nor chunks then ends like a complete one, and was passed on as it was.

Ruled out: a server that ends such a response early and goes on; nobody else can see that. A look at the entries of servers: one that has crashed is listed for three more heartbeats. Asking each server whether its process is the same: a call where an attempt to connect is enough.

Change: when a response of a server ends with its connection, the host opens a connection to that server. A server that is known to leave, or is no longer listed, may have ended after its last response and is not looked after. The attempt is only made for such responses.

Conclusion: a process that is started again at its address within milliseconds looks as if it had not ended.

--- a/internal/edge/entry/framing_test.go
+++ b/internal/edge/entry/framing_test.go
@@ -335,3 +335,95 @@
 		})
 	}
 }
+
+// TestUnframedResponseOfEndedServer guards against a response that ends with its connection and that looks
+// complete although the process of its server has ended: the kernel closes the connections of a process in an
+// orderly way.
+func TestUnframedResponseOfEndedServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, part, rest string
+		status           int
+		whole            bool // another server serves the request, or the rest of it
+	}{
+		"stream":                     {"/chat/x", origin.Events(1, 2), "", http.StatusOK, false},
+		"stream without events":      {"/chat/x", "", "", http.StatusBadGateway, false},
+		"stream in another region":   {"/chat-b/x", origin.Events(1, 2), "", http.StatusOK, false},
+		"resumable stream":           {"/ask/x", origin.Events(1, 2), origin.Events(3, 4), http.StatusOK, true},
+		"order":                      {"/order/x", "some of", "", http.StatusBadGateway, false},
+		"order without a body":       {"/order/x", "", "", http.StatusBadGateway, false},
+		"order in another region":    {"/order-b/x", "some of", "", http.StatusBadGateway, false},
+		"large response":             {"/order/x", large, "", http.StatusOK, false},
+		"request that may run twice": {"/safe/x", "some of", "all", http.StatusOK, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t)
+			a := cl.host("a1")
+			cl.host("b1")
+			var servers []*origin.Server
+			ended := false
+			var mu sync.Mutex
+			for i, site := range []string{"a1", "a1", "b1"} {
+				servers = append(servers, cl.server(fmt.Sprint("s", i), site, func(x *origin.Exchange) bool {
+					if x.Method == http.MethodGet {
+						return ok(x)
+					}
+					mu.Lock()
+					first := !ended
+					ended = true
+					mu.Unlock()
+					if !first {
+						return x.Reply(http.StatusOK, c.rest, "Content-Type: text/event-stream")
+					}
+					x.StartUnframed("HTTP/1.1")
+					x.Send(c.part)
+					time.Sleep(30 * time.Millisecond)
+					servers[i].Crash()
+					return false
+				}))
+			}
+			cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+			for range 20 { // fills the retry budget
+				cl.do(a, get("/open/x"))
+			}
+			resp := cl.do(a, post(c.path, "1"))
+			wantStatus(t, resp, c.status)
+			want := c.rest
+			if strings.HasPrefix(c.path, "/ask/") {
+				want = c.part + c.rest
+			}
+			if c.status == http.StatusOK && (resp.Err == nil) != c.whole || c.whole && resp.Body != want {
+				t.Errorf("%d bytes, error %v, want all of it %v", len(resp.Body), resp.Err, c.whole)
+			}
+		})
+	}
+}
+
+// TestUnframedResponseOfLeavingServer guards against a whole response that is taken for one in part because its
+// server, which had announced that it leaves, ended after it.
+func TestUnframedResponseOfLeavingServer(t *testing.T) {
+	cl := newCluster(t)
+	a := cl.host("a1")
+	begun := make(chan struct{})
+	listed := make(chan struct{})
+	var s *origin.Server
+	s = cl.server("s1", "a1", func(x *origin.Exchange) bool {
+		close(begun)
+		<-listed
+		x.StartUnframed("HTTP/1.1")
+		x.Send(origin.Events(1, 2))
+		time.Sleep(30 * time.Millisecond)
+		s.Crash()
+		return false
+	})
+	go func() {
+		<-begun
+		cl.store.PutServer("s1", "desk", "a1", s.Addr(), "draining")
+		time.Sleep(time.Second) // the host reads it
+		close(listed)
+	}()
+	resp := cl.do(a, post("/chat/x", "1"))
+	wantStatus(t, resp, http.StatusOK)
+	if resp.Err != nil || resp.Body != origin.Events(1, 2) {
+		t.Errorf("error %v, body %q", resp.Err, resp.Body)
+	}
+}
--- a/internal/edge/relay/deliver.go
+++ b/internal/edge/relay/deliver.go
@@ -97,6 +97,9 @@
 	if errors.Is(err, intake.ErrTooLong) || errors.Is(err, intake.ErrNoMemory) {
 		return q.relayUnbuffered(resp, &body, &v, onFirstByte)
 	}
+	if err == nil {
+		err = q.checkServerEnded()
+	}
 	if err != nil {
 		return q.classifyTruncation(err, retry.Unknown)
 	}
@@ -167,6 +170,9 @@
 	if err == nil {
 		_, err = io.CopyBuffer(writer{q.w}, resp, make([]byte, copyBuffer))
 	}
+	if err == nil {
+		err = q.checkServerEnded()
+	}
 	if err == nil {
 		err = q.endUnmarkedBody()
 	}
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +29,22 @@
 	}
 }
 
+// errServerEnded means that the process of a server has ended with its response.
+var errServerEnded = fmt.Errorf("nothing listens at the address of the server: %w", io.ErrUnexpectedEOF)
+
+// checkServerEnded returns errServerEnded if a response has ended with its connection and nothing listens at the
+// address of its server any more: the kernel closes the connections of a process that ends in an orderly way,
+// so that a response in part looks complete. A server that leaves may end after its last response.
+func (q *request) checkServerEnded() error {
+	if !q.endUnknown || q.fromPeerHost() || q.chosenFrom.Table.Leaves(&q.choice) {
+		return nil
+	}
+	if q.s.servers.Refused(q.dest.addr) {
+		return errServerEnded
+	}
+	return nil
+}
+
 // fromPeerHost reports whether the response to the last attempt comes from another host
 // and not from a server.
 func (q *request) fromPeerHost() bool { return q.dest.region != "" }
--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -137,6 +137,9 @@
 	if withinEvent {
 		return q.classifyTruncation(errWithinEvent, q.truncationResult())
 	}
+	if err := q.checkServerEnded(); err != nil {
+		return q.classifyTruncation(err, q.truncationResult())
+	}
 	q.connLost = q.endUnknown
 	if q.began || !q.endUnknown {
 		q.recordComplete()
