Test servers that stop within the header of a response

Change: tests that would fail if that stopped. TestCutHead cuts nine headers at each byte (lengths, chunks, neither, HTTP/1.0, bare line feeds, folded fields, interim responses, one behind that to another request), TestServerEndsInHeader cuts them on connections, by a close and by a reset, for seven routes in both regions, with small uploads and with uploads that are written meanwhile.

--- a/internal/edge/entry/faulty_test.go
+++ b/internal/edge/entry/faulty_test.go
@@ -128,3 +128,39 @@
 		t.Errorf("%d requests reached faulty servers", got)
 	}
 }
+
+// TestServerEndsInHeader guards against callers that get a success, with a body in part or none, from a server that
+// has stopped within the header of its response and closed the connection.
+func TestServerEndsInHeader(t *testing.T) {
+	header := "HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": ID\r\n" + platform.HeaderSignature + ": s\r\nContent-Type: text/event-stream\r\nContent-Length: 40\r\n\r\n"
+	for _, end := range []string{"close", "reset"} {
+		t.Run(end, func(t *testing.T) {
+			cl := newCluster(t)
+			a := cl.host("a1")
+			cl.host("b1")
+			script := func(x *origin.Exchange) bool {
+				n, err := strconv.Atoi(strings.TrimRight(string(x.Body), "x"))
+				if err != nil {
+					return ok(x)
+				}
+				x.Send(strings.ReplaceAll(header, "ID", x.ID())[:n])
+				if end == "reset" {
+					x.Reset()
+				}
+				return false
+			}
+			cl.server("s1", "a1", script)
+			cl.server("s2", "b1", script)
+			cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+			for _, path := range []string{"/order/x", "/chat/x", "/ask/x", "/safe/x", "/order-b/x", "/chat-b/x", "/home-b/x"} {
+				for n := 0; n < len(header); n += 5 {
+					body := strconv.Itoa(n) + strings.Repeat("x", n%2*(40<<10)) // large ones are written while the response is read
+					if resp := cl.do(a, post(path, body)); resp.Status < http.StatusInternalServerError {
+						t.Errorf("%s, cut after %q: status %d, body %q, error %v", path, header[max(n-20, 0):n], resp.Status, resp.Body, resp.Err)
+					}
+					cl.do(a, post(path, "sound")) // a server that fails three times in a row gets no requests
+				}
+			}
+		})
+	}
+}
--- a/internal/edge/send/head_test.go
+++ b/internal/edge/send/head_test.go
@@ -75,3 +75,30 @@
 		t.Errorf("%d heads are counted after their release", n)
 	}
 }
+
+// TestCutHead guards against a response whose server stopped within its header and that counts as one without
+// the rest: without the length, a part of the body, or none, would look whole. Operators of such systems saw it.
+func TestCutHead(t *testing.T) {
+	const fields = idHeader + ": 1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n"
+	for name, text := range map[string]string{
+		"length":       "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 1234\r\n\r\n",
+		"chunks":       "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n",
+		"neither":      "HTTP/1.1 200 OK\r\n" + fields + "\r\n",
+		"HTTP/1.0":     "HTTP/1.0 200 OK\r\n" + fields + "Content-Length: 1234\r\n\r\n",
+		"line feeds":   strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 1234\r\n\r\n", "\r\n", "\n"),
+		"folded field": "HTTP/1.1 200 OK\r\n" + fields + "Link: a,\r\n b\r\n\tc\r\nContent-Length: 1234\r\n\r\n",
+		"no reason":    "HTTP/1.1 200\r\n" + fields + "Content-Length: 1234\r\n\r\n",
+		"interim":      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 1234\r\n\r\n",
+		"stray":        "HTTP/1.1 200 OK\r\n" + idHeader + ": 2\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 1234\r\n\r\n",
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
+			for n := range len(text) {
+				cn := newConn(readerConn{Reader: strings.NewReader(text[:n])}, netip.AddrPort{}, &atomic.Int64{})
+				resp, err := readResponse(cn, &Request{Method: method, ID: "1", IDHeader: idHeader})
+				if err == nil {
+					t.Errorf("%s, %s, cut after %q: status %d, length %d", name, method, text[max(n-20, 0):n], resp.StatusCode, resp.ContentLength)
+				}
+			}
+		}
+	}
+}
