--- a/cmd/yuccalbe/intake_test.go
+++ b/cmd/yuccalbe/intake_test.go
@@ -24,6 +24,10 @@
 	// crowdSize is the number of connections that are open at once, each opened again
 	// once it is closed.
 	crowdSize = 400
+	// endlessSize is the number of connections that send without end, and endlessTime how
+	// long they do before the bounds are checked.
+	endlessSize = 60
+	endlessTime = 800 * time.Millisecond
 	// crowdMemoryMB and crowdFiles are the limits in the settings of the host, and the
 	// bounds for the process.
 	crowdMemoryMB = 96
@@ -96,12 +100,69 @@
 }
 
 func testCrowd(t *testing.T, bin, name, input string) {
+	newCrowdHost(t, bin).testCrowd(t, name, crowdTime, func(addr netip.AddrPort) *crowd.Crowd {
+		return crowd.Start(addr, crowdSize, []byte(crowdInputs[input]()), !strings.HasPrefix(input, "unread"))
+	})
+}
+
+const (
+	// getStart and postStart begin requests.
+	getStart  = "GET / HTTP/1.1\r\nHost: " + plattest.Host + "\r\n"
+	postStart = "POST /safe/x HTTP/1.1\r\nHost: " + plattest.Host + "\r\n" + platform.HeaderAttemptID + ": endless\r\n" + platform.HeaderAPIKey + ": k\r\n"
+)
+
+// endlessInputs are what each connection of an endless crowd sends first, and what it sends again and again.
+var endlessInputs = map[string]struct{ first, more string }{
+	"fields":                 {getStart, strings.Repeat("abc:\r\n", 1000)},
+	"field":                  {getStart + "A: ", strings.Repeat("x", 8<<10)},
+	"field name":             {getStart, strings.Repeat("x", 8<<10)},
+	"folded field":           {getStart + "A: x\r\n", strings.Repeat(" x\r\n", 1000)},
+	"request line":           {"GET /", strings.Repeat("x", 8<<10)},
+	"method":                 {"", strings.Repeat("X", 8<<10)},
+	"empty lines":            {"", strings.Repeat("\r\n", 4<<10)},
+	"line feeds":             {"", strings.Repeat("\n", 8<<10)},
+	"lines after a request":  {postStart + "Content-Length: 0\r\n\r\n", strings.Repeat("\r\n", 4<<10)},
+	"body":                   {postStart + "Content-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 8<<10)},
+	"chunks":                 {postStart + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000)},
+	"chunk extension":        {postStart + "Transfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 8<<10)},
+	"chunk size":             {postStart + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 8<<10)},
+	"trailers":               {postStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("abc:\r\n", 1000)},
+	"requests without a key": {"", strings.Repeat("GET /safe/x HTTP/1.1\r\nHost: "+plattest.Host+"\r\n"+platform.HeaderAttemptID+": r\r\n\r\n", 50)},
+}
+
+// TestEndlessCrowd guards against a host that runs out of memory or file descriptors, or no longer serves, because
+// connections send requests beyond the limits, or lines before a request, without end.
+func TestEndlessCrowd(t *testing.T) {
+	bin, err := proc.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
 	h := newCrowdHost(t, bin)
+	test := func(name, input string) {
+		text := endlessInputs[input]
+		t.Run(name+"/"+input, func(t *testing.T) {
+			h.testCrowd(t, name, endlessTime, func(addr netip.AddrPort) *crowd.Crowd {
+				return crowd.StartEndless(addr, endlessSize, []byte(text.first), []byte(text.more))
+			})
+		})
+	}
+	for input := range endlessInputs {
+		test("front", input)
+	}
+	for _, name := range []string{"lookup", "ready", "peer", "metrics"} {
+		test(name, "fields")
+		test(name, "field")
+		test(name, "empty lines")
+	}
+}
+
+// testCrowd lets a crowd come to an address of the host for a time.
+func (h *crowdHost) testCrowd(t *testing.T, name string, d time.Duration, start func(netip.AddrPort) *crowd.Crowd) {
 	h.await(t, "host serves")
-	c := crowd.Start(h.addrs[name], crowdSize, []byte(crowdInputs[input]()), !strings.HasPrefix(input, "unread"))
+	c := start(h.addrs[name])
 	defer c.End()
 	files := 0
-	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		n, err := h.process.OpenFiles()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -1,5 +1,5 @@
-// Package crowd plays callers who send parts of requests, or read no responses, on many
-// connections at once.
+// Package crowd plays callers who send parts of requests, send without end, or read no
+// responses, on many connections at once.
 package crowd
 
 import (
@@ -15,7 +15,8 @@
 type Crowd struct {
 	addr  netip.AddrPort
 	input []byte
-	reads bool // responses
+	more  []byte // sent again and again after the input
+	reads bool   // responses
 	stop  chan struct{}
 	done  sync.WaitGroup
 
@@ -26,7 +27,18 @@
 
 // Start opens the connections. They read what the host responds if reads is set.
 func Start(addr netip.AddrPort, size int, input []byte, reads bool) *Crowd {
-	c := &Crowd{addr: addr, input: input, reads: reads, stop: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	return (&Crowd{addr: addr, input: input, reads: reads}).start(size)
+}
+
+// StartEndless opens connections that send the input and then more, again and again, and
+// read what the host responds.
+func StartEndless(addr netip.AddrPort, size int, input, more []byte) *Crowd {
+	return (&Crowd{addr: addr, input: input, more: more, reads: true}).start(size)
+}
+
+func (c *Crowd) start(size int) *Crowd {
+	c.stop = make(chan struct{})
+	c.conns = make(map[net.Conn]bool)
 	for range size {
 		c.done.Go(func() {
 			for c.connect() {
@@ -43,9 +55,17 @@
 		if !c.add(conn) {
 			return false
 		}
-		if _, err := conn.Write(c.input); err == nil && c.reads {
+		_, err := conn.Write(c.input)
+		switch {
+		case err != nil:
+		case len(c.more) > 0:
+			c.done.Go(func() { _, _ = io.Copy(io.Discard, conn) }) // ends with the connection
+			for err == nil {
+				_, err = conn.Write(c.more)
+			}
+		case c.reads:
 			_, _ = io.Copy(io.Discard, conn) // ends with the connection
-		} else if err == nil {
+		default:
 			<-c.stop
 		}
 		c.remove(conn)
