Know after a start, and before a move, at which service streams began

Callers could get the rest of a stream from a server of another service. The identity of the stream's first part was lost in two ways, both found by TestFleet:

Ruled out: reading the configuration at each take-up, a call more for each, also where routes of streams never move; comparing versions between hosts, which those that are cut off from each other can't.

Change: a record of the store holds the routes of streams of the last version, and for 90 s those it replaced; hosts that have been up for less than a stream's time compare. It is one call at the first start and two at each move of streams. For a minute after a move, streams of the route are recorded whatever their version, and records name the service; a take-up at another one is refused as not run. The configurations of one model service never move streams, so that nothing else changes there.

A version whose move all hosts miss until it is moved back is not seen.

--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -13,6 +13,9 @@
 	// lasts, and maxFormer bounds the versions.
 	formerTime = 10 * time.Minute
 	maxFormer  = 64
+	// recordTime is how long streams are recorded that begin at another service than before: other
+	// hosts may not know yet that their route has moved.
+	recordTime = time.Minute
 )
 
 // Moves remembers to which services the routes of former versions of the configuration sent
@@ -22,6 +25,10 @@
 	mu      sync.Mutex
 	current *spec.Snapshot // of routes only, nil before the first version
 	former  []formerRoutes // by the time up to which they were in force
+	// began is when the first version was known. What was before is known from stored only, the
+	// record of the store, nil if there is none. The record has been as it is since storedAt.
+	began, storedAt time.Time
+	stored          *Routing
 }
 
 // formerRoutes are the routes of a version that was in force until a time.
@@ -44,16 +51,59 @@
 			m.former = slices.Delete(m.former, 0, 1)
 		}
 	}
+	if m.current == nil {
+		m.began = now
+	}
 	m.current = spec.NewSnapshot(spec.Config{Routes: routes})
 }
 
+// UpdateStored replaces the store's record, nil if there is none.
+func (m *Moves) UpdateStored(r *Routing, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stored == nil || r == nil || m.stored.Rev != r.Rev {
+		m.storedAt = now
+	}
+	m.stored = r
+}
+
+// Write returns the record that should be written in place of the one at its revision, and false if
+// there is none. By an outdated list it replaces none.
+func (m *Moves) Write(listAge time.Duration, now time.Time) (Routing, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current == nil || Outdated(listAge) {
+		return Routing{}, false
+	}
+	routes := newRoutes(m.current.Routes)
+	if m.stored == nil || len(m.stored.Versions) == 0 {
+		return Routing{Versions: []Routes{routes}}, routes.Service != "" || len(routes.Rules) > 0
+	}
+	last := m.stored.Versions
+	switch {
+	case !routes.equal(last[0]):
+		former := slices.DeleteFunc(slices.Clone(last), routes.equal)
+		return Routing{Versions: append([]Routes{routes}, former[:min(len(former), maxRouting-1)]...), Rev: m.stored.Rev}, true
+	case len(last) > 1 && now.Sub(m.storedAt) >= formerKept:
+		return Routing{Versions: []Routes{routes}, Rev: m.stored.Rev}, true
+	}
+	return Routing{}, false
+}
+
+// MustRecord reports whether a stream that begins at a service must be recorded, because its route may
+// have led to another one a short time before.
+func (m *Moves) MustRecord(service, host, path string, hash uint64, now time.Time) bool {
+	return m.Moved(service, host, path, hash, recordTime, now)
+}
+
 // sameRouting reports whether two routes send the same streams to the same services.
 func sameRouting(a, b spec.Route) bool {
 	return a.Host == b.Host && a.Prefix == b.Prefix && a.Resumable == b.Resumable && slices.Equal(a.Targets, b.Targets)
 }
 
 // Moved reports whether a stream that a caller takes up, and that a service gets now, may have begun at
-// another one: a version in force within a time before now selects that for its host, path and hash.
+// another one: a version in force within a time before now selects that for its host, path and hash. For the
+// time before the first known version the store's record counts.
 func (m *Moves) Moved(service, host, path string, hash uint64, within time.Duration, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -64,5 +114,8 @@
 	if m.current != nil && other(m.current) {
 		return true // the caller's request goes by a version that came into force after the last update
 	}
+	if now.Sub(m.began) <= within && m.stored.moved(service, host, path, hash) {
+		return true
+	}
 	return slices.ContainsFunc(m.former, func(f formerRoutes) bool { return now.Sub(f.until) <= within && other(f.Snapshot) })
 }
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -117,7 +117,7 @@
 				next = recordPause
 			}
 		}
-		if !f.writeBases() {
+		if !f.writeBases() || !f.writeRouting() {
 			next = recordPause
 		}
 		t.Reset(next)
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -25,6 +25,12 @@
 	return f.moves.Moved(service, host, path, hash, within, time.Now())
 }
 
+// MustRecordMoved reports whether a stream that begins at a service must be recorded, because its route may have
+// led to another one a short time before.
+func (f *Fleet) MustRecordMoved(service, host, path string, hash uint64) bool {
+	return f.moves.MustRecord(service, host, path, hash, time.Now())
+}
+
 // ServesVersion reports whether a region that is allowed has servers of a service at a software
 // version that are not leaving.
 func (f *Fleet) ServesVersion(service, version string, allowed func(region string) bool) bool {
@@ -97,15 +103,38 @@
 	return ok
 }
 
+// writeRouting writes the record of the routes of streams if it is missing or outdated. Only the first host
+// of each region does. It reports whether the call succeeded.
+func (f *Fleet) writeRouting() bool {
+	r, ok := f.moves.Write(f.ListAge(), time.Now())
+	if !ok || f.Position() != 0 {
+		return true
+	}
+	key, value, err := platform.EncodeRouting(r)
+	if err == nil {
+		err = f.swap(key, value, r.Rev)
+	}
+	if err != nil && !errors.Is(err, platform.ErrConflict) { // with a conflict another host was faster
+		f.opts.Log.Debug("routes of streams not written", zap.Error(err))
+		return false
+	}
+	return true
+}
+
 // writeBase replaces the record at b.Rev.
 func (f *Fleet) writeBase(b resume.Base) error {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
 	key, value, err := platform.EncodeBase(b)
 	if err != nil {
 		return err
 	}
-	_, err = f.opts.Records.Swap(ctx, key, value, b.Rev, f.opts.Records.NoLease())
+	return f.swap(key, value, b.Rev)
+}
+
+// swap replaces the record at a revision.
+func (f *Fleet) swap(key string, value []byte, rev eras.Revision) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	_, err := f.opts.Records.Swap(ctx, key, value, rev, f.opts.Records.NoLease())
 	f.opts.Count("swap", err)
 	return err
 }
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -46,6 +46,9 @@
 	slowTime      = 350 * time.Millisecond
 )
 
+// ErrOtherService means that a stream began at another service.
+var ErrOtherService = errors.New("the stream began at another service")
+
 // errUnsure means that the store lacks a record that this host added, and another host may have begun the stream.
 var errUnsure = errors.New("the last record of the stream is not in the store")
 
@@ -195,10 +198,10 @@
 	SourceMemory Source = "memory"
 )
 
-// Version returns the version at which a stream began, by the attempt that brought its first
-// event. The error is that of the store, if it can't be read and this host has not passed the
-// first event on itself, or errUnsure.
-func (l *Ledger) Version(ctx context.Context, attempt string) (string, Source, error) {
+// Version returns the version at which a stream of a service began, by the attempt that brought its
+// first event. The error is that of the store, if it can't be read and this host has not passed the
+// first event on itself, errUnsure, or ErrOtherService.
+func (l *Ledger) Version(ctx context.Context, attempt, service string) (string, Source, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	stored, err := l.opts.Store.Stream(ctx, attempt)
@@ -214,7 +217,12 @@
 	l.mu.Unlock()
 	switch {
 	case err == nil && (r == nil || r.Number <= stored.Number):
+		if stored.Service != "" && stored.Service != service {
+			return "", "", ErrOtherService
+		}
 		return stored.Version, SourceStore, nil
+	case passed && r.Service != service:
+		return "", "", ErrOtherService
 	case passed:
 		return r.Version, SourceMemory, nil
 	case err == nil || none && r != nil:
--- a/internal/edge/ledger/ledger_test.go
+++ b/internal/edge/ledger/ledger_test.go
@@ -34,7 +34,7 @@
 
 func wantVersion(t *testing.T, l *Ledger, attempt, version string, source Source) {
 	t.Helper()
-	v, from, err := l.Version(t.Context(), attempt)
+	v, from, err := l.Version(t.Context(), attempt, "")
 	if v != version || from != source || err != nil {
 		t.Errorf("%s: version %q from %q, error %v; want %q from %q", attempt, v, from, err, version, source)
 	}
@@ -98,7 +98,7 @@
 	a.Pass(r)
 	wantVersion(t, a, "id", "v1", SourceMemory)
 	var status *platform.StatusError
-	if _, _, err := b.Version(t.Context(), "id"); !errors.As(err, &status) {
+	if _, _, err := b.Version(t.Context(), "id", ""); !errors.As(err, &status) {
 		t.Errorf("another host: error %v", err)
 	}
 	s.SetFault(nil)
@@ -123,8 +123,8 @@
 	s.Restore(snapshot)
 	other := newLedger(t, s)
 	await.True(t, wait, "second record written again", func() bool {
-		_, _, _ = l.Version(t.Context(), "none") // a response names the new era
-		v, _, err := other.Version(t.Context(), "second")
+		_, _, _ = l.Version(t.Context(), "none", "") // a response names the new era
+		v, _, err := other.Version(t.Context(), "second", "")
 		return v == "v2" && err == nil
 	})
 	wantVersion(t, other, "first", "v1", SourceStore)
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -54,6 +54,7 @@
 	Unconfirmed []spec.Server      `cbor:"9,keyasint,omitempty"`
 	Suspects    []platform.Suspect `cbor:"10,keyasint,omitempty"`
 	Bases       []resume.Base      `cbor:"11,keyasint,omitempty"`
+	Routing     *resume.Routing    `cbor:"12,keyasint,omitempty"`
 }
 
 // Viewer returns the current view of the responding host.
@@ -91,7 +92,7 @@
 	return entries{
 		Rev: l.EntriesRev, Asked: now.Sub(l.Asked), Answered: now.Sub(l.Answered),
 		Servers: l.Servers, Hosts: l.Hosts, Evacuated: l.Evacuated,
-		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed, Suspects: l.Suspects, Bases: l.Bases,
+		Expired: l.Expired, RetainFor: max(l.RetainUntil.Sub(now), 0), Unconfirmed: l.Unconfirmed, Suspects: l.Suspects, Bases: l.Bases, Routing: l.Routing,
 	}
 }
 
@@ -121,7 +122,7 @@
 	}
 	now := time.Now()
 	l := &track.Listing{
-		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated, Suspects: m.Suspects, Bases: m.Bases},
+		Entries:     platform.Entries{Servers: m.Servers, Hosts: m.Hosts, Evacuated: m.Evacuated, Suspects: m.Suspects, Bases: m.Bases, Routing: m.Routing},
 		EntriesRev:  m.Rev,
 		Asked:       now.Add(-m.Asked),
 		Answered:    now.Add(-m.Answered),
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -20,6 +20,7 @@
 		q.refuse(ref)
 		return
 	}
+	q.recordMoved()
 	// The body or a record may have taken long to read.
 	if ref := q.s.checkDrain(q); ref != nil {
 		q.refuse(ref)
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -38,7 +39,7 @@
 	Add(stream platform.Stream) *ledger.Record
 	Drop(r *ledger.Record) bool
 	Pass(r *ledger.Record)
-	Version(ctx context.Context, attempt string) (string, ledger.Source, error)
+	Version(ctx context.Context, attempt, service string) (string, ledger.Source, error)
 	Versions(ctx context.Context, service string) ([]string, error)
 	Healthy(now time.Time) bool
 }
@@ -82,6 +83,18 @@
 	return nil
 }
 
+// recordMoved makes the attempts record a stream that begins where its route has led to another service a
+// short time before: a host at which it is taken up may not know of the move.
+func (q *request) recordMoved() {
+	if q.forwarded || !q.resumable() || q.lastEvent != "" {
+		return
+	}
+	path, _ := q.path()
+	if q.s.fleet.MustRecordMoved(q.service, q.r.Host, path, q.hash()) {
+		q.records = max(q.records, 1)
+	}
+}
+
 // moved reports whether the stream that the caller takes up may have begun at another service: a
 // version has moved its route since, or added or removed one with a longer prefix.
 func (q *request) moved() bool {
@@ -102,7 +115,10 @@
 	}
 	ctx, cancel := q.readContext()
 	defer cancel()
-	version, from, err := q.s.records.Version(ctx, attempt)
+	version, from, err := q.s.records.Version(ctx, attempt, q.service)
+	if errors.Is(err, ledger.ErrOtherService) {
+		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonServiceUnknown, 0}
+	}
 	if err != nil {
 		return q.beganUnknown(err)
 	}
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -135,6 +135,9 @@
 	for _, b := range e.Bases {
 		lines = append(lines, fmt.Sprint("b", b.Service, " ", b.Version, " ", b.Absent))
 	}
+	if e.Routing != nil {
+		lines = append(lines, fmt.Sprint("r", e.Routing.Versions))
+	}
 	slices.Sort(lines)
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
 }
