Look streams up in prepared routes, and trust no refusal over a lost path

The routes of the store's record were made into a table at each stream that began in the first minute of a host; that is done once a record now. A host that has lost its path to the servers may be refused by ones that run (new connections are, open ones live on): it no longer takes a response for one of a server that has ended.

Ruled out: no check at all while a path is in doubt only; the state of the path is known within a second.

Measured: TestRouting and the tests of moves and of ended servers pass, as before.

--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -26,9 +26,11 @@
 	current *spec.Snapshot // of routes only, nil before the first version
 	former  []formerRoutes // by the time up to which they were in force
 	// began is when the first version was known. What was before is known from stored only, the
-	// record of the store, nil if there is none. The record has been as it is since storedAt.
+	// record of the store, nil if there is none. The record has been as it is since storedAt, and
+	// tables has its versions.
 	began, storedAt time.Time
 	stored          *Routing
+	tables          []table
 }
 
 // formerRoutes are the routes of a version that was in force until a time.
@@ -61,10 +63,18 @@
 func (m *Moves) UpdateStored(r *Routing, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stored == nil || r == nil || m.stored.Rev != r.Rev {
-		m.storedAt = now
+	if m.stored != nil && r != nil && m.stored.Rev == r.Rev {
+		return
 	}
 	m.stored = r
+	m.storedAt = now
+	m.tables = nil
+	if r == nil {
+		return
+	}
+	for _, v := range r.Versions {
+		m.tables = append(m.tables, v.table())
+	}
 }
 
 // Write returns the record that should be written in place of the one at its revision, and false if
@@ -114,7 +124,8 @@
 	if m.current != nil && other(m.current) {
 		return true // the caller's request goes by a version that came into force after the last update
 	}
-	if now.Sub(m.began) <= within && m.stored.moved(service, host, path, hash) {
+	elsewhere := func(t table) bool { return t.leadsElsewhere(service, host, path, hash) }
+	if now.Sub(m.began) <= within && slices.ContainsFunc(m.tables, elsewhere) {
 		return true
 	}
 	return slices.ContainsFunc(m.former, func(f formerRoutes) bool { return now.Sub(f.until) <= within && other(f.Snapshot) })
--- a/internal/core/resume/routing.go
+++ b/internal/core/resume/routing.go
@@ -77,26 +77,27 @@
 	})
 }
 
-// service returns the service of a stream, and false if it has none.
-func (r Routes) service(host, path string, hash uint64) (string, bool) {
-	if r.Service != "" {
-		return r.Service, true
-	}
-	routes := make([]spec.Route, len(r.Rules))
-	for i, rule := range r.Rules {
-		routes[i] = spec.Route{Host: rule.Host, Prefix: rule.Prefix, Targets: rule.Targets}
-	}
-	route := spec.NewSnapshot(spec.Config{Routes: routes}).Route(host, path)
-	if route == nil || len(route.Targets) == 0 {
-		return "", false
+// table is a version of routes in which streams are looked up.
+type table struct {
+	service string // of all streams, empty if the routes of Snapshot decide
+	*spec.Snapshot
+}
+
+func (r Routes) table() table {
+	var routes []spec.Route
+	for _, rule := range r.Rules {
+		if len(rule.Targets) > 0 {
+			routes = append(routes, spec.Route{Host: rule.Host, Prefix: rule.Prefix, Targets: rule.Targets})
+		}
 	}
-	return route.Target(hash), true
+	return table{r.Service, spec.NewSnapshot(spec.Config{Routes: routes})}
 }
 
-// moved reports whether one of the versions sends a stream to another service.
-func (r *Routing) moved(service, host, path string, hash uint64) bool {
-	return r != nil && slices.ContainsFunc(r.Versions, func(v Routes) bool {
-		s, ok := v.service(host, path, hash)
-		return ok && s != service
-	})
+// leadsElsewhere reports whether the routes send a stream to another service.
+func (t table) leadsElsewhere(service, host, path string, hash uint64) bool {
+	if t.service != "" {
+		return t.service != service
+	}
+	route := t.Route(host, path)
+	return route != nil && route.Target(hash) != service
 }
--- a/internal/edge/relay/framing.go
+++ b/internal/edge/relay/framing.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/yuccalb/yuccalb/internal/core/reach"
 	"github.com/yuccalb/yuccalb/internal/edge/intake"
 	"github.com/yuccalb/yuccalb/internal/edge/send"
 )
@@ -34,9 +35,10 @@
 
 // checkServerEnded returns errServerEnded if a response has ended with its connection and nothing listens at the
 // address of its server any more: the kernel closes the connections of a process that ends in an orderly way,
-// so that a response in part looks complete. A server that leaves may end after its last response.
+// so that a response in part looks complete. A server that leaves may end after its last response, and a host
+// that has lost its path may be refused by servers that run.
 func (q *request) checkServerEnded() error {
-	if !q.endUnknown || q.fromPeerHost() || q.chosenFrom.Table.Leaves(&q.choice) {
+	if !q.endUnknown || q.fromPeerHost() || q.chosenFrom.Table.Leaves(&q.choice) || q.s.fleet.Path().State() != reach.Reached {
 		return nil
 	}
 	if q.s.servers.Refused(q.dest.addr) {
