Write the routes of streams once, and keep them out of the digest

Each host computed the routes five times a second; a host whose write had succeeded, or had met a conflict, wrote again until it had read the list; and the record was part of the digest of entries by which hosts see that their lists are alike, so that hosts of this version and of the one before would have read the list at each heartbeat during an upgrade.

Ruled out: leaving the writer to the next listing alone; that is up to seconds away.

Change: the routes are computed once a version, only the first host of a region asks whether to write, a write is remembered at once, a conflict asks for a new list, and an older listing does not replace the record.

Measured: TestRouting, with a listing that is older than the record, and the tests of moves, take-ups and ended servers pass.

--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/core/eras"
 	"github.com/yuccalb/yuccalb/internal/core/spec"
 )
 
@@ -31,6 +32,8 @@
 	began, storedAt time.Time
 	stored          *Routing
 	tables          []table
+	// routes are those of current.
+	routes Routes
 }
 
 // formerRoutes are the routes of a version that was in force until a time.
@@ -57,13 +60,15 @@
 		m.began = now
 	}
 	m.current = spec.NewSnapshot(spec.Config{Routes: routes})
+	m.routes = newRoutes(routes)
 }
 
-// UpdateStored replaces the store's record, nil if there is none.
-func (m *Moves) UpdateStored(r *Routing, now time.Time) {
+// UpdateStored replaces the store's record by that of a listing, nil if it has none, unless the listing, which
+// was read at a revision, is older than the record.
+func (m *Moves) UpdateStored(r *Routing, listed eras.Revision, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stored != nil && r != nil && m.stored.Rev == r.Rev {
+	if m.stored != nil && (!listed.After(m.stored.Rev) || r != nil && r.Rev == m.stored.Rev) {
 		return
 	}
 	m.stored = r
@@ -85,7 +90,7 @@
 	if m.current == nil || Outdated(listAge) {
 		return Routing{}, false
 	}
-	routes := newRoutes(m.current.Routes)
+	routes := m.routes
 	if m.stored == nil || len(m.stored.Versions) == 0 {
 		return Routing{Versions: []Routes{routes}}, routes.Service != "" || len(routes.Rules) > 0
 	}
--- a/internal/core/resume/routing_test.go
+++ b/internal/core/resume/routing_test.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	r.Rev = eras.Revision{Count: rev}
-	m.UpdateStored(&r, now)
+	m.UpdateStored(&r, r.Rev, now)
 	return &r
 }
 
@@ -48,6 +48,10 @@
 		t.Error("the record is written by an outdated list")
 	}
 	second := m.store(t, start, 2)
+	m.UpdateStored(first, first.Rev, start)
+	if _, ok := m.Write(0, start); ok {
+		t.Error("an older listing replaces the record")
+	}
 	for name, c := range map[string]struct {
 		stored  *Routing
 		service string
@@ -64,7 +68,7 @@
 	} {
 		var fresh Moves // of a host that starts at version 2
 		fresh.Update(routesTo("shop"), start)
-		fresh.UpdateStored(c.stored, start)
+		fresh.UpdateStored(c.stored, eras.Revision{Count: 9}, start)
 		if got := fresh.Moved(c.service, "", c.path, 0, within, start.Add(c.after)); got != c.want {
 			t.Errorf("%s: moved %v", name, got)
 		}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -257,7 +257,7 @@
 		f.listedAt = now
 	}
 	f.moves.Update(v.Snapshot.Routes, now)
-	f.moves.UpdateStored(v.Routing, now)
+	f.moves.UpdateStored(v.Routing, v.EntriesRev, now)
 	f.bases.Update(resumableServices(v.Snapshot), v.Usable(), v.Bases, now)
 	f.updateMembers(v, now)
 	if !f.joined.Load() {
--- a/internal/edge/fleet/poison.go
+++ b/internal/edge/fleet/poison.go
@@ -117,7 +117,10 @@
 				next = recordPause
 			}
 		}
-		if !f.writeBases() || !f.writeRouting() {
+		if !f.writeBases() {
+			next = recordPause
+		}
+		if !f.writeRouting() {
 			next = recordPause
 		}
 		t.Reset(next)
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -106,18 +106,24 @@
 // writeRouting writes the record of the routes of streams if it is missing or outdated. Only the first host
 // of each region does. It reports whether the call succeeded.
 func (f *Fleet) writeRouting() bool {
-	r, ok := f.moves.Write(f.ListAge(), time.Now())
-	if !ok || f.Position() != 0 {
+	if f.Position() != 0 {
+		return true
+	}
+	now := time.Now()
+	r, ok := f.moves.Write(f.ListAge(), now)
+	if !ok {
 		return true
 	}
 	key, value, err := platform.EncodeRouting(r)
 	if err == nil {
-		err = f.swap(key, value, r.Rev)
+		r.Rev, err = f.swap(key, value, r.Rev)
 	}
-	if err != nil && !errors.Is(err, platform.ErrConflict) { // with a conflict another host was faster
+	if err != nil {
+		f.tracker.Refresh() // another host may have been faster
 		f.opts.Log.Debug("routes of streams not written", zap.Error(err))
 		return false
 	}
+	f.moves.UpdateStored(&r, r.Rev, now)
 	return true
 }
 
@@ -127,14 +133,15 @@
 	if err != nil {
 		return err
 	}
-	return f.swap(key, value, b.Rev)
+	_, err = f.swap(key, value, b.Rev)
+	return err
 }
 
-// swap replaces the record at a revision.
-func (f *Fleet) swap(key string, value []byte, rev eras.Revision) error {
+// swap replaces the record at a revision and returns its new one.
+func (f *Fleet) swap(key string, value []byte, rev eras.Revision) (eras.Revision, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	_, err := f.opts.Records.Swap(ctx, key, value, rev, f.opts.Records.NoLease())
+	rev, err := f.opts.Records.Swap(ctx, key, value, rev, f.opts.Records.NoLease())
 	f.opts.Count("swap", err)
-	return err
+	return rev, err
 }
--- a/internal/edge/track/entries.go
+++ b/internal/edge/track/entries.go
@@ -117,7 +117,7 @@
 }
 
 // digest returns a hash of the entries without the counts of heartbeats, which
-// change at each renewal.
+// change at each renewal, and the routes of streams, which hosts need when they start.
 func digest(e platform.Entries) uint64 {
 	lines := make([]string, 0, len(e.Servers)+len(e.Hosts)+len(e.Evacuated))
 	for _, s := range e.Servers {
@@ -135,9 +135,6 @@
 	for _, b := range e.Bases {
 		lines = append(lines, fmt.Sprint("b", b.Service, " ", b.Version, " ", b.Absent))
 	}
-	if e.Routing != nil {
-		lines = append(lines, fmt.Sprint("r", e.Routing.Versions))
-	}
 	slices.Sort(lines)
 	return xxhash.Sum64String(strings.Join(lines, "\n"))
 }
