Let a host whose record of routes met a conflict wait instead of reading the list

At a first start the hosts write the record at the same moment, and those that met a conflict asked for a new list. They knew the other region sooner, which then reported to them by two hosts instead of three, as it does once it is known.

Ruled out: load.

Change: after a conflict a host writes no record for ten seconds, and reads the list when it would anyway.

--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -17,6 +17,9 @@
 	// recordTime is how long streams are recorded that begin at another service than before: other
 	// hosts may not know yet that their route has moved.
 	recordTime = time.Minute
+	// conflictPause is how long a host writes no record after another host was faster. Its listing
+	// has that host's record by then.
+	conflictPause = 10 * time.Second
 )
 
 // Moves remembers to which services the routes of former versions of the configuration sent
@@ -32,6 +35,7 @@
 	began, storedAt time.Time
 	stored          *Routing
 	tables          []table
+	conflictAt      time.Time // of the last write, if another host was faster
 	// routes are those of current.
 	routes Routes
 }
@@ -87,7 +91,7 @@
 func (m *Moves) Write(listAge time.Duration, now time.Time) (Routing, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.current == nil || Outdated(listAge) {
+	if m.current == nil || Outdated(listAge) || !m.conflictAt.IsZero() && now.Sub(m.conflictAt) < conflictPause {
 		return Routing{}, false
 	}
 	routes := m.routes
@@ -105,6 +109,13 @@
 	return Routing{}, false
 }
 
+// Conflict states that another host has replaced the record at the revision of the last Write.
+func (m *Moves) Conflict(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conflictAt = now
+}
+
 // MustRecord reports whether a stream that begins at a service must be recorded, because its route may
 // have led to another one a short time before.
 func (m *Moves) MustRecord(service, host, path string, hash uint64, now time.Time) bool {
--- a/internal/core/resume/routing_test.go
+++ b/internal/core/resume/routing_test.go
@@ -48,8 +48,17 @@
 		t.Error("the record is written by an outdated list")
 	}
 	second := m.store(t, start, 2)
-	m.UpdateStored(first, first.Rev, start)
-	if _, ok := m.Write(0, start); ok {
+	m.Conflict(start)
+	m.Update(routesTo("desk"), start)
+	if _, ok := m.Write(0, start.Add(conflictPause-1)); ok {
+		t.Error("the record is written again at once after a conflict")
+	}
+	if _, ok := m.Write(0, start.Add(conflictPause)); !ok {
+		t.Error("the record is not written after a conflict")
+	}
+	m.Update(routesTo("shop"), start)
+	m.UpdateStored(first, first.Rev, start.Add(conflictPause))
+	if _, ok := m.Write(0, start.Add(conflictPause)); ok {
 		t.Error("an older listing replaces the record")
 	}
 	for name, c := range map[string]struct {
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -118,12 +118,15 @@
 	if err == nil {
 		r.Rev, err = f.swap(key, value, r.Rev)
 	}
-	if err != nil {
-		f.tracker.Refresh() // another host may have been faster
+	switch {
+	case err == nil:
+		f.moves.UpdateStored(&r, r.Rev, now)
+	case errors.Is(err, platform.ErrConflict): // another host was faster
+		f.moves.Conflict(now)
+	default:
 		f.opts.Log.Debug("routes of streams not written", zap.Error(err))
 		return false
 	}
-	f.moves.UpdateStored(&r, r.Rev, now)
 	return true
 }
 
