Share the set-up of a host with one server in the tests of yuccalbe

TestResponseOfKilledHost and the crowds started a host by the same 25 lines but for its routes, limits and server; one function does so now. Two comments of the record of routes say what they meant.

--- a/cmd/yuccalbe/intake_test.go
+++ b/cmd/yuccalbe/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -157,7 +158,7 @@
 }
 
 // testCrowd lets a crowd come to an address of the host for a time.
-func (h *crowdHost) testCrowd(t *testing.T, name string, d time.Duration, start func(netip.AddrPort) *crowd.Crowd) {
+func (h *testHost) testCrowd(t *testing.T, name string, d time.Duration, start func(netip.AddrPort) *crowd.Crowd) {
 	h.await(t, "host serves")
 	c := start(h.addrs[name])
 	defer c.End()
@@ -185,32 +186,31 @@
 	}
 }
 
-// crowdHost is a host with a server.
-type crowdHost struct {
+// testHost is a host with one server of the service desk.
+type testHost struct {
 	process *proc.Process
 	addrs   map[string]netip.AddrPort
 }
 
-func newCrowdHost(t *testing.T, bin string) *crowdHost {
+// newTestHost starts a host with routes to desk and settings beside the usual ones, and a server with a script.
+// The server must respond to requests whose identifier begins with ordinary.
+func newTestHost(t *testing.T, bin string, routes []plattest.Route, settings map[string]any, script origin.Script) *testHost {
 	t.Helper()
 	store := plattest.NewStore(t)
-	store.PutConfig(plattest.Config{
-		Version: 1, Services: []string{"desk"}, Keys: []string{"k"}, Org: "o", Rate: 1e6, Burst: 1e6,
-		Routes: []plattest.Route{{Prefix: "/safe/", Service: "desk", Kind: "safe", TimeoutMS: 4000}},
-	})
-	h := &crowdHost{addrs: make(map[string]netip.AddrPort)}
-	settings := map[string]any{
+	store.PutConfig(plattest.Config{Version: 1, Services: []string{"desk"}, Keys: []string{"k"}, Org: "o", Rate: 1e6, Burst: 1e6, Routes: routes})
+	h := &testHost{addrs: make(map[string]netip.AddrPort)}
+	all := map[string]any{
 		"host": "h", "site": "a1", "region": "a", "sites": map[string]string{"a1": "a"}, "store": store.Addr().String(), "first": true,
-		"revoke": "3s", "grace": "6s", "retries": 50, "memory": crowdMemoryMB, "files": crowdFiles,
+		"revoke": "3s", "grace": "6s", "retries": 50,
 	}
+	maps.Copy(all, settings)
 	for _, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
 		h.addrs[name] = local.Addr(t)
-		settings[name] = h.addrs[name].String()
+		all[name] = h.addrs[name].String()
 	}
 	path := filepath.Join(t.TempDir(), "host.yaml")
-	writeSettings(t, path, settings)
-	s := origin.New(t, func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") })
-	store.PutServer("s", "desk", "a1", s.Addr(), "ready")
+	writeSettings(t, path, all)
+	store.PutServer("s", "desk", "a1", origin.New(t, script).Addr(), "ready")
 	h.process = proc.New(t, bin, path)
 	if err := h.process.Start(); err != nil {
 		t.Fatal(err)
@@ -218,8 +218,18 @@
 	return h
 }
 
+// safeRoute is the route of ordinary requests.
+var safeRoute = plattest.Route{Prefix: "/safe/", Service: "desk", Kind: "safe", TimeoutMS: 4000}
+
+// newCrowdHost starts a host with low limits.
+func newCrowdHost(t *testing.T, bin string) *testHost {
+	t.Helper()
+	return newTestHost(t, bin, []plattest.Route{safeRoute}, map[string]any{"memory": crowdMemoryMB, "files": crowdFiles},
+		func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served") })
+}
+
 // await waits until the host serves a request with a body.
-func (h *crowdHost) await(t *testing.T, what string) {
+func (h *testHost) await(t *testing.T, what string) {
 	t.Helper()
 	await.For(t, serveTimeout, what, func() error {
 		conn, err := line.Dial(h.addrs["front"])
--- a/cmd/yuccalbe/killed_test.go
+++ b/cmd/yuccalbe/killed_test.go
@@ -2,19 +2,13 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
-	"github.com/yuccalb/yuccalb/internal/fake/await"
 	"github.com/yuccalb/yuccalb/internal/fake/line"
-	"github.com/yuccalb/yuccalb/internal/fake/local"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/internal/fake/proc"
 	"github.com/yuccalb/yuccalb/platform"
@@ -47,15 +41,20 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p, front := newStreamHost(t, bin, func(x *origin.Exchange) bool {
-				if x.Method == http.MethodGet {
+			h := newTestHost(t, bin, []plattest.Route{
+				safeRoute,
+				{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 4000},
+				{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 2, TimeoutMS: 4000},
+			}, nil, func(x *origin.Exchange) bool {
+				if strings.HasPrefix(x.ID(), "ordinary") {
 					return x.Reply(http.StatusOK, "served")
 				}
 				c.send(x)
 				<-x.Closed
 				return false
 			})
-			conn, err := line.Dial(front)
+			h.await(t, "host serves")
+			conn, err := line.Dial(h.addrs["front"])
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -73,7 +72,7 @@
 			if _, err := resp.Body.Read(make([]byte, 1)); err != nil {
 				t.Fatal(err)
 			}
-			if err := p.Signal(syscall.SIGKILL); err != nil {
+			if err := h.process.Signal(syscall.SIGKILL); err != nil {
 				t.Fatal(err)
 			}
 			if rest, err := io.ReadAll(resp.Body); err == nil {
@@ -82,45 +81,3 @@
 		})
 	}
 }
-
-// newStreamHost starts a host and a server with a script, and waits until the host serves requests.
-func newStreamHost(t *testing.T, bin string, script origin.Script) (*proc.Process, netip.AddrPort) {
-	t.Helper()
-	store := plattest.NewStore(t)
-	store.PutConfig(plattest.Config{
-		Version: 1, Services: []string{"desk"}, Keys: []string{"k"}, Org: "o", Rate: 1e6, Burst: 1e6,
-		Routes: []plattest.Route{
-			{Prefix: "/safe/", Service: "desk", Kind: "safe", TimeoutMS: 4000},
-			{Prefix: "/chat/", Service: "desk", Kind: "stream", TimeoutMS: 4000},
-			{Prefix: "/ask/", Service: "desk", Kind: "stream", Resumable: true, Attempts: 2, TimeoutMS: 4000},
-		},
-	})
-	settings := map[string]any{
-		"host": "h", "site": "a1", "region": "a", "sites": map[string]string{"a1": "a"}, "store": store.Addr().String(), "first": true,
-		"revoke": "3s", "grace": "6s", "retries": 50,
-	}
-	for _, name := range []string{"front", "ready", "lookup", "peer", "metrics"} {
-		settings[name] = local.Addr(t).String()
-	}
-	path := filepath.Join(t.TempDir(), "host.yaml")
-	writeSettings(t, path, settings)
-	store.PutServer("s", "desk", "a1", origin.New(t, script).Addr(), "ready")
-	p := proc.New(t, bin, path)
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	front := netip.MustParseAddrPort(settings["front"].(string))
-	await.For(t, serveTimeout, "host serves", func() error {
-		conn, err := line.Dial(front)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = conn.Close() }() // the response was read
-		a := conn.Do(line.Get("/safe/x").With(platform.HeaderAPIKey, "k"), fmt.Sprint("wait-", time.Now().UnixNano()))
-		if a.Status != http.StatusOK {
-			return fmt.Errorf("status %d, error %w", a.Status, a.Err)
-		}
-		return nil
-	})
-	return p, front
-}
--- a/internal/core/resume/routing.go
+++ b/internal/core/resume/routing.go
@@ -21,8 +21,8 @@
 // started knows former versions of the configuration only from it. Hosts send it to each other in
 // CBOR under the names of its fields.
 type Routing struct {
-	// Versions are the routes of the last version of the configuration of which the record was
-	// told, and those of former ones.
+	// Versions has the routes of the version of the configuration that was in force when the record
+	// was written, then those of former ones.
 	Versions []Routes
 	// Rev is the revision of the record.
 	Rev eras.Revision
@@ -83,6 +83,7 @@
 	*spec.Snapshot
 }
 
+// table returns the routes for look-ups. A rule without targets, which no host writes, is left out.
 func (r Routes) table() table {
 	var routes []spec.Route
 	for _, rule := range r.Rules {
