--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -27,14 +27,6 @@
 	return !announced
 }
 
-// Leaves reports whether the server of a choice is known to leave, or is no longer listed.
-func (t *Table) Leaves(c *Choice) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.servers[c.ID]
-	return s == nil || s.process() != c.Process() || t.leaving(s)
-}
-
 // MergeLeaving records processes that leave according to reports of other hosts.
 func (t *Table) MergeLeaving(list []Process, now time.Time) {
 	t.mu.Lock()
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// Unlisten closes the listener and keeps the connections, as a process does that stops in an orderly way.
+func (s *Server) Unlisten() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close() // makes accept return
+}
+
 // Recover makes a server that crashed listen again, at the same address. It does nothing
 // after Close.
 func (s *Server) Recover() error {
