--- a/internal/core/spec/snapshot.go
+++ b/internal/core/spec/snapshot.go
@@ -42,6 +42,7 @@
 			s.orgsByKey[key] = o
 		}
 	}
+	delete(s.orgsByKey, "") // an empty header is no key
 	return s
 }
 
