Keep and report what servers have said while a version leaves their service out

Cause, as before: state of one thing kept in another that lives shorter. A host reported to the others what servers had stated only while its version named their service, and forgot what others reported of services that it did not know. So a host that starts while a service is left out sent requests to a server that leaves, once the host that knew it had ended. Announcements were forgotten a minute after the server was last listed, also while the service was left out.

Ruled out: retry budgets (start empty), buckets of organisations (kept), requests in progress (write to the kept state).

A table that was made before its service was known takes the pace of engines with it.

--- a/internal/core/pick/leave.go
+++ b/internal/core/pick/leave.go
@@ -3,8 +3,9 @@
 import "time"
 
 // leavingTTL is how long the announcement of a leaving process is kept after it was last
-// listed: its entry may expire and be written again.
-const leavingTTL = time.Minute
+// listed: its entry may expire and be written again, and a version of the configuration
+// may leave its service out meanwhile.
+const leavingTTL = 10 * time.Minute
 
 // Process is a process of a backend server; a restart makes a new one.
 type Process struct {
--- a/internal/core/pick/leave_test.go
+++ b/internal/core/pick/leave_test.go
@@ -40,6 +40,26 @@
 	}
 }
 
+// TestLeavingProcessUnlisted guards against requests to a leaving server that was not listed for some minutes, or
+// whose service a version of the configuration left out for as long.
+func TestLeavingProcessUnlisted(t *testing.T) {
+	for name, unlisted := range map[string]bool{"not listed": true, "service left out": false} {
+		now := epoch
+		tab := newTable(1)
+		c := mustPick(t, tab, &Request{}, now)
+		tab.MarkLeaving(&c, now)
+		if unlisted {
+			tab.Update(tab.model.Service, nil, nil, allDiscovered("h0"), now)
+		}
+		now = now.Add(5 * time.Minute)
+		tab.Update(tab.model.Service, nil, nil, allDiscovered("h0"), now)
+		tab.Update(tab.model.Service, entries(1), nil, allDiscovered("h0"), now.Add(time.Second))
+		if c, ok := tab.Pick(&Request{}, now.Add(time.Second)); ok {
+			t.Errorf("%s: %s was chosen", name, c.ID)
+		}
+	}
+}
+
 // TestPeerReportsLeavingProcess guards against a host that uses a leaving server until
 // one of its own requests shows that it leaves.
 func TestPeerReportsLeavingProcess(t *testing.T) {
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -54,6 +54,9 @@
 func (t *Table) Update(svc spec.Service, list []spec.Server, evacuated []string, hosts RegionHosts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if svc.Engine != t.model.Engine {
+		t.model.Pace = NewPace(svc.Engine)
+	}
 	t.model.Service = svc
 	t.setHosts(hosts, now)
 	seen := make(map[string]bool, len(list))
--- a/internal/core/pick/table_test.go
+++ b/internal/core/pick/table_test.go
@@ -434,3 +434,15 @@
 		t.Error("a busy server was chosen because of its open connection")
 	}
 }
+
+// TestPaceAfterUpdate guards against engines that are taken for plain servers, or the other way round, because the
+// table was made before the service was known, or a version has changed it.
+func TestPaceAfterUpdate(t *testing.T) {
+	tab := NewTable(spec.Service{Name: "desk"}, rand.New(rand.NewPCG(1, 1)))
+	for _, engine := range []bool{true, false} {
+		tab.Update(spec.Service{Name: "desk", Engine: engine}, nil, nil, allDiscovered("h0"), epoch)
+		if got, want := tab.Pace(), NewPace(engine); got != want {
+			t.Errorf("engine %v: pace %+v, want %+v", engine, got, want)
+		}
+	}
+}
--- a/internal/edge/entry/absent_test.go
+++ b/internal/edge/entry/absent_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,14 +15,24 @@
 
 // leaveOut writes a version that does not name the service desk, and then one that does.
 func (cl *cluster) leaveOut() {
-	without := config(2, key)
-	without.Services = []string{"shop"}
-	without.Routes = []plattest.Route{{Prefix: "/safe/", Service: "shop", Kind: "safe", TimeoutMS: 2000}}
-	for _, c := range []plattest.Config{without, config(3, key)} {
-		cl.store.PutConfig(c)
-		for _, e := range cl.hosts {
-			cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == int64(c.Version) })
-		}
+	cl.putConfig(withoutDesk(2))
+	cl.putConfig(config(3, key))
+}
+
+// withoutDesk returns a version that does not name the service desk.
+func withoutDesk(version int) plattest.Config {
+	c := config(version, key)
+	c.Services = []string{"shop"}
+	c.Routes = []plattest.Route{{Prefix: "/safe/", Service: "shop", Kind: "safe", TimeoutMS: 2000}}
+	return c
+}
+
+// putConfig writes a version and waits until it is in force at all hosts.
+func (cl *cluster) putConfig(c plattest.Config) {
+	cl.t.Helper()
+	cl.store.PutConfig(c)
+	for _, e := range cl.hosts {
+		cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == int64(c.Version) })
 	}
 }
 
@@ -73,3 +84,26 @@
 		})
 	}
 }
+
+// TestHostStartsWhileServiceLeftOut guards against requests to a server that has announced to another host that it
+// leaves, by a host that has started while a version left its service out, and after the other one has ended.
+func TestHostStartsWhileServiceLeftOut(t *testing.T) {
+	cl := newCluster(t)
+	first := cl.host("a1")
+	s1 := cl.server("s1", "a1", func(x *origin.Exchange) bool { return x.Reply(http.StatusOK, "served", leavingHeader) })
+	wantStatus(t, cl.do(first, get("/safe/x")), http.StatusOK)
+	cl.putConfig(withoutDesk(2))
+	second := cl.host("a1")
+	cl.eventually("state reports", func() bool { return len(second.exchange.Peers()) == 1 && len(first.exchange.Peers()) == 1 })
+	time.Sleep(time.Second) // some more of them
+	stop, cancel := context.WithCancel(context.Background())
+	cancel() // no request is in progress
+	if err := first.Close(stop); err != nil {
+		t.Fatal(err)
+	}
+	cl.hosts = []*Entry{second}
+	cl.putConfig(config(3, key))
+	if n := cl.requestsTo(second, s1, 30); n > 0 {
+		t.Errorf("%d requests sent to the draining server", n)
+	}
+}
--- a/internal/edge/fleet/round.go
+++ b/internal/edge/fleet/round.go
@@ -271,15 +271,9 @@
 		if len(placements) > 0 {
 			s.Placements[name] = placements
 		}
-		if leaving := svc.Table.LeavingProcesses(); len(leaving) > 0 {
-			s.LeavingProcesses[name] = leaving
-		}
-		if limits := svc.Table.Limits(now); len(limits) > 0 {
-			s.Limits[name] = limits
-		}
-		if limits := svc.Table.RefusalLimits(now); len(limits) > 0 {
-			s.RefusalLimits[name] = limits
-		}
+	}
+	for name, svc := range f.allServices() {
+		addStatements(&s, name, svc.Table, now)
 	}
 	return s
 }
@@ -317,14 +311,8 @@
 	for name, svc := range *f.tables.Load() {
 		svc.Table.MergePeer(p.State.Host.Name, p.State.Loads[name], p.State.Placements[name], p.Received)
 		svc.Table.MergeRoom(p.State.Host.Name, p.State.Rooms[name], p.Received)
-		svc.Table.MergeLeaving(p.State.LeavingProcesses[name], p.Received)
-		for _, c := range svc.Table.MergeLimits(p.State.Limits[name], p.Received) {
-			LogLimit(f.opts.Requests, c, zap.String("from", p.State.Host.Name))
-		}
-		for _, c := range svc.Table.MergeRefusalLimits(p.State.RefusalLimits[name], p.Received) {
-			LogRefusalLimit(f.opts.Requests, c, zap.String("from", p.State.Host.Name))
-		}
 	}
+	f.mergeStatements(p)
 }
 
 // LogLimit logs a change of the limit of a server; source are fields that tell where it
