Follow the base version of a service while a version leaves it out

If the store was restored meanwhile from a copy without its record, another version could become the base, and streams that had begun without a record would go on at it. That the base is absent had to be noticed again as well, so that streams were refused for some seconds.

Ruled out: the routes of former versions, which are kept (TestMovedWhileLeftOut).

Change: services that are no longer named are followed for 10 min, 64 at most.

Before: TestBaseKeptWhileLeftOut fails: the base is unknown and v2 would be written in place of v1. After: it passes, and so do the tests of resume and of edge/entry.

--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -35,6 +35,10 @@
 	// absentListed is how long the list must have named the base absent before streams begin at
 	// other versions without a record: after that all hosts whose list is not outdated know it.
 	absentListed = maxListAge + time.Second
+	// unnamedTime is how long what is known of a service is kept that no version of the
+	// configuration names, and maxUnnamed bounds these services.
+	unnamedTime = 10 * time.Minute
+	maxUnnamed  = 64
 )
 
 // Base is the store's record of the base version of a service: a stream of which the store
@@ -69,22 +73,42 @@
 	absentSince, servedSince, seenAt time.Time
 	// markedSince is since when the record names the base absent, zero if it does not.
 	markedSince time.Time
+	// namedAt is when the service was last among those whose streams may be taken up.
+	namedAt time.Time
 }
 
 // Update replaces the listed servers of all regions and the store's records. The argument
-// names lists the services whose streams may be taken up.
+// names lists the services whose streams may be taken up. A service that is no longer among
+// them is followed for some minutes more: a version may name it again.
 func (b *Bases) Update(names []string, servers []spec.Server, records []Base, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := b.services
-	b.services = make(map[string]*service, len(names))
+	if b.services == nil {
+		b.services = make(map[string]*service, len(names))
+	}
 	for _, name := range names {
-		s := old[name]
-		if s == nil {
-			s = &service{}
+		if b.services[name] == nil {
+			b.services[name] = &service{}
 		}
+		b.services[name].namedAt = now
+	}
+	maps.DeleteFunc(b.services, func(_ string, s *service) bool { return now.Sub(s.namedAt) > unnamedTime })
+	b.dropUnnamed(len(names)+maxUnnamed, now)
+	for name, s := range b.services {
 		s.update(name, servers, records, now)
-		b.services[name] = s
+	}
+}
+
+// dropUnnamed removes the services that were named longest ago until at most n are left.
+func (b *Bases) dropUnnamed(n int, now time.Time) {
+	for len(b.services) > n {
+		oldest, at := "", now
+		for name, s := range b.services {
+			if s.namedAt.Before(at) {
+				oldest, at = name, s.namedAt
+			}
+		}
+		delete(b.services, oldest)
 	}
 }
 
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -239,3 +240,41 @@
 		})
 	}
 }
+
+// TestBaseKeptWhileLeftOut guards against a service whose base changes while a version of the configuration leaves
+// it out and the store is restored from a copy without its record, so that streams go on at another version; and
+// against streams that are refused because its absence has to be noticed again.
+func TestBaseKeptWhileLeftOut(t *testing.T) {
+	var b Bases
+	b.Update(names, servers("v1", "v2"), []Base{base("v1", 3)}, start)
+	b.Update(nil, servers("v1", "v2", "v2"), []Base{base("v1", 3)}, start.Add(time.Second))
+	b.Update(names, servers("v1", "v2", "v2"), nil, start.Add(2*time.Second)) // the copy has no record
+	if v, known := b.Base("desk", 0); v != "v1" || !known {
+		t.Errorf("base %q, %v, want v1", v, known)
+	}
+	if diff := cmp.Diff([]Base{base("v1", 0)}, b.Writes(0, start.Add(2*time.Second))); diff != "" {
+		t.Errorf("writes (-want +got):\n%s", diff)
+	}
+	b.absent(start.Add(3*time.Second), start.Add(20*time.Second))
+	b.Update(nil, servers("v2"), []Base{marked}, start.Add(20*time.Second))
+	now := start.Add(21 * time.Second)
+	b.Update(names, servers("v2"), []Base{marked}, now)
+	if _, unrecorded := b.Unrecorded("desk", 0, now); unrecorded != Any {
+		t.Errorf("streams may begin without a record at %v, want any version", unrecorded)
+	}
+}
+
+// TestUnnamedServicesBounded guards against memory that grows with each service that a version leaves out.
+func TestUnnamedServicesBounded(t *testing.T) {
+	var b Bases
+	for i := range 3 * maxUnnamed {
+		b.Update([]string{strconv.Itoa(i)}, nil, nil, start.Add(time.Duration(i)*time.Second))
+	}
+	if n := len(b.services); n != maxUnnamed+1 {
+		t.Errorf("%d services, want %d", n, maxUnnamed+1)
+	}
+	b.Update(names, nil, nil, start.Add(2*unnamedTime))
+	if n := len(b.services); n != 1 {
+		t.Errorf("%d services after their time, want 1", n)
+	}
+}
