Keep hashes in place of callers' identifiers

Cause: the records of streams, 8,192 at most, held the identifier of their attempt, and connections to servers those of the last 32 requests that were refused on them. Callers choose the identifiers, so neither bound was one in bytes.

Ruled out: the heads of requests, which the limits at intake cover; records that failed attempts leave in the list, which are small now.

Change: platform.Attempt is the hash of an identifier, under which the store's record stands anyway; the ledger holds that, and a connection the hashes.

The tests of ledger, send, relay and of streams in edge/entry pass.

--- a/internal/edge/entry/moved_test.go
+++ b/internal/edge/entry/moved_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/edge/ledger"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
+	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
 
@@ -137,7 +138,7 @@
 	cl.waitVersion(2)
 	for _, a := range cl.begin(12) {
 		for _, e := range cl.hosts {
-			if v, from, err := e.ledger.Version(t.Context(), a.id, "desk"); !errors.Is(err, ledger.ErrOtherService) {
+			if v, from, err := e.ledger.Version(t.Context(), platform.NewAttempt(a.id), "desk"); !errors.Is(err, ledger.ErrOtherService) {
 				t.Errorf("a host that has the former version takes stream %s for one of %q at desk, known from %s, error %v", a.id, v, from, err)
 			}
 		}
--- a/internal/edge/ledger/batch_test.go
+++ b/internal/edge/ledger/batch_test.go
@@ -35,7 +35,7 @@
 	return nil
 }
 
-func (s *memStore) Stream(context.Context, string) (platform.Stream, error) {
+func (s *memStore) Stream(context.Context, platform.Attempt) (platform.Stream, error) {
 	return platform.Stream{}, platform.ErrNotFound
 }
 
--- a/internal/edge/ledger/late_test.go
+++ b/internal/edge/ledger/late_test.go
@@ -99,7 +99,7 @@
 		t.Fatal("not written")
 	}
 	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
-	if v, from, err := first.Version(t.Context(), "id", ""); err == nil {
+	if v, from, err := first.Version(t.Context(), platform.NewAttempt("id"), ""); err == nil {
 		t.Errorf("version %q from %q, want none", v, from)
 	}
 }
@@ -121,7 +121,7 @@
 	}
 	l := newLedger(t, s)
 	await.True(t, wait, "end of the shorter lease", func() bool {
-		_, from, err := l.Version(t.Context(), time.Second.String(), "")
+		_, from, err := l.Version(t.Context(), platform.NewAttempt(time.Second.String()), "")
 		return from == SourceNone && err == nil
 	})
 	wantVersion(t, l, time.Minute.String(), "v2", SourceStore)
--- a/internal/edge/ledger/ledger.go
+++ b/internal/edge/ledger/ledger.go
@@ -57,7 +57,7 @@
 	Era() int64
 	Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error)
 	PutStreams(ctx context.Context, list []platform.Stream, marks []platform.Mark, l platform.Lease) error
-	Stream(ctx context.Context, attempt string) (platform.Stream, error)
+	Stream(ctx context.Context, attempt platform.Attempt) (platform.Stream, error)
 	MarkedVersions(ctx context.Context, service string) ([]string, error)
 }
 
@@ -83,7 +83,7 @@
 	// kept are the records added within keepTime, in the order of their addition, and
 	// versions those of them by attempt.
 	kept     []*Record
-	versions map[string]*Record
+	versions map[platform.Attempt]*Record
 	// open are the records that are not written yet, and not given up.
 	open     map[*Record]bool
 	era      int64 // of the store at the last check
@@ -98,7 +98,7 @@
 func New(opts Options) *Ledger {
 	l := &Ledger{
 		opts: opts, kick: make(chan struct{}, 1), writers: make(chan struct{}, maxWriters),
-		versions: make(map[string]*Record), open: make(map[*Record]bool), era: opts.Store.Era(),
+		versions: make(map[platform.Attempt]*Record), open: make(map[*Record]bool), era: opts.Store.Era(),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.done.Go(l.run)
@@ -201,7 +201,7 @@
 // Version returns the version at which a stream of a service began, by the attempt that brought its
 // first event. The error is that of the store, if it can't be read and this host has not passed the
 // first event on itself, errUnsure, or ErrOtherService.
-func (l *Ledger) Version(ctx context.Context, attempt, service string) (string, Source, error) {
+func (l *Ledger) Version(ctx context.Context, attempt platform.Attempt, service string) (string, Source, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	stored, err := l.opts.Store.Stream(ctx, attempt)
--- a/internal/edge/ledger/ledger_test.go
+++ b/internal/edge/ledger/ledger_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,12 +31,12 @@
 }
 
 func stream(attempt, version string, number int) platform.Stream {
-	return platform.Stream{Attempt: attempt, Version: version, Number: number}
+	return platform.Stream{Attempt: platform.NewAttempt(attempt), Version: version, Number: number}
 }
 
 func wantVersion(t *testing.T, l *Ledger, attempt, version string, source Source) {
 	t.Helper()
-	v, from, err := l.Version(t.Context(), attempt, "")
+	v, from, err := l.Version(t.Context(), platform.NewAttempt(attempt), "")
 	if v != version || from != source || err != nil {
 		t.Errorf("%s: version %q from %q, error %v; want %q from %q", attempt, v, from, err, version, source)
 	}
@@ -98,7 +100,7 @@
 	a.Pass(r)
 	wantVersion(t, a, "id", "v1", SourceMemory)
 	var status *platform.StatusError
-	if _, _, err := b.Version(t.Context(), "id", ""); !errors.As(err, &status) {
+	if _, _, err := b.Version(t.Context(), platform.NewAttempt("id"), ""); !errors.As(err, &status) {
 		t.Errorf("another host: error %v", err)
 	}
 	s.SetFault(nil)
@@ -123,8 +125,8 @@
 	s.Restore(snapshot)
 	other := newLedger(t, s)
 	await.True(t, wait, "second record written again", func() bool {
-		_, _, _ = l.Version(t.Context(), "none", "") // a response names the new era
-		v, _, err := other.Version(t.Context(), "second", "")
+		_, _, _ = l.Version(t.Context(), platform.NewAttempt("none"), "") // a response names the new era
+		v, _, err := other.Version(t.Context(), platform.NewAttempt("second"), "")
 		return v == "v2" && err == nil
 	})
 	wantVersion(t, other, "first", "v1", SourceStore)
@@ -163,3 +165,27 @@
 		t.Errorf("%d records kept, %d versions", len(l.kept), len(l.versions))
 	}
 }
+
+// TestLongIdentifiers guards against a host that runs out of memory because it keeps the identifiers of attempts, which
+// callers choose, with the records of their streams.
+func TestLongIdentifiers(t *testing.T) {
+	const records, size, most = 1000, 58 << 10, 8 << 20
+	s := plattest.NewStore(t)
+	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
+	l := newLedger(t, s)
+	before := heap()
+	for i := range records {
+		l.Add(stream(fmt.Sprint(i, strings.Repeat("x", size)), "v1", 0))
+	}
+	if n := heap() - before; n > most {
+		t.Errorf("%d records hold %d bytes, want at most %d", records, n, most)
+	}
+}
+
+// heap returns the bytes of objects in use.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -39,7 +39,7 @@
 	Add(stream platform.Stream) *ledger.Record
 	Drop(r *ledger.Record) bool
 	Pass(r *ledger.Record)
-	Version(ctx context.Context, attempt, service string) (string, ledger.Source, error)
+	Version(ctx context.Context, attempt platform.Attempt, service string) (string, ledger.Source, error)
 	Versions(ctx context.Context, service string) ([]string, error)
 	Healthy(now time.Time) bool
 }
@@ -115,7 +115,7 @@
 	}
 	ctx, cancel := q.readContext()
 	defer cancel()
-	version, from, err := q.s.records.Version(ctx, attempt, q.service)
+	version, from, err := q.s.records.Version(ctx, platform.NewAttempt(attempt), q.service)
 	if errors.Is(err, ledger.ErrOtherService) {
 		return "", "unknown", &refusal{http.StatusServiceUnavailable, reasonServiceUnknown, 0}
 	}
@@ -210,7 +210,7 @@
 		return
 	}
 	if q.s.fleet.Bases().MustRecord(q.service, version, q.records > 0, q.s.fleet.ListAge()) {
-		q.record = q.s.records.Add(platform.Stream{Attempt: q.id, Version: version, Number: q.records, Service: q.service})
+		q.record = q.s.records.Add(platform.Stream{Attempt: platform.NewAttempt(q.id), Version: version, Number: q.records, Service: q.service})
 		q.records++
 	}
 }
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -258,7 +258,7 @@
 	list := c.idle[req.Addr]
 	found := -1
 	for i, cn := range slices.Backward(list) {
-		if slices.Contains(cn.refused, req.ID) {
+		if cn.hasRefused(req.ID) {
 			continue
 		}
 		known := req.Process.known(cn)
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/yuccalb/yuccalb/internal/edge/clock"
@@ -18,7 +20,7 @@
 
 const (
 	readBuffer = 4 << 10
-	// maxRefused bounds the identifiers of refused requests that are remembered.
+	// maxRefused bounds the refused requests that are remembered.
 	maxRefused = 32
 	// idleMargin is subtracted from a server's idle timeout, since the server may
 	// close the connection while a request is on its way.
@@ -40,9 +42,9 @@
 	// expires is when the idle connection must no longer be used.
 	expires     time.Time
 	idleTimeout time.Duration
-	// refused are the identifiers of requests that the server refused on this
-	// connection, the newest last.
-	refused []string
+	// refused are hashes of the identifiers of requests that the server refused on this
+	// connection, the newest last. Callers choose the identifiers, which may be long.
+	refused []uint64
 	// inHead is set while a head is read, whose limit is head.
 	inHead bool
 	head   headLimit
@@ -105,7 +107,12 @@
 	if len(c.refused) >= maxRefused {
 		c.refused = append(c.refused[:0], c.refused[1:]...)
 	}
-	c.refused = append(c.refused, id)
+	c.refused = append(c.refused, xxhash.Sum64String(id))
+}
+
+// hasRefused reports whether the server refused a request on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, xxhash.Sum64String(id))
 }
 
 // checkAcknowledged returns errNotTaken if a reset has arrived, or if the kernel of the server has not
--- a/internal/edge/send/memory_test.go
+++ b/internal/edge/send/memory_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +64,33 @@
 		}
 	}
 }
+
+// TestRefusedIdentifiers guards against a host that runs out of memory because its connections keep the identifiers of
+// the requests that servers refused, which callers choose.
+func TestRefusedIdentifiers(t *testing.T) {
+	const conns, size, most = 32, 58 << 10, 8 << 20
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	var list []*conn
+	for range conns {
+		cn := newConn(nil, netip.AddrPort{}, nil)
+		for i := range 2 * maxRefused {
+			cn.addRefused(fmt.Sprint(i, strings.Repeat("x", size)))
+		}
+		list = append(list, cn)
+	}
+	if n := heap() - before; n > most {
+		t.Errorf("%d connections hold %d bytes, want at most %d", conns, n, most)
+	}
+	last := fmt.Sprint(2*maxRefused-1, strings.Repeat("x", size))
+	for _, cn := range list {
+		if !cn.hasRefused(last) || cn.hasRefused("other") {
+			t.Fatal("the refused request is not the one that is remembered")
+		}
+	}
+}
