Refuse requests whose token counts are out of range

The cost of the request became negative, which filled the bucket of its organisation at that host, so that its other requests exceeded the limit by far; the negative total made other regions drop the host's frames.

Cause: any int was taken, and the sum of two of them, or of many requests in progress, left its range. Numbers beyond an int counted as absent, so that such a request cost the default.

Change: above 2^26 tokens in either number the answer is 400 with a reason. Sums of 16,384 such requests stay in the range that hosts accept from each other.

--- a/internal/edge/relay/fuzz_test.go
+++ b/internal/edge/relay/fuzz_test.go
@@ -15,14 +15,16 @@
 	f.Add("", ",,,:")
 	f.Add("-1,5", "a:-7,b:9")
 	f.Add("99999999999999999999,1", "a:99999999999999999999,b:1")
+	f.Add("9223372036854775807,1", "a:1")
+	f.Add("1, 67108865", "a:1")
 	f.Add("10,1", "a:9223372036854775807,b:9223372036854775807,c:1")
 	f.Fuzz(func(t *testing.T, tokens, parts string) {
 		q := &request{r: &http.Request{Header: http.Header{}}}
 		q.r.Header.Set(platform.HeaderTokens, tokens)
 		q.r.Header.Set(platform.HeaderPrompt, parts)
-		q.parsePrompt()
+		_ = q.parsePrompt() // the request is refused then
 		p := q.pick
-		if p.Prompt < 0 || p.Output < 0 || p.Shared() < 0 || p.Shared() > p.Prompt {
+		if p.Prompt < 0 || p.Prompt > maxTokens || p.Output > maxTokens || p.Output < 0 || p.Shared() < 0 || p.Shared() > p.Prompt {
 			t.Errorf("%q and %q: prompt %d, shared %d, output %d", tokens, parts, p.Prompt, p.Shared(), p.Output)
 		}
 	})
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,22 +13,45 @@
 	"github.com/yuccalb/yuccalb/platform"
 )
 
+// maxTokens bounds each number of tokens that a request may state. The sums that hosts report to each other
+// stay in their range with it, whatever callers send.
+const maxTokens = 1 << 26
+
+// errTokens means that a request states a number of tokens above maxTokens.
+var errTokens = fmt.Errorf("%s: more than %d tokens", platform.HeaderTokens, maxTokens)
+
 // parsePrompt parses the headers about the size and the parts of the prompt.
 // Invalid values count as absent: they are hints for routing, and the server
-// checks them.
-func (q *request) parsePrompt() {
-	in, out, ok := strings.Cut(q.r.Header.Get(platform.HeaderTokens), ",")
+// checks them. Only numbers above maxTokens are an error, errTokens, since the limits
+// of organisations count them.
+func (q *request) parsePrompt() error {
+	prompt, output, ok, err := parseTokens(q.r.Header.Get(platform.HeaderTokens))
+	if err != nil {
+		return err
+	}
 	if ok {
-		prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
-		output, err2 := strconv.Atoi(strings.TrimSpace(out))
-		if err1 == nil && err2 == nil && prompt >= 0 && output >= 0 {
-			q.tokensStated = true
-			q.pick.Prompt = prompt
-			q.pick.Output = output
-		}
+		q.tokensStated = true
+		q.pick.Prompt = prompt
+		q.pick.Output = output
 	}
 	q.parts = partsOf(q.r.Header.Get(platform.HeaderPrompt))
 	q.pick.Parts = sharedParts(q.r.Header.Get(platform.HeaderPrompt), q.pick.Prompt)
+	return nil
+}
+
+// parseTokens returns the tokens of a prompt and the most of its output. The result is false if the text is not
+// two whole numbers from 0 on.
+func parseTokens(text string) (prompt, output int, ok bool, err error) {
+	in, out, ok := strings.Cut(text, ",")
+	if !ok {
+		return 0, 0, false, nil
+	}
+	prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
+	output, err2 := strconv.Atoi(strings.TrimSpace(out))
+	if prompt > maxTokens || output > maxTokens { // also if a number is out of the range of an int
+		return 0, 0, false, errTokens
+	}
+	return prompt, output, err1 == nil && err2 == nil && prompt >= 0 && output >= 0, nil
 }
 
 // sharedParts returns the parts of a prompt that other requests may share, which
--- a/internal/edge/relay/refusal.go
+++ b/internal/edge/relay/refusal.go
@@ -24,6 +24,7 @@
 	reasonNoRoute         = "no route"
 	reasonUnknownKey      = "unknown key"
 	reasonBadRequest      = "bad request"
+	reasonTokens          = "token counts out of range"
 	reasonBodyTooLarge    = "body too large"
 	reasonBodyMemory      = "no memory for bodies"
 	reasonBodyEvicted     = "body too slow for its memory"
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -175,7 +175,9 @@
 	if ref := q.readBody(v.Snapshot.Limits); ref != nil {
 		return ref
 	}
-	q.parsePrompt()
+	if err := q.parsePrompt(); err != nil {
+		return &refusal{http.StatusBadRequest, reasonTokens, 0}
+	}
 	q.service = q.route.Target(q.hash())
 	return s.checkRateLimit(q)
 }
@@ -256,7 +258,10 @@
 		q.refuse(ref)
 		return
 	}
-	q.parsePrompt()
+	if err := q.parsePrompt(); err != nil {
+		q.refuse(&refusal{http.StatusBadRequest, reasonTokens, 0})
+		return
+	}
 	q.serve()
 }
 
