Let a pause hold for the process that has just taken a server's place

Ruled out: asking the server which process it is, a call more for each such response; the same for announcements that a server leaves: a server that drains and starts again at once would not be used for minutes, so that these stay with the former process.

Change: a pause that was requested after the last list was read goes over to the process that the next list names in place of the other one. Pauses from before the list stay with their process.

Before: TestPauseOfRestartedServer fails. After: it passes, and so do the other tests of pauses.

Conclusion: a process that registers only with its second list, or has responded before the list that still names the former one, is not covered.

--- a/internal/core/pick/leave_test.go
+++ b/internal/core/pick/leave_test.go
@@ -112,3 +112,28 @@
 		mustPick(t, tab, &Request{}, now)
 	}
 }
+
+// TestPauseOfRestartedServer guards against requests in a pause that a server has requested right after it has
+// started again under its identifier, when the last list still named its former process. It also guards against a
+// pause of the former process that applies to the new one.
+func TestPauseOfRestartedServer(t *testing.T) {
+	const age, pause = time.Second, 8 * time.Second // of the list when the server responds
+	for name, c := range map[string]struct {
+		at   time.Duration // of the response, from the list on
+		kept bool
+	}{
+		"after the list": {age, true}, "before the list": {-age, false},
+	} {
+		tab := newTable(1)
+		choice := mustPick(t, tab, &Request{}, epoch)
+		tab.Pause(&choice, pause, epoch.Add(c.at))
+		list := entries(1)
+		list[0].Born++
+		listed := epoch.Add(age + 200*time.Millisecond)
+		tab.Update(tab.model.Service, list, nil, allDiscovered("h0"), listed)
+		if _, ok := tab.Pick(&Request{}, listed); ok == c.kept {
+			t.Errorf("%s: chosen %v, want %v", name, ok, !c.kept)
+		}
+		mustPick(t, tab, &Request{}, epoch.Add(c.at+pause))
+	}
+}
--- a/internal/core/pick/pause.go
+++ b/internal/core/pick/pause.go
@@ -8,28 +8,42 @@
 // maxPause bounds the pause that a server may request, and all waits.
 const maxPause = 10 * time.Minute
 
+// requestedPause is a pause that a process has requested.
+type requestedPause struct {
+	at, until time.Time
+}
+
 // Pause records that the server of a choice has asked this host to pause its requests
 // for a time, and reports whether the host was not pausing them already.
 func (t *Table) Pause(c *Choice, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := c.Process()
-	old := t.pauses[p]
+	old := t.pauses[p].until
 	if until := now.Add(min(d, maxPause)); until.After(old) {
-		t.pauses[p] = until
+		t.pauses[p] = requestedPause{now, until}
 	}
 	return !now.Before(old)
 }
 
+// movePause lets a pause hold for the process that has taken the place of another one, if it was requested after
+// the last list, which still named the former one: the new process may have requested it.
+func (t *Table) movePause(former, process Process) {
+	p, ok := t.pauses[former]
+	if ok && former != process && p.at.After(t.listedAt) && p.until.After(t.pauses[process].until) {
+		t.pauses[process] = p
+	}
+}
+
 // pause returns the time until the end of the pause that a server has requested, 0 if
 // there is none.
 func (t *Table) pause(s *server, now time.Time) time.Duration {
-	return max(t.pauses[s.process()].Sub(now), 0)
+	return max(t.pauses[s.process()].until.Sub(now), 0)
 }
 
 // expirePauses removes the pauses that have ended.
 func (t *Table) expirePauses(now time.Time) {
-	maps.DeleteFunc(t.pauses, func(_ Process, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.pauses, func(_ Process, p requestedPause) bool { return !now.Before(p.until) })
 }
 
 // Wait is the time until a server accepts a request that it does not accept now.
--- a/internal/core/pick/table.go
+++ b/internal/core/pick/table.go
@@ -28,9 +28,11 @@
 	// leavingProcesses are processes that have announced that they leave, with the
 	// time at which they were last listed.
 	leavingProcesses map[Process]time.Time
-	// pauses holds when the pauses end that processes have requested of this host,
-	// and limits what they have stated about their limits.
-	pauses map[Process]time.Time
+	// listedAt is when the servers were last listed.
+	listedAt time.Time
+	// pauses holds the pauses that processes have requested of this host, and limits
+	// what they have stated about their limits.
+	pauses map[Process]requestedPause
 	limits statements[float64]
 	// refusalLimits holds what processes have stated about theirs, and implied the
 	// limit of processes of which nothing is known.
@@ -46,7 +48,7 @@
 
 // NewTable returns an empty table; rng makes the random choices among servers.
 func NewTable(svc spec.Service, rng *rand.Rand) *Table {
-	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(statements[float64]), pauses: make(map[Process]time.Time), refusalLimits: make(statements[int]), reported: make(map[string]time.Time), lenders: make(map[string]*lender), rng: rng}
+	return &Table{model: model{svc, NewPace(svc.Engine)}, servers: make(map[string]*server), leavingProcesses: make(map[Process]time.Time), limits: make(statements[float64]), pauses: make(map[Process]requestedPause), refusalLimits: make(statements[int]), reported: make(map[string]time.Time), lenders: make(map[string]*lender), rng: rng}
 }
 
 // Update replaces the servers by those that were listed at now. The argument evacuated
@@ -69,6 +71,7 @@
 			s = newServer(e)
 			t.servers[e.ID] = s
 		}
+		t.movePause(s.process(), Process{ID: e.ID, Born: e.Born})
 		s.update(e, now)
 		s.evacuated = slices.Contains(evacuated, e.Site)
 	}
@@ -82,6 +85,7 @@
 	t.expireRefusalLimits(now)
 	t.expireLenders(now)
 	t.expirePauses(now)
+	t.listedAt = now
 	slices.Sort(t.order)
 }
 
