--- a/internal/core/resume/moves.go
+++ b/internal/core/resume/moves.go
@@ -14,9 +14,6 @@
 	// lasts, and maxFormer bounds the versions.
 	formerTime = 10 * time.Minute
 	maxFormer  = 64
-	// recordTime is how long streams are recorded that begin at another service than before: other
-	// hosts may not know yet that their route has moved.
-	recordTime = time.Minute
 	// conflictPause is how long a host writes no record after another host was faster. Its listing
 	// has that host's record by then.
 	conflictPause = 10 * time.Second
@@ -116,12 +113,6 @@
 	m.conflictAt = now
 }
 
-// MustRecord reports whether a stream that begins at a service must be recorded, because its route may
-// have led to another one a short time before.
-func (m *Moves) MustRecord(service, host, path string, hash uint64, now time.Time) bool {
-	return m.Moved(service, host, path, hash, recordTime, now)
-}
-
 // sameRouting reports whether two routes send the same streams to the same services.
 func sameRouting(a, b spec.Route) bool {
 	return a.Host == b.Host && a.Prefix == b.Prefix && a.Resumable == b.Resumable && slices.Equal(a.Targets, b.Targets)
--- a/internal/edge/fleet/version.go
+++ b/internal/edge/fleet/version.go
@@ -25,12 +25,6 @@
 	return f.moves.Moved(service, host, path, hash, within, time.Now())
 }
 
-// MustRecordMoved reports whether a stream that begins at a service must be recorded, because its route may have
-// led to another one a short time before.
-func (f *Fleet) MustRecordMoved(service, host, path string, hash uint64) bool {
-	return f.moves.MustRecord(service, host, path, hash, time.Now())
-}
-
 // ServesVersion reports whether a region that is allowed has servers of a service at a software
 // version that are not leaving.
 func (f *Fleet) ServesVersion(service, version string, allowed func(region string) bool) bool {
--- a/internal/edge/relay/version.go
+++ b/internal/edge/relay/version.go
@@ -30,6 +30,10 @@
 // likely it can't reach the store.
 const maxOldListWait = 300 * time.Millisecond
 
+// recordMovedTime is how long streams are recorded that begin at another service than before: other
+// hosts may not know yet that their route has moved.
+const recordMovedTime = time.Minute
+
 // moveMargin is how long after a stream's time it may still be taken up after its route was moved:
 // hosts learn of the move one after the other, and callers return a little later.
 const moveMargin = 5 * time.Second
@@ -89,8 +93,7 @@
 	if q.forwarded || !q.resumable() || q.lastEvent != "" {
 		return
 	}
-	path, _ := q.path()
-	if q.s.fleet.MustRecordMoved(q.service, q.r.Host, path, q.hash()) {
+	if q.movedWithin(recordMovedTime) {
 		q.records = max(q.records, 1)
 	}
 }
@@ -102,8 +105,13 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	return q.movedWithin(timeout + moveMargin)
+}
+
+// movedWithin reports whether the route of the stream may have led to another service within a time before now.
+func (q *request) movedWithin(d time.Duration) bool {
 	path, _ := q.path()
-	return q.s.fleet.Moved(q.service, q.r.Host, path, q.hash(), timeout+moveMargin)
+	return q.s.fleet.Moved(q.service, q.r.Host, path, q.hash(), d)
 }
 
 // beganAt returns the version at which the stream began that the caller takes up, and where it
