Take a request with an empty route header for a forwarded one

Empty was taken for absent here, too: the header that shows a forwarded request lists the properties of its route, and has no value if there is none.

Change: the header need only be there. The caller's own header does no harm then.

Before: TestStateHeaderFromCaller fails, an unsafe request gets 504. After: it passes; the tests of relay and mirror pass.

--- a/internal/edge/entry/odd_test.go
+++ b/internal/edge/entry/odd_test.go
@@ -61,3 +61,19 @@
 		t.Error("the host is not ready")
 	}
 }
+
+// TestStateHeaderFromCaller guards against a caller's request that the next host takes for one of a host for its state,
+// because its caller has set that header and its route has no property.
+func TestStateHeaderFromCaller(t *testing.T) {
+	cl := newCluster(t)
+	a := cl.host("a1")
+	cl.host("b1")
+	cl.server("s1", "b1", ok)
+	cl.eventually("state report of region b", func() bool { return len(a.fleet.RemoteRegions("desk")) == 1 })
+	for _, path := range []string{"/order-b/x", "/home-b/x"} {
+		resp := cl.do(a, post(path, "1").With("Yuccalb-State", "entries"))
+		if resp.Status != http.StatusOK || resp.Body != "served" {
+			t.Errorf("%s: status %d, body %q", path, resp.Status, resp.Body)
+		}
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -234,8 +234,9 @@
 	unread int
 }
 
-// Forwarded reports whether r is a caller's request that another host forwarded.
-func Forwarded(r *http.Request) bool { return r.Header.Get(headerRoute) != "" }
+// Forwarded reports whether r is a caller's request that another host forwarded. The header that shows it has no
+// value if the route has no property.
+func Forwarded(r *http.Request) bool { return len(r.Header[headerRoute]) > 0 }
 
 // ServePeer serves a request that another host forwarded to the servers of this
 // region. That host has authorized and admitted it.
