Ask servers by one function, and hash an identifier once

The question whether a server that refuses connections runs was written beside that of probes: both are Relay.ask now. parsePrompt returns its refusal, as readBody does, in place of an error whose text nobody read, which both callers turned into the same refusal. The search for a connection hashed the request's identifier for each one.

Behaviour stays: gofumpt, vet and revive are clean, the tests of relay and send pass, and those of token counts, unframed responses, lost paths and faulty servers in edge/entry.

--- a/internal/edge/relay/ended.go
+++ b/internal/edge/relay/ended.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -38,14 +37,6 @@
 // responds reports whether a server responds on an open connection, whatever its response. A server that stops in
 // an orderly way or can't be reached by new connections does so, one whose process has ended does not.
 func (s *Relay) responds(ctx context.Context, addr netip.AddrPort) bool {
-	resp, err := s.servers.Do(ctx, &send.Request{
-		Addr: addr, Method: http.MethodGet, Target: platform.ReportPath, Host: addr.String(),
-		Header: http.Header{}, Deadline: time.Now().Add(aliveTimeout), IdleOnly: true,
-	})
-	if err != nil {
-		return false
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // an error closes the connection
-	_ = resp.Close()                                           // it returns no errors
-	return true
+	_, err := s.ask(ctx, &send.Request{Addr: addr, Target: platform.ReportPath, Deadline: time.Now().Add(aliveTimeout), IdleOnly: true})
+	return err == nil
 }
--- a/internal/edge/relay/prompt.go
+++ b/internal/edge/relay/prompt.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,17 +17,14 @@
 // stay in their range with it, whatever callers send.
 const maxTokens = 1 << 26
 
-// errTokens means that a request states a number of tokens above maxTokens.
-var errTokens = fmt.Errorf("%s: more than %d tokens", platform.HeaderTokens, maxTokens)
-
 // parsePrompt parses the headers about the size and the parts of the prompt.
 // Invalid values count as absent: they are hints for routing, and the server
-// checks them. Only numbers above maxTokens are an error, errTokens, since the limits
-// of organisations count them.
-func (q *request) parsePrompt() error {
-	prompt, output, ok, err := parseTokens(q.r.Header.Get(platform.HeaderTokens))
-	if err != nil {
-		return err
+// checks them. Only numbers above maxTokens lead to a refusal, since the limits of
+// organisations count them.
+func (q *request) parsePrompt() *refusal {
+	prompt, output, ok := parseTokens(q.r.Header.Get(platform.HeaderTokens))
+	if prompt > maxTokens || output > maxTokens {
+		return &refusal{http.StatusBadRequest, reasonTokens, 0}
 	}
 	if ok {
 		q.tokensStated = true
@@ -39,19 +36,16 @@
 	return nil
 }
 
-// parseTokens returns the tokens of a prompt and the most of its output. The result is false if the text is not
-// two whole numbers from 0 on.
-func parseTokens(text string) (prompt, output int, ok bool, err error) {
+// parseTokens returns the tokens of a prompt and the most of its output, the greatest int for a number beyond it.
+// The result is false if the text is not two whole numbers from 0 on.
+func parseTokens(text string) (prompt, output int, ok bool) {
 	in, out, ok := strings.Cut(text, ",")
 	if !ok {
-		return 0, 0, false, nil
+		return 0, 0, false
 	}
 	prompt, err1 := strconv.Atoi(strings.TrimSpace(in))
 	output, err2 := strconv.Atoi(strings.TrimSpace(out))
-	if prompt > maxTokens || output > maxTokens { // also if a number is out of the range of an int
-		return 0, 0, false, errTokens
-	}
-	return prompt, output, err1 == nil && err2 == nil && prompt >= 0 && output >= 0, nil
+	return prompt, output, err1 == nil && err2 == nil && prompt >= 0 && output >= 0
 }
 
 // sharedParts returns the parts of a prompt that other requests may share, which
--- a/internal/edge/relay/reach.go
+++ b/internal/edge/relay/reach.go
@@ -213,23 +213,32 @@
 // reached; the connection is kept for requests.
 func (s *Relay) probe(t fleet.Target) {
 	defer s.fleet.Path().ProbeEnded(t.Server.ID)
-	resp, err := s.servers.Do(context.Background(), &send.Request{
-		Addr: t.Server.Addr, Method: http.MethodGet, Target: t.HealthPath, Host: t.Server.Addr.String(),
-		Header: http.Header{}, Deadline: time.Now().Add(probeTimeout), NewConn: true,
+	resp, err := s.ask(context.Background(), &send.Request{
+		Addr: t.Server.Addr, Target: t.HealthPath, Deadline: time.Now().Add(probeTimeout), NewConn: true,
 	})
 	s.stats.Probe(t.Service, err)
 	if err != nil {
 		s.changedPath(s.fleet.Path().Failed(t.Server.ID, true, time.Now()))
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // an error closes the connection
-	_ = resp.Close()                                           // it returns no errors
 	if svc := s.fleet.Service(t.Service); svc != nil && success(resp) {
 		svc.Table.Confirm(t.Server.ID)
 	}
 	s.changedPath(s.fleet.Path().Responded(t.Server.ID, true, time.Now()))
 }
 
+// ask sends a GET request of the host's own to a server. It reads the response, whose connection is kept for requests.
+func (s *Relay) ask(ctx context.Context, req *send.Request) (*send.Response, error) {
+	req.Method, req.Host, req.Header = http.MethodGet, req.Addr.String(), http.Header{}
+	resp, err := s.servers.Do(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) // an error closes the connection
+	_ = resp.Close()                                           // it returns no errors
+	return resp, nil
+}
+
 // pickNeighbour returns one of the hosts, at random by their weights, that this request was
 // not sent to before.
 func (q *request) pickNeighbour(hosts []steer.Host) (netip.AddrPort, bool) {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -175,8 +175,8 @@
 	if ref := q.readBody(v.Snapshot.Limits); ref != nil {
 		return ref
 	}
-	if err := q.parsePrompt(); err != nil {
-		return &refusal{http.StatusBadRequest, reasonTokens, 0}
+	if ref := q.parsePrompt(); ref != nil {
+		return ref
 	}
 	q.service = q.route.Target(q.hash())
 	return s.checkRateLimit(q)
@@ -259,8 +259,8 @@
 		q.refuse(ref)
 		return
 	}
-	if err := q.parsePrompt(); err != nil {
-		q.refuse(&refusal{http.StatusBadRequest, reasonTokens, 0})
+	if ref := q.parsePrompt(); ref != nil {
+		q.refuse(ref)
 		return
 	}
 	q.serve()
--- a/internal/edge/send/client.go
+++ b/internal/edge/send/client.go
@@ -250,6 +250,7 @@
 // pop removes and returns the most recently used idle connection on which the request was not
 // refused, if possible one that is known to lead to its process, or nil if there is none.
 func (c *Client) pop(req *Request) (*conn, error) {
+	id := hashID(req.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -258,7 +259,7 @@
 	list := c.idle[req.Addr]
 	found := -1
 	for i, cn := range slices.Backward(list) {
-		if cn.hasRefused(req.ID) {
+		if slices.Contains(cn.refused, id) {
 			continue
 		}
 		known := req.Process.known(cn)
--- a/internal/edge/send/conn.go
+++ b/internal/edge/send/conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -107,13 +106,11 @@
 	if len(c.refused) >= maxRefused {
 		c.refused = append(c.refused[:0], c.refused[1:]...)
 	}
-	c.refused = append(c.refused, xxhash.Sum64String(id))
+	c.refused = append(c.refused, hashID(id))
 }
 
-// hasRefused reports whether the server refused a request on this connection.
-func (c *conn) hasRefused(id string) bool {
-	return len(c.refused) > 0 && slices.Contains(c.refused, xxhash.Sum64String(id))
-}
+// hashID returns the hash of the identifier of a request.
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
 
 // checkAcknowledged returns errNotTaken if a reset has arrived, or if the kernel of the server has not
 // acknowledged all that was written. It returns nil if that can't be determined.
--- a/internal/edge/send/memory_test.go
+++ b/internal/edge/send/memory_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -89,7 +90,7 @@
 	}
 	last := fmt.Sprint(2*maxRefused-1, strings.Repeat("x", size))
 	for _, cn := range list {
-		if !cn.hasRefused(last) || cn.hasRefused("other") {
+		if !slices.Contains(cn.refused, hashID(last)) || slices.Contains(cn.refused, hashID("other")) {
 			t.Fatal("the refused request is not the one that is remembered")
 		}
 	}
