--- a/internal/core/config/set_test.go
+++ b/internal/core/config/set_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/yuccalb/yuccalb/internal/core/model"
+	"github.com/yuccalb/yuccalb/internal/fake/heap"
 )
 
 // TestMain fixes the seed of the property tests; rapid prints it on a failure.
@@ -197,14 +198,14 @@
 
 	b.Run("decode", func(b *testing.B) {
 		var keep *Set
-		before := heapInUse()
+		before := heap.InUse()
 		for b.Loop() {
 			var err error
 			if keep, err = DecodeSet(whole, 1, set.Digest()); err != nil {
 				b.Fatal(err)
 			}
 		}
-		b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-held")
+		b.ReportMetric(float64(heap.InUse()-before)/1e6, "MB-held")
 		b.ReportMetric(float64(size)/1e6, "MB-segments")
 		b.ReportMetric(float64(len(whole))/1e6, "MB-whole")
 		runtime.KeepAlive(keep)
@@ -227,12 +228,3 @@
 		b.ReportMetric(float64(len(n)), "segments/change")
 	})
 }
-
-// heapInUse returns the allocated heap bytes after a garbage collection.
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/core/quota/rules_test.go
+++ b/internal/core/quota/rules_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccalb/yuccalb/internal/core/model"
 	"github.com/yuccalb/yuccalb/internal/core/quota"
+	"github.com/yuccalb/yuccalb/internal/fake/heap"
 )
 
 // pair is two hosts of one data centre, which hold the two slots of the fleet,
@@ -260,7 +261,7 @@
 		orgs = append(orgs, model.Org{Name: fmt.Sprintf("organisation-%05d", i), Rate: 2000, Burst: 16000})
 	}
 	snap := model.NewSnapshot(1, "", fleetConfig(1, 2, orgs...))
-	before := heapBytes()
+	before := heap.InUse()
 	p := newPair(500)
 	p.snap = snap
 	p.start(0, 0, 1)
@@ -270,21 +271,13 @@
 		p.node[0].Settle(base.Add(30*s), quota.Settlement{ID: g.ID, Org: ask.Org, Spent: 800})
 		p.node[0].Serve(base.Add(30*s), ask)
 	}
-	bytes = heapBytes() - before
+	bytes = heap.InUse() - before
 	p.node[0].Sweep(base.Add(time.Hour))
 	left = p.node[0].Pools()
 	runtime.KeepAlive(snap)
 	return bytes, left
 }
 
-func heapBytes() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // TestIdlePools guards against pools of idle organisations that stay in memory,
 // and against too much memory for active ones.
 func TestIdlePools(t *testing.T) {
--- a/internal/edge/ledger/ledger_test.go
+++ b/internal/edge/ledger/ledger_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccalb/yuccalb/internal/fake/await"
+	"github.com/yuccalb/yuccalb/internal/fake/heap"
 	"github.com/yuccalb/yuccalb/platform"
 	"github.com/yuccalb/yuccalb/platform/plattest"
 )
@@ -173,19 +173,11 @@
 	s := plattest.NewStore(t)
 	s.SetFault(func(*http.Request) int { return http.StatusServiceUnavailable })
 	l := newLedger(t, s)
-	before := heap()
+	before := heap.InUse()
 	for i := range records {
 		l.Add(stream(fmt.Sprint(i, strings.Repeat("x", size)), "v1", 0))
 	}
-	if n := heap() - before; n > most {
+	if n := heap.InUse() - before; n > most {
 		t.Errorf("%d records hold %d bytes, want at most %d", records, n, most)
 	}
 }
-
-// heap returns the bytes of objects in use.
-func heap() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/internal/edge/send/memory_test.go
+++ b/internal/edge/send/memory_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/fake/heap"
 	"github.com/yuccalb/yuccalb/internal/fake/local"
 )
 
@@ -70,13 +71,7 @@
 // the requests that servers refused, which callers choose.
 func TestRefusedIdentifiers(t *testing.T) {
 	const conns, size, most = 32, 58 << 10, 8 << 20
-	heap := func() int64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapAlloc)
-	}
-	before := heap()
+	before := heap.InUse()
 	var list []*conn
 	for range conns {
 		cn := newConn(nil, netip.AddrPort{}, nil)
@@ -85,7 +80,7 @@
 		}
 		list = append(list, cn)
 	}
-	if n := heap() - before; n > most {
+	if n := heap.InUse() - before; n > most {
 		t.Errorf("%d connections hold %d bytes, want at most %d", conns, n, most)
 	}
 	last := fmt.Sprint(2*maxRefused-1, strings.Repeat("x", size))
