--- a/internal/edge/entry/absent_test.go
+++ b/internal/edge/entry/absent_test.go
@@ -31,9 +31,7 @@
 func (cl *cluster) putConfig(c plattest.Config) {
 	cl.t.Helper()
 	cl.store.PutConfig(c)
-	for _, e := range cl.hosts {
-		cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == int64(c.Version) })
-	}
+	cl.waitVersion(int64(c.Version))
 }
 
 // TestServerStateKeptWhileServiceLeftOut guards against a server that is sent requests in the
--- a/internal/edge/entry/keys_test.go
+++ b/internal/edge/entry/keys_test.go
@@ -27,29 +27,20 @@
 	cl.store.Put(platform.ConfigKey, value)
 }
 
-// keyed returns a call with a key, or with none if that is empty.
-func keyed(path, key string) line.Call {
-	c := line.Post(path, "1").With(platform.HeaderDeadline, "4000")
-	if key != "" {
-		c = c.With(platform.HeaderAPIKey, key)
-	}
-	return c
-}
-
 // wantClosed checks that a host refuses all requests but those on public routes, with a status.
 func (cl *cluster) wantClosed(e *Entry, status int) {
 	cl.t.Helper()
 	for _, path := range []string{"/order/x", "/home-b/x", "/ask/x"} {
 		for name, c := range map[string]line.Call{
-			"the key": keyed(path, key), "another key": keyed(path, "key-2"), "no key": keyed(path, ""),
-			"an empty key": keyed(path, "").With(platform.HeaderAPIKey, " "), // a header without a value
+			"the key": post(path, "1"), "another key": withKey(post(path, "1"), "key-2"), "no key": withKey(post(path, "1"), ""),
+			"an empty key": withKey(post(path, "1"), " "), // a header without a value
 		} {
 			if resp := cl.do(e, c); resp.Status != status {
 				cl.t.Errorf("%s with %s: status %d, want %d", path, name, resp.Status, status)
 			}
 		}
 	}
-	wantStatus(cl.t, cl.do(e, keyed("/open/x", "")), http.StatusOK)
+	wantStatus(cl.t, cl.do(e, withKey(post("/open/x", "1"), "")), http.StatusOK)
 }
 
 // TestLastOrganisationRemoved guards against keys that work again, and requests without one that run, once a version
@@ -76,13 +67,11 @@
 			}
 			cl.eventually("state report", func() bool { return len(runs.fleet.RemoteRegions("desk")) == 1 })
 			for _, e := range cl.hosts {
-				wantStatus(t, cl.do(e, keyed("/order/x", key)), http.StatusOK)
+				wantStatus(t, cl.do(e, post("/order/x", "1")), http.StatusOK)
 			}
 			for i, v := range []string{list, list} { // the next version changes nothing
 				cl.putOrgs(2+i, v)
-				for _, e := range cl.hosts {
-					cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == int64(2+i) })
-				}
+				cl.waitVersion(int64(2 + i))
 			}
 			cl.host("a1") // has read no version with keys
 			for _, e := range cl.hosts {
@@ -96,30 +85,22 @@
 // the version that has taken the last organisation away, and against one that works again afterwards: at a host
 // that reads the version from another one of its region, and at one that is alone.
 func TestLastOrganisationRemovedDuringOutage(t *testing.T) {
-	for name, alone := range map[string]bool{"with a peer": false, "alone": true} {
+	for name, status := range map[string]int{"with a peer": http.StatusUnauthorized, "alone": http.StatusServiceUnavailable} {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t)
-			p := proxy.New(t, cl.store.Addr())
-			settings := cl.settings("a1")
-			settings.Store = p.Addr()
-			e := cl.start(settings)
-			cl.waitReady(e)
-			if !alone {
+			e, p := cl.startBehind(cl.settings("a1"))
+			if name != "alone" {
 				other := cl.host("a1")
 				cl.eventually("state reports", func() bool { return len(e.exchange.Peers()) == 1 && len(other.exchange.Peers()) == 1 })
 			}
 			cl.server("s1", "a1", ok)
-			wantStatus(t, cl.do(e, keyed("/order/x", key)), http.StatusOK)
+			wantStatus(t, cl.do(e, post("/order/x", "1")), http.StatusOK)
 			p.Set(held)
 			cl.putOrgs(2, `[]`)
 			time.Sleep(e.settings.Revoke)
-			if alone {
-				cl.wantClosed(e, http.StatusServiceUnavailable)
-			} else {
-				cl.wantClosed(e, http.StatusUnauthorized)
-			}
+			cl.wantClosed(e, status)
 			p.Set(proxy.Fault{})
-			cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == 2 })
+			cl.waitVersion(2)
 			cl.eventually("keys confirmed", e.fleet.Ready)
 			cl.wantClosed(e, http.StatusUnauthorized)
 		})
@@ -132,10 +113,10 @@
 	cl := newCluster(t)
 	e := cl.host("a1")
 	cl.heartbeatServer("s1", "a1")
-	wantStatus(t, cl.do(e, keyed("/order/x", key)), http.StatusOK)
+	wantStatus(t, cl.do(e, post("/order/x", "1")), http.StatusOK)
 	old := cl.store.Copy()
 	cl.putOrgs(2, `[]`)
-	cl.eventually("version in force", func() bool { return e.fleet.View().Snapshot.Version == 2 })
+	cl.waitVersion(2)
 	cl.wantClosed(e, http.StatusUnauthorized)
 	cl.store.Restore(old)
 	s := cl.settings("a1")
@@ -143,7 +124,7 @@
 	second := cl.start(s)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, e := range []*Entry{e, second} {
-			if resp := cl.do(e, keyed("/order/x", key)); resp.Status == http.StatusOK {
+			if resp := cl.do(e, post("/order/x", "1")); resp.Status == http.StatusOK {
 				t.Fatalf("the key works again, version %d", e.fleet.View().Snapshot.Version)
 			}
 		}
--- a/internal/edge/entry/restore_test.go
+++ b/internal/edge/entry/restore_test.go
@@ -113,9 +113,7 @@
 	cutOff.Store(true)
 	cl.store.Restore(copied)
 	cl.store.PutConfig(config(2, "key-2"))
-	for _, e := range []*Entry{a, b} {
-		cl.eventually("version 2 at "+e.settings.Host, func() bool { return e.fleet.View().Snapshot.Version == 2 })
-	}
+	cl.waitVersion(2)
 	time.Sleep(a.settings.Revoke + eras.RewriteTime)
 	for _, e := range []*Entry{a, b} {
 		wantStatus(t, cl.do(e, withKey(get("/safe/x"), "key-2")), http.StatusOK)
--- a/internal/edge/entry/step_test.go
+++ b/internal/edge/entry/step_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccalb/yuccalb/internal/edge/boot"
 	"github.com/yuccalb/yuccalb/internal/fake/origin"
 	"github.com/yuccalb/yuccalb/internal/fake/proxy"
 	"github.com/yuccalb/yuccalb/platform"
@@ -16,10 +17,16 @@
 // hostBehind starts a host that reaches the store through a proxy.
 func (cl *cluster) hostBehind(site string) (*Entry, *proxy.Proxy) {
 	cl.t.Helper()
-	p := proxy.New(cl.t, cl.store.Addr())
 	s := cl.settings(site)
-	s.Store = p.Addr()
 	s.Revoke = time.Minute // the host serves although it can't confirm keys
+	return cl.startBehind(s)
+}
+
+// startBehind is hostBehind with settings.
+func (cl *cluster) startBehind(s boot.Settings) (*Entry, *proxy.Proxy) {
+	cl.t.Helper()
+	p := proxy.New(cl.t, cl.store.Addr())
+	s.Store = p.Addr()
 	e := cl.start(s)
 	cl.waitReady(e)
 	return e, p
--- a/internal/edge/track/retain_test.go
+++ b/internal/edge/track/retain_test.go
@@ -1,8 +1,6 @@
 package track
 
 import (
-	"context"
-	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -24,15 +22,6 @@
 	}
 }
 
-// oneListing is a PeerReader that returns a listing.
-type oneListing struct{ l *Listing }
-
-func (o oneListing) Config(context.Context, netip.AddrPort) (platform.Item, error) {
-	return platform.Item{}, nil
-}
-
-func (o oneListing) Entries(context.Context, netip.AddrPort) (*Listing, error) { return o.l, nil }
-
 // TestRetainedByPeer guards against requests to a server that has ended, or that leaves, because a host which
 // was cut off meanwhile takes its entry for one that expired in an outage, and passes it on to a host that has
 // read the entries all the while. It also guards against dropping servers whose entries did expire in an outage.
@@ -67,7 +56,11 @@
 			read := listing(200, other)
 			read.EntriesRev.Era = 1
 			read.Expired, read.RetainUntil, read.ExpiredRev = []spec.Server{one}, time.Now().Add(2*time.Second), eras.Revision{Count: c.from}
-			tr := New(Options{Store: platform.NewStore(addr, nil), PeerReader: oneListing{read}, Log: zap.NewNop(), OnChange: func() {}})
+			opts := Options{Store: platform.NewStore(addr, nil), Log: zap.NewNop(), OnChange: func() {}}
+			o := &peerHost{Tracker: New(opts)}
+			o.setListing(read, clock.Now())
+			opts.PeerReader = o
+			tr := New(opts)
 			tr.mergeEra(eras.Era{Number: 1, Since: clock.Now() - eras.SettleTime}, "test")
 			if c.own != nil {
 				now := clock.Now()
@@ -96,12 +89,7 @@
 	s := newStore(t)
 	s.PutServer("s1", "desk", "a1", addr, "ready")
 	proxy, cut := plattest.FaultProxy(t, s)
-	o := &peerHost{Tracker: New(Options{
-		Store: platform.NewStore(proxy, nil), Self: spec.Host{Name: "h0", Site: "a1", Front: addr, Peer: addr}, First: true,
-		Log: zap.NewNop(), OnChange: func() {}, Position: func() int { return 0 },
-	})}
-	o.Start()
-	t.Cleanup(o.Close)
+	o := &peerHost{Tracker: startAt(t, proxy, "h0", 0)}
 	tr := startWithPeer(t, s.Addr(), o)
 	eventually(t, "server", func() bool { return tr.hasServer("s1") && o.hasServer("s1") })
 	time.Sleep(reregisterTime) // the host has followed the entries
--- a/internal/edge/track/track_test.go
+++ b/internal/edge/track/track_test.go
@@ -30,9 +30,15 @@
 
 // startHost starts a tracker of a named host.
 func startHost(t *testing.T, store *plattest.Store, name string, position int) *Tracker {
+	t.Helper()
+	return startAt(t, store.Addr(), name, position)
+}
+
+// startAt is startHost with the address of the store.
+func startAt(t *testing.T, store netip.AddrPort, name string, position int) *Tracker {
 	t.Helper()
 	tr := New(Options{
-		Store: platform.NewStore(store.Addr(), nil),
+		Store: platform.NewStore(store, nil),
 		Self:  spec.Host{Name: name, Site: "a1", Front: addr, Peer: addr},
 		Log:   zap.NewNop(), OnChange: func() {}, Position: func() int { return position },
 	})
