Change the server within its response in the tests of ended servers

The scripts of the servers waited for goroutines of the test, by channels, to do what they can do themselves.

--- a/internal/edge/entry/ended_test.go
+++ b/internal/edge/entry/ended_test.go
@@ -14,10 +14,13 @@
 )
 
 // endsWithConn returns the script of a server that begins a response which ends with its connection, and calls
-// then before it ends it. Requests with the body "chunks" get chunks instead. Others are served at once.
+// then before it ends it. Requests with the body "chunks" get chunks instead. Others are served at once, those to
+// /short/ with the announcement that the server leaves.
 func endsWithConn(part string, then func()) origin.Script {
 	return func(x *origin.Exchange) bool {
 		switch {
+		case x.URL.Path == "/short/x":
+			return x.Reply(http.StatusOK, "", leavingHeader)
 		case x.Method == http.MethodGet:
 			return ok(x)
 		case string(x.Body) == "chunks":
@@ -85,41 +88,26 @@
 // TestUnframedResponseOfKilledServer guards against a response in part that looks complete because its server was
 // killed while it left, was no longer listed or its data centre was evacuated.
 func TestUnframedResponseOfKilledServer(t *testing.T) {
-	for name, change := range map[string]func(cl *cluster, s *origin.Server){
-		"leaves":    func(cl *cluster, s *origin.Server) { cl.store.PutServer("s1", "desk", "a1", s.Addr(), "draining") },
-		"announced": func(*cluster, *origin.Server) {},
-		"removed":   func(cl *cluster, _ *origin.Server) { cl.store.RemoveServer("s1") },
-		"restarted": func(cl *cluster, s *origin.Server) {
+	for name, change := range map[string]func(cl *cluster, e *Entry, s *origin.Server){
+		"leaves": func(cl *cluster, _ *Entry, s *origin.Server) {
+			cl.store.PutServer("s1", "desk", "a1", s.Addr(), "draining")
+		},
+		"announced": func(cl *cluster, e *Entry, _ *origin.Server) { cl.do(e, get("/short/x")) },
+		"removed":   func(cl *cluster, _ *Entry, _ *origin.Server) { cl.store.RemoveServer("s1") },
+		"restarted": func(cl *cluster, _ *Entry, s *origin.Server) {
 			cl.store.PutEntry(plattest.Server{ID: "s1", Service: "desk", Site: "a1", Addr: s.Addr(), State: "ready", Version: "v1", Born: 2, Seq: 1})
 		},
-		"evacuated": func(cl *cluster, _ *origin.Server) { cl.store.Evacuate("a1") },
+		"evacuated": func(cl *cluster, _ *Entry, _ *origin.Server) { cl.store.Evacuate("a1") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t)
 			e := cl.host("a1")
-			begun := make(chan struct{})
-			end := make(chan struct{})
 			var s *origin.Server
-			answer := endsWithConn(origin.Events(1, 2), func() {
-				close(begun)
-				<-end
-				s.Crash()
-			})
-			s = cl.server("s1", "a1", func(x *origin.Exchange) bool {
-				if name == "announced" && x.Method == http.MethodGet {
-					return x.Reply(http.StatusOK, "", leavingHeader)
-				}
-				return answer(x)
-			})
-			go func() {
-				<-begun
-				if name == "announced" {
-					cl.do(e, get("/open/x"))
-				}
-				change(cl, s)
+			s = cl.server("s1", "a1", endsWithConn(origin.Events(1, 2), func() {
+				change(cl, e, s)
 				time.Sleep(time.Second) // the host reads it
-				close(end)
-			}()
+				s.Crash()
+			}))
 			resp := cl.do(e, post("/chat/x", "1"))
 			wantStatus(t, resp, http.StatusOK)
 			if resp.Err == nil {
@@ -166,20 +154,12 @@
 func TestUnframedResponseOfLeavingServer(t *testing.T) {
 	cl := newCluster(t)
 	e := cl.host("a1")
-	begun := make(chan struct{})
-	listed := make(chan struct{})
 	var s *origin.Server
 	s = cl.server("s1", "a1", endsWithConn(origin.Events(1, 2), func() {
-		close(begun)
-		<-listed
-		time.AfterFunc(50*time.Millisecond, s.Crash)
-	}))
-	go func() {
-		<-begun
 		cl.store.PutServer("s1", "desk", "a1", s.Addr(), "draining")
 		cl.eventually("server leaves", func() bool { return !cl.usable(e, "s1") })
-		close(listed)
-	}()
+		time.AfterFunc(50*time.Millisecond, s.Crash)
+	}))
 	resp := cl.do(e, post("/chat/x", "1"))
 	wantStatus(t, resp, http.StatusOK)
 	if resp.Err != nil || resp.Body != origin.Events(1, 2) {
